--- /dev/null
+++ b/crates/chestnutpick_entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `chestnutpick-entry`.
+
+fn main() {}
--- /dev/null
+++ b/crates/chestnutpick_types/src/lib.rs
@@ -0,0 +1,10 @@
+//! Shared vocabulary of the workspace: ids, sizes, rates, time and the closed list of error kinds.
+//!
+//! Every other crate depends on this one; it depends on none of them and performs no I/O.
+
+pub mod digest;
+pub mod error;
+pub mod id;
+pub mod rate;
+pub mod size;
+pub mod time;
--- /dev/null
+++ b/crates/chestnutpick_types/src/rate.rs
@@ -0,0 +1,66 @@
+//! Rates of data and of calls.
+
+use std::fmt;
+use std::str;
+
+use snafu::Snafu;
+
+use crate::size;
+use crate::time;
+
+/// Reason why a text is not a rate.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display("invalid rate {text:?}: expected a size followed by /s, such as 2MiB/s"))]
+pub struct RateError {
+    /// The rejected text.
+    text: String,
+}
+
+/// A data rate in bytes a second.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Default,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct BytesPerSec(pub u64);
+
+impl BytesPerSec {
+    /// Returns the time that `size` takes at this rate, rounded up; a zero rate gives the longest span.
+    ///
+    /// ```
+    /// use chestnutpick_types::{rate, size, time};
+    /// assert_eq!(rate::BytesPerSec(1_000).time_for(size::Bytes(500)), time::Millis(500));
+    /// ```
+    pub fn time_for(self, size: size::Bytes) -> time::Millis {
+        match self.0 {
+            0 => time::Millis(u64::MAX),
+            rate => time::Millis(size.0.saturating_mul(1_000).div_ceil(rate)),
+        }
+    }
+}
+
+impl fmt::Display for BytesPerSec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", size::Bytes(self.0))
+    }
+}
+
+impl str::FromStr for BytesPerSec {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, RateError> {
+        match text.strip_suffix("/s").and_then(|size| size.parse::<size::Bytes>().ok()) {
+            Some(bytes) => Ok(Self(bytes.0)),
+            None => RateSnafu { text }.fail(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_types/src/time.rs
@@ -0,0 +1,143 @@
+//! Time as policies see it: milliseconds on a clock that never goes back.
+//!
+//! Policies receive `now` as an argument, so that tests run them in virtual time.
+
+use std::fmt;
+use std::ops;
+use std::str;
+use std::time;
+
+use snafu::Snafu;
+
+/// Reason why a text is not a duration.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display("invalid duration {text:?}: expected a whole number followed by ms, s or m"))]
+pub struct DurationError {
+    /// The rejected text.
+    text: String,
+}
+
+/// A point in time or a span of time, in milliseconds.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Default,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The start of time and the empty span.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns a span of whole seconds.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// assert_eq!(time::Millis::from_secs(2).to_string(), "2000ms");
+    /// ```
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * 1_000)
+    }
+
+    /// Returns the span since `earlier`, or zero if `earlier` is later.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// assert_eq!(time::Millis(5).since(time::Millis(2)), time::Millis(3));
+    /// assert_eq!(time::Millis(2).since(time::Millis(5)), time::Millis::ZERO);
+    /// ```
+    pub const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the same span as a standard duration.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// assert_eq!(time::Millis(1_500).to_duration(), std::time::Duration::from_millis(1_500));
+    /// ```
+    pub const fn to_duration(self) -> time::Duration {
+        time::Duration::from_millis(self.0)
+    }
+}
+
+impl ops::Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl str::FromStr for Millis {
+    type Err = DurationError;
+
+    fn from_str(text: &str) -> Result<Self, DurationError> {
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+        let scale = match &text[digits.len()..] {
+            "ms" => 1,
+            "s" => 1_000,
+            "m" => 60_000,
+            _ => return DurationSnafu { text }.fail(),
+        };
+        match digits.parse::<u64>().ok().and_then(|n| n.checked_mul(scale)) {
+            Some(ms) => Ok(Self(ms)),
+            None => DurationSnafu { text }.fail(),
+        }
+    }
+}
+
+/// The process's monotonic clock, counted from its creation.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: time::Instant,
+}
+
+impl Clock {
+    /// Returns a clock that starts at zero.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// let clock = time::Clock::start();
+    /// assert!(clock.now() <= clock.now());
+    /// ```
+    pub fn start() -> Self {
+        Self { start: time::Instant::now() }
+    }
+
+    /// Returns the time since the clock was started.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// assert!(time::Clock::start().now() < time::Millis::from_secs(60));
+    /// ```
+    pub fn now(&self) -> Millis {
+        Millis(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch, for records that outlive a process.
+///
+/// ```
+/// use chestnutpick_types::time;
+/// assert!(time::unix_now() > time::Millis::from_secs(1_700_000_000));
+/// ```
+pub fn unix_now() -> Millis {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
