Add HTTP server, settings, and telemetry libraries; describe the stand-ins' protocols

Cause: every process needs the same serving, draining, settings checks, event log and metrics page, and the platform clients and the stand-ins must agree on one protocol.

--- /dev/null
+++ b/crates/chestnutpick_settings/src/file.rs
@@ -0,0 +1,114 @@
+//! Reading a settings file.
+
+use std::fs;
+use std::io;
+use std::path;
+
+use serde::de;
+use snafu::{ResultExt, Snafu};
+
+use crate::check;
+
+/// Exit status for a wrong command line or settings file.
+pub const EXIT_STATUS: i32 = 2;
+
+/// A settings file that cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("{}: cannot be read: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: path::PathBuf,
+        /// The operating system's reason.
+        source: io::Error,
+    },
+    /// The file is not TOML, has an unknown or missing key, or a value of the wrong type.
+    #[snafu(display("{}:{line}: {text:?}: {message}", path.display()))]
+    Parse {
+        /// The file.
+        path: path::PathBuf,
+        /// Line number, from 1.
+        line: usize,
+        /// The text of that line.
+        text: String,
+        /// What was expected.
+        message: String,
+    },
+    /// A value is outside what is allowed.
+    #[snafu(display("{}: {violation}", path.display()))]
+    Value {
+        /// The file.
+        path: path::PathBuf,
+        /// The key, the value and what is allowed.
+        violation: check::Violation,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns [`SettingsError`] with the first thing that is wrong.
+///
+/// ```
+/// use chestnutpick_settings::{check, file};
+///
+/// #[derive(Debug, serde::Deserialize)]
+/// struct Settings {}
+/// impl check::Check for Settings {
+///     fn check(&self) -> Result<(), check::Violation> {
+///         Ok(())
+///     }
+/// }
+/// let missing = file::load::<Settings>("/no/such/file.toml".as_ref());
+/// assert!(missing.unwrap_err().to_string().starts_with("/no/such/file.toml: cannot be read"));
+/// ```
+pub fn load<T>(path: &path::Path) -> Result<T, SettingsError>
+where
+    T: de::DeserializeOwned + check::Check,
+{
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    parse(path, &text)
+}
+
+/// Parses and checks the text of a settings file; `path` is used in errors only.
+///
+/// # Errors
+///
+/// Returns [`SettingsError`] with the first thing that is wrong.
+///
+/// ```
+/// use chestnutpick_settings::{check, file};
+///
+/// #[derive(Debug, serde::Deserialize)]
+/// #[serde(deny_unknown_fields)]
+/// struct Settings {
+///     slots: u32,
+/// }
+/// impl check::Check for Settings {
+///     fn check(&self) -> Result<(), check::Violation> {
+///         check::in_range("slots", self.slots, 1..=64)
+///     }
+/// }
+/// let error = file::parse::<Settings>("a.toml".as_ref(), "slots = 0").unwrap_err();
+/// assert_eq!(error.to_string(), "a.toml: slots is \"0\": allowed is 1 to 64");
+/// ```
+pub fn parse<T>(path: &path::Path, text: &str) -> Result<T, SettingsError>
+where
+    T: de::DeserializeOwned + check::Check,
+{
+    let settings: T = toml::from_str(text).map_err(|reason| parse_error(path, text, &reason))?;
+    match settings.check() {
+        Ok(()) => Ok(settings),
+        Err(violation) => ValueSnafu { path, violation }.fail(),
+    }
+}
+
+fn parse_error(path: &path::Path, text: &str, reason: &toml::de::Error) -> SettingsError {
+    let start = reason.span().map_or(0, |span| span.start).min(text.len());
+    let line = text[..start].matches('\n').count();
+    let content = text.lines().nth(line).unwrap_or_default().trim().to_owned();
+    let message = reason.message().replace('\n', "; ");
+    ParseSnafu { path, line: line + 1, text: content, message }.build()
+}
--- a/crates/chestnutpick_telemetry/src/lib.rs
+++ b/crates/chestnutpick_telemetry/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Logs, metrics and process-wide helpers for those on call.
+
+pub mod event;
+pub mod metric;
--- /dev/null
+++ b/crates/chestnutpick_telemetry/src/metric.rs
@@ -0,0 +1,42 @@
+//! The metrics page. Counters, gauges and histograms are recorded with the `metrics` macros.
+
+use metrics_exporter_prometheus as prometheus;
+use snafu::{ResultExt, Snafu};
+
+/// The recorder could not be installed.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot install the metrics recorder: {source}"))]
+pub struct InstallError {
+    source: prometheus::BuildError,
+}
+
+/// Renders the metrics of this process.
+#[derive(Clone)]
+pub struct Page(prometheus::PrometheusHandle);
+
+impl Page {
+    /// Installs the recorder of this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`InstallError`] when a recorder is installed already.
+    ///
+    /// ```
+    /// let page = chestnutpick_telemetry::metric::Page::install().unwrap();
+    /// assert!(page.render().is_empty());
+    /// ```
+    pub fn install() -> Result<Self, InstallError> {
+        prometheus::PrometheusBuilder::new().install_recorder().map(Self).context(InstallSnafu)
+    }
+
+    /// Returns the page in the Prometheus text format.
+    ///
+    /// ```
+    /// let page = chestnutpick_telemetry::metric::Page::install().unwrap();
+    /// assert_eq!(page.render(), "");
+    /// ```
+    pub fn render(&self) -> String {
+        self.0.run_upkeep();
+        self.0.render()
+    }
+}
