Add the control protocol on capnp-rpc

Cause: entries and agents exchange load, configuration revisions, suspects and settlement verdicts.

Ruled out: JSON over HTTP for heartbeats, for its size against the limit of 9 KB/s a node.

Change: schema, committed generated code, client with a deadline on each call, server with a synchronous handler.

Result: 2 tests pass: every field survives the wire, and a silent peer ends in a deadline.

--- /dev/null
+++ b/crates/chestnutpick_rpc/src/client.rs
@@ -0,0 +1,186 @@
+//! Calling the control protocol of another process.
+
+use std::net::SocketAddr;
+use std::time;
+
+use actix_rt::net;
+use actix_rt::task;
+use bytes::Bytes;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use chestnutpick_types::id;
+use chestnutpick_types::time as instant;
+use futures::AsyncReadExt;
+use snafu::Snafu;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::message;
+use crate::node_capnp;
+use crate::node_capnp::node;
+
+/// A call that brought no answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// No connection could be made.
+    #[snafu(display("cannot connect to {address}: {reason}"))]
+    Connect {
+        /// The peer.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// No answer came within the deadline.
+    #[snafu(display("no answer from {address} within {} ms", deadline.as_millis()))]
+    Deadline {
+        /// The peer.
+        address: SocketAddr,
+        /// The deadline.
+        deadline: time::Duration,
+    },
+    /// The connection failed or the answer is malformed.
+    #[snafu(display("call to {address} failed: {reason}"))]
+    Failed {
+        /// The peer.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// A connection to one process. Dropping it closes it.
+pub struct Connection {
+    address: SocketAddr,
+    deadline: time::Duration,
+    node: node::Client,
+    driver: task::JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Connects to `address`; `deadline` applies to connecting and to each call.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Connect`] or [`CallError::Deadline`].
+    pub async fn open(address: SocketAddr, deadline: time::Duration) -> Result<Self, CallError> {
+        let connecting = net::TcpStream::connect(address);
+        let connection = match actix_rt::time::timeout(deadline, connecting).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(reason)) => return ConnectSnafu { address, reason: reason.to_string() }.fail(),
+            Err(_) => return DeadlineSnafu { address, deadline }.fail(),
+        };
+        let _ = connection.set_nodelay(true);
+        let (reader, writer) = TokioAsyncReadCompatExt::compat(connection).split();
+        let network = twoparty::VatNetwork::new(
+            futures::io::BufReader::new(reader),
+            futures::io::BufWriter::new(writer),
+            rpc_twoparty_capnp::Side::Client,
+            Default::default(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let node = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        let driver = actix_rt::spawn(async move {
+            // The calls in progress report the failure of the connection.
+            let _ = system.await;
+        });
+        Ok(Self { address, deadline, node, driver })
+    }
+
+    /// Sends a heartbeat and returns the peer's report.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Deadline`] or [`CallError::Failed`]; the connection must then be replaced.
+    pub async fn heartbeat(
+        &self,
+        sender: &id::HostId,
+        revision: u64,
+        suspects: &[message::Suspect],
+    ) -> Result<message::Report, CallError> {
+        let mut request = self.node.heartbeat_request();
+        request.get().set_sender(sender.as_str());
+        request.get().set_revision(revision);
+        let count = u32::try_from(suspects.len()).unwrap_or(u32::MAX);
+        message::write_suspects(request.get().init_suspects(count), suspects);
+        let response = self.within(request.send().promise).await?;
+        let read = || message::read_report(response.get()?.get_report()?);
+        read().map_err(|reason| self.failed(&reason))
+    }
+
+    /// Offers a configuration document and returns the revision in force at the peer afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Deadline`] or [`CallError::Failed`]; the connection must then be replaced.
+    pub async fn put_config(&self, revision: u64, document: &[u8]) -> Result<u64, CallError> {
+        let mut request = self.node.put_config_request();
+        request.get().set_revision(revision);
+        request.get().set_document(document);
+        let response = self.within(request.send().promise).await?;
+        response.get().map(|results| results.get_revision()).map_err(|reason| self.failed(&reason))
+    }
+
+    /// Returns the revision in force at the peer and, if it is above `known`, its document.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Deadline`] or [`CallError::Failed`]; the connection must then be replaced.
+    pub async fn get_config(&self, known: u64) -> Result<(u64, Bytes), CallError> {
+        let mut request = self.node.get_config_request();
+        request.get().set_known(known);
+        let response = self.within(request.send().promise).await?;
+        let read = || {
+            let results = response.get()?;
+            Ok((results.get_revision(), Bytes::copy_from_slice(results.get_document()?)))
+        };
+        read().map_err(|reason: capnp::Error| self.failed(&reason))
+    }
+
+    /// Asks the peer for the outcome of an attempt whose claim is `claim_age` old.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Deadline`] or [`CallError::Failed`]; the connection must then be replaced.
+    pub async fn settle(
+        &self,
+        attempt: &id::AttemptId,
+        claim_age: instant::Millis,
+    ) -> Result<message::Verdict, CallError> {
+        let mut request = self.node.settle_request();
+        request.get().set_attempt(attempt.as_str());
+        request.get().set_claim_age(claim_age.0);
+        let response = self.within(request.send().promise).await?;
+        let read = || {
+            let results = response.get()?;
+            Ok(match results.get_verdict()? {
+                node_capnp::Verdict::NotRun => message::Verdict::NotRun,
+                node_capnp::Verdict::Running => message::Verdict::Running,
+                node_capnp::Verdict::Unknown => message::Verdict::Unknown,
+                node_capnp::Verdict::Finished => message::Verdict::Finished {
+                    status: results.get_status(),
+                    body: Bytes::copy_from_slice(results.get_body()?),
+                },
+            })
+        };
+        read().map_err(|reason: capnp::Error| self.failed(&reason))
+    }
+
+    async fn within<F, T>(&self, call: F) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        match actix_rt::time::timeout(self.deadline, call).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(reason)) => Err(self.failed(&reason)),
+            Err(_) => DeadlineSnafu { address: self.address, deadline: self.deadline }.fail(),
+        }
+    }
+
+    fn failed(&self, reason: &capnp::Error) -> CallError {
+        FailedSnafu { address: self.address, reason: reason.to_string() }.build()
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_rpc/src/message.rs
@@ -0,0 +1,171 @@
+//! Messages as plain data, and their conversion to and from Cap'n Proto.
+
+use bytes::Bytes;
+use capnp::text;
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+use chestnutpick_types::time;
+
+use crate::node_capnp;
+
+/// A request fingerprint that was in flight at a crash.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Digest that identifies the request.
+    pub fingerprint: digest::Digest,
+    /// Number of crashes seen.
+    pub crashes: u8,
+    /// Time since the last crash.
+    pub age: time::Millis,
+}
+
+/// State that a process reports in answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// The reporting host.
+    pub host: id::HostId,
+    /// Start time of the process in Unix milliseconds.
+    pub incarnation: u64,
+    /// Position in the sequence of reports of this incarnation.
+    pub sequence: u64,
+    /// Revision of the configuration in force.
+    pub revision: u64,
+    /// The process takes no new work.
+    pub leaving: bool,
+    /// The endpoint is in cold start.
+    pub cold: bool,
+    /// Attempts that the endpoint bears at once when warm.
+    pub slots: u32,
+    /// Attempts in flight.
+    pub running: u32,
+    /// Memory units in use, in tokens.
+    pub memory_used: u64,
+    /// Memory units available, in tokens.
+    pub memory_limit: u64,
+    /// Attempts admitted at once at present.
+    pub admit_limit: u32,
+    /// Digests of the versions that the engine serves.
+    pub loaded: Vec<digest::Digest>,
+    /// Plain services that the endpoint offers.
+    pub services: Vec<id::ServiceId>,
+    /// Chunks held of the version in transfer.
+    pub chunks_held: u32,
+    /// Chunks in all of the version in transfer; 0 when there is none.
+    pub chunks_total: u32,
+    /// Fingerprints that the endpoint's crashes made suspect.
+    pub suspects: Vec<Suspect>,
+    /// Bytes drawn from the origin since the start of the process.
+    pub origin_bytes: u64,
+}
+
+/// Outcome of an attempt, as the agent that was to run it knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It did not run and is barred from running.
+    NotRun,
+    /// It is running.
+    Running,
+    /// It ran with this result.
+    Finished {
+        /// HTTP status of the result.
+        status: u16,
+        /// Body of the result.
+        body: Bytes,
+    },
+    /// The agent cannot tell.
+    Unknown,
+}
+
+type Result<T> = std::result::Result<T, capnp::Error>;
+
+pub(crate) fn parse<T>(text: text::Reader<'_>) -> Result<T>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    text.to_str()?.parse().map_err(|reason: T::Err| capnp::Error::failed(reason.to_string()))
+}
+
+fn read_digest(data: &[u8]) -> Result<digest::Digest> {
+    digest::Digest::from_slice(data)
+        .ok_or_else(|| capnp::Error::failed("a digest has 32 bytes".to_owned()))
+}
+
+fn index(position: usize) -> u32 {
+    u32::try_from(position).unwrap_or(u32::MAX)
+}
+
+pub(crate) fn write_suspects(
+    mut list: capnp::struct_list::Builder<'_, node_capnp::suspect::Owned>,
+    suspects: &[Suspect],
+) {
+    for (position, suspect) in suspects.iter().enumerate() {
+        let mut item = list.reborrow().get(index(position));
+        item.set_fingerprint(suspect.fingerprint.as_bytes());
+        item.set_crashes(suspect.crashes);
+        item.set_age(suspect.age.0);
+    }
+}
+
+pub(crate) fn read_suspects(
+    list: capnp::struct_list::Reader<'_, node_capnp::suspect::Owned>,
+) -> Result<Vec<Suspect>> {
+    let read = |item: node_capnp::suspect::Reader<'_>| {
+        Ok(Suspect {
+            fingerprint: read_digest(item.get_fingerprint()?)?,
+            crashes: item.get_crashes(),
+            age: time::Millis(item.get_age()),
+        })
+    };
+    list.iter().map(read).collect()
+}
+
+pub(crate) fn write_report(mut to: node_capnp::report::Builder<'_>, report: &Report) {
+    to.set_host(report.host.as_str());
+    to.set_incarnation(report.incarnation);
+    to.set_sequence(report.sequence);
+    to.set_revision(report.revision);
+    to.set_leaving(report.leaving);
+    to.set_cold(report.cold);
+    to.set_slots(report.slots);
+    to.set_running(report.running);
+    to.set_memory_used(report.memory_used);
+    to.set_memory_limit(report.memory_limit);
+    to.set_admit_limit(report.admit_limit);
+    to.set_chunks_held(report.chunks_held);
+    to.set_chunks_total(report.chunks_total);
+    to.set_origin_bytes(report.origin_bytes);
+    let mut loaded = to.reborrow().init_loaded(index(report.loaded.len()));
+    for (position, digest) in report.loaded.iter().enumerate() {
+        loaded.set(index(position), digest.as_bytes());
+    }
+    let mut services = to.reborrow().init_services(index(report.services.len()));
+    for (position, service) in report.services.iter().enumerate() {
+        services.set(index(position), service.as_str());
+    }
+    write_suspects(to.init_suspects(index(report.suspects.len())), &report.suspects);
+}
+
+pub(crate) fn read_report(from: node_capnp::report::Reader<'_>) -> Result<Report> {
+    let loaded = from.get_loaded()?.iter().map(|data| read_digest(data?)).collect::<Result<_>>()?;
+    let services = from.get_services()?.iter().map(|text| parse(text?)).collect::<Result<_>>()?;
+    Ok(Report {
+        host: parse(from.get_host()?)?,
+        incarnation: from.get_incarnation(),
+        sequence: from.get_sequence(),
+        revision: from.get_revision(),
+        leaving: from.get_leaving(),
+        cold: from.get_cold(),
+        slots: from.get_slots(),
+        running: from.get_running(),
+        memory_used: from.get_memory_used(),
+        memory_limit: from.get_memory_limit(),
+        admit_limit: from.get_admit_limit(),
+        loaded,
+        services,
+        chunks_held: from.get_chunks_held(),
+        chunks_total: from.get_chunks_total(),
+        suspects: read_suspects(from.get_suspects()?)?,
+        origin_bytes: from.get_origin_bytes(),
+    })
+}
--- /dev/null
+++ b/crates/chestnutpick_rpc/src/server.rs
@@ -0,0 +1,142 @@
+//! Serving the control protocol.
+
+use std::rc;
+
+use actix_rt::net;
+use bytes::Bytes;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use chestnutpick_types::id;
+use chestnutpick_types::time;
+use futures::AsyncReadExt;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::sync;
+
+use crate::message;
+use crate::node_capnp::node;
+
+/// The process behind the protocol. All calls answer at once from state in memory.
+pub trait Handler {
+    /// Takes in what the sender knows and returns this process's report.
+    fn heartbeat(
+        &self,
+        sender: id::HostId,
+        revision: u64,
+        suspects: Vec<message::Suspect>,
+    ) -> message::Report;
+
+    /// Takes in a configuration document and returns the revision in force afterwards.
+    fn put_config(&self, revision: u64, document: Bytes) -> u64;
+
+    /// Returns the revision in force and its document, which may be empty if the revision is not above `known`.
+    fn get_config(&self, known: u64) -> (u64, Bytes);
+
+    /// Returns the outcome of an attempt whose claim is `claim_age` old.
+    fn settle(&self, attempt: id::AttemptId, claim_age: time::Millis) -> message::Verdict;
+}
+
+struct Node<H>(rc::Rc<H>);
+
+impl<H> node::Server for Node<H>
+where
+    H: Handler + 'static,
+{
+    async fn heartbeat(
+        self: rc::Rc<Self>,
+        params: node::HeartbeatParams,
+        mut results: node::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let sender = message::parse(params.get_sender()?)?;
+        let suspects = message::read_suspects(params.get_suspects()?)?;
+        let report = self.0.heartbeat(sender, params.get_revision(), suspects);
+        message::write_report(results.get().init_report(), &report);
+        Ok(())
+    }
+
+    async fn put_config(
+        self: rc::Rc<Self>,
+        params: node::PutConfigParams,
+        mut results: node::PutConfigResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let document = Bytes::copy_from_slice(params.get_document()?);
+        let revision = self.0.put_config(params.get_revision(), document);
+        results.get().set_revision(revision);
+        Ok(())
+    }
+
+    async fn get_config(
+        self: rc::Rc<Self>,
+        params: node::GetConfigParams,
+        mut results: node::GetConfigResults,
+    ) -> Result<(), capnp::Error> {
+        let (revision, document) = self.0.get_config(params.get()?.get_known());
+        results.get().set_revision(revision);
+        results.get().set_document(&document);
+        Ok(())
+    }
+
+    async fn settle(
+        self: rc::Rc<Self>,
+        params: node::SettleParams,
+        mut results: node::SettleResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let attempt = message::parse(params.get_attempt()?)?;
+        let verdict = self.0.settle(attempt, time::Millis(params.get_claim_age()));
+        let mut results = results.get();
+        match verdict {
+            message::Verdict::NotRun => results.set_verdict(crate::node_capnp::Verdict::NotRun),
+            message::Verdict::Running => results.set_verdict(crate::node_capnp::Verdict::Running),
+            message::Verdict::Unknown => results.set_verdict(crate::node_capnp::Verdict::Unknown),
+            message::Verdict::Finished { status, body } => {
+                results.set_verdict(crate::node_capnp::Verdict::Finished);
+                results.set_status(status);
+                results.set_body(&body);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Serves connections until `stop` is cancelled; open connections end with it.
+pub async fn serve<H>(listener: net::TcpListener, stop: sync::CancellationToken, handler: rc::Rc<H>)
+where
+    H: Handler + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((connection, _)) = accepted else {
+            actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
+            continue;
+        };
+        let system = system(connection, rc::Rc::clone(&handler));
+        let stop = stop.clone();
+        actix_rt::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                _ = system => {}
+            }
+        });
+    }
+}
+
+fn system<H>(connection: net::TcpStream, handler: rc::Rc<H>) -> RpcSystem<rpc_twoparty_capnp::Side>
+where
+    H: Handler + 'static,
+{
+    // Heartbeats are small and must not wait for more data. A failure to set the option costs latency only.
+    let _ = connection.set_nodelay(true);
+    let (reader, writer) = TokioAsyncReadCompatExt::compat(connection).split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        rpc_twoparty_capnp::Side::Server,
+        Default::default(),
+    );
+    let client: node::Client = capnp_rpc::new_client(Node(handler));
+    RpcSystem::new(Box::new(network), Some(client.client))
+}
--- /dev/null
+++ b/crates/chestnutpick_rpc/tests/calls.rs
@@ -0,0 +1,105 @@
+//! Calls over a loopback connection.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use chestnutpick_rpc::{client, message, server};
+use chestnutpick_types::{digest, id};
+use tokio_util::sync;
+
+fn report() -> message::Report {
+    message::Report {
+        host: "runner-1".parse().unwrap(),
+        incarnation: 7,
+        sequence: 3,
+        revision: 5,
+        leaving: true,
+        cold: true,
+        slots: 8,
+        running: 2,
+        memory_used: 100,
+        memory_limit: 1_000,
+        admit_limit: 1,
+        loaded: vec![digest::Digest::of(b"v1")],
+        services: vec!["ledger".parse().unwrap()],
+        chunks_held: 4,
+        chunks_total: 9,
+        suspects: vec![message::Suspect {
+            fingerprint: digest::Digest::of(b"crash"),
+            crashes: 1,
+            age: chestnutpick_types::time::Millis(12),
+        }],
+        origin_bytes: 77,
+    }
+}
+
+#[derive(Default)]
+struct Fake {
+    heard: cell::RefCell<Vec<(id::HostId, u64, usize)>>,
+}
+
+impl server::Handler for Fake {
+    fn heartbeat(
+        &self,
+        sender: id::HostId,
+        revision: u64,
+        suspects: Vec<message::Suspect>,
+    ) -> message::Report {
+        self.heard.borrow_mut().push((sender, revision, suspects.len()));
+        report()
+    }
+
+    fn put_config(&self, revision: u64, _document: Bytes) -> u64 {
+        revision
+    }
+
+    fn get_config(&self, known: u64) -> (u64, Bytes) {
+        (known + 1, Bytes::from_static(b"{}"))
+    }
+
+    fn settle(&self, _: id::AttemptId, _: chestnutpick_types::time::Millis) -> message::Verdict {
+        message::Verdict::Finished { status: 201, body: Bytes::from_static(b"done") }
+    }
+}
+
+const DEADLINE: time::Duration = time::Duration::from_secs(20);
+
+/// Guards against fields that are lost or swapped between the plain messages and the wire.
+#[actix_rt::test]
+async fn every_field_survives_the_wire() {
+    let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stop = sync::CancellationToken::new();
+    let fake = rc::Rc::new(Fake::default());
+    let serving = actix_rt::spawn(server::serve(listener, stop.clone(), rc::Rc::clone(&fake)));
+    let connection = client::Connection::open(address, DEADLINE).await.unwrap();
+    let sender = "entry-1".parse().unwrap();
+    let answer = connection.heartbeat(&sender, 4, &report().suspects).await.unwrap();
+    assert_eq!(answer, report());
+    assert_eq!(*fake.heard.borrow(), [(sender, 4, 1)]);
+    assert_eq!(connection.put_config(9, b"{}").await.unwrap(), 9);
+    assert_eq!(connection.get_config(9).await.unwrap(), (10, Bytes::from_static(b"{}")));
+    let verdict = connection
+        .settle(&id::AttemptId::random(), chestnutpick_types::time::Millis(5))
+        .await
+        .unwrap();
+    assert_eq!(
+        verdict,
+        message::Verdict::Finished { status: 201, body: Bytes::from_static(b"done") }
+    );
+    stop.cancel();
+    serving.await.unwrap();
+}
+
+/// Guards against a call that waits for ever on a connection that has gone silent.
+#[actix_rt::test]
+async fn silent_peer_ends_in_deadline() {
+    let listener = actix_rt::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let deadline = time::Duration::from_millis(50);
+    let connection = client::Connection::open(address, deadline).await.unwrap();
+    let error = connection.heartbeat(&"entry-1".parse().unwrap(), 0, &[]).await.unwrap_err();
+    assert!(matches!(error, client::CallError::Deadline { .. }), "{error}");
+}
--- a/crates/chestnutpick_types/src/digest.rs
+++ b/crates/chestnutpick_types/src/digest.rs
@@ -40,6 +40,17 @@
         self.0.iter().take(8).fold(0, |acc, byte| (acc << 8) | u64::from(*byte))
     }
 
+    /// Returns the digest with these raw bytes, or `None` unless there are 32 of them.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// let digest = digest::Digest::of(b"weights");
+    /// assert_eq!(digest::Digest::from_slice(digest.as_bytes()), Some(digest));
+    /// ```
+    pub fn from_slice(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
     /// Returns the raw bytes.
     ///
     /// ```
