--- /dev/null
+++ b/crates/chestnutpick_process/src/page.rs
@@ -0,0 +1,56 @@
+//! Pages that every process serves: health, readiness, metrics, state dump.
+
+use std::rc;
+
+use actix_http as http;
+use chestnutpick_http::respond;
+use chestnutpick_telemetry::metric;
+
+/// What the pages show.
+pub trait Subject {
+    /// Returns why the process is not ready, or `None` if it is.
+    fn unready(&self) -> Option<&'static str>;
+
+    /// Returns the state of the process.
+    fn state(&self) -> serde_json::Value;
+}
+
+/// The pages of one process.
+#[derive(Clone)]
+pub struct Pages<S> {
+    subject: rc::Rc<S>,
+    metrics: metric::Page,
+}
+
+impl<S> Pages<S>
+where
+    S: Subject,
+{
+    /// Returns the pages that show `subject`.
+    pub fn new(subject: rc::Rc<S>, metrics: metric::Page) -> Self {
+        Self { subject, metrics }
+    }
+
+    /// Answers a request for one of the pages; `None` if it is for something else.
+    pub fn answer(&self, request: &http::Request) -> Option<respond::Response> {
+        if request.method() != http::Method::GET {
+            return None;
+        }
+        match request.path() {
+            "/health" => Some(respond::bytes(200, "text/plain", "ok\n")),
+            "/ready" => Some(self.ready()),
+            "/metrics" => {
+                Some(respond::bytes(200, "text/plain; version=0.0.4", self.metrics.render()))
+            }
+            "/state" => Some(respond::json(200, &self.subject.state())),
+            _ => None,
+        }
+    }
+
+    fn ready(&self) -> respond::Response {
+        match self.subject.unready() {
+            None => respond::bytes(200, "text/plain", "ready\n"),
+            Some(reason) => respond::bytes(503, "text/plain", format!("{reason}\n")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_process/src/start.rs
@@ -0,0 +1,67 @@
+//! Command line and start-up.
+
+use std::path;
+use std::process;
+
+use chestnutpick_settings::{check, file};
+use chestnutpick_telemetry::event;
+use gumdrop::Options;
+use serde::de;
+
+/// Command line of a process that is driven by a settings file.
+#[derive(Debug, Options)]
+pub struct CommandLine {
+    /// Print the usage and exit.
+    #[options(help = "print this help and exit")]
+    pub help: bool,
+    /// Print the version and exit.
+    #[options(help = "print the version and exit", short = "V")]
+    pub version: bool,
+    /// The settings file.
+    #[options(help = "settings file in TOML", meta = "FILE")]
+    pub settings: Option<path::PathBuf>,
+    /// Only check the settings file.
+    #[options(help = "check the settings file and exit")]
+    pub check: bool,
+}
+
+/// Returns the settings of `binary` after logs are set up.
+///
+/// Ends the process with status 0 for `--help`, `--version` and a passed `--check`, and with
+/// [`file::EXIT_STATUS`] and one line on standard error for a wrong command line or settings file.
+pub fn settings<T>(binary: &'static str) -> T
+where
+    T: de::DeserializeOwned + check::Check,
+{
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let line = match CommandLine::parse_args_default(&arguments) {
+        Ok(line) => line,
+        Err(reason) => fail(binary, &format!("{reason}; see {binary} --help")),
+    };
+    if line.help {
+        println!("Usage: {binary} --settings FILE [OPTIONS]\n\n{}", CommandLine::usage());
+        process::exit(0);
+    }
+    if line.version {
+        println!("{binary} {}", env!("CARGO_PKG_VERSION"));
+        process::exit(0);
+    }
+    let Some(path) = line.settings else { fail(binary, "option --settings FILE is required") };
+    let settings = match file::load(&path) {
+        Ok(settings) => settings,
+        Err(reason) => fail(binary, &reason.to_string()),
+    };
+    if line.check {
+        println!("{}: ok", path.display());
+        process::exit(0);
+    }
+    if let Err(reason) = event::init(binary) {
+        fail(binary, &reason.to_string());
+    }
+    settings
+}
+
+fn fail(binary: &str, message: &str) -> ! {
+    eprintln!("{binary}: {message}");
+    process::exit(file::EXIT_STATUS)
+}
