--- /dev/null
+++ b/crates/chestnutpick_platform/src/engine.rs
@@ -0,0 +1,221 @@
+//! Model engines: status, orders and generation.
+
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+use futures::future::{FutureExt, LocalBoxFuture};
+use serde::{Deserialize, Serialize};
+
+use crate::client;
+use crate::fault;
+
+/// Largest status that is read.
+const STATUS_LIMIT: size::Bytes = size::Bytes::from_mib(1);
+
+/// Default time for the body of a load order to be taken in and for the answer to arrive.
+const LOAD_TIMEOUT: Millis = Millis::from_secs(300);
+
+/// What an engine reports of itself; its load lags.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Identity of this run; another value means that the engine has restarted and is cold.
+    pub generation: u64,
+    /// Manifest digests of the loaded weights.
+    pub loaded: Vec<digest::Digest>,
+    /// Number of requests that generate.
+    pub running: u64,
+    /// Number of requests that wait for a slot.
+    pub queued: u64,
+    /// Memory in use by requests, in tokens.
+    pub memory_used: u64,
+    /// Memory for requests, in tokens; above it the engine crashes.
+    pub memory_limit: u64,
+    /// Number of requests that can generate at a time.
+    pub slots: u64,
+    /// Whether the engine is in cold start.
+    pub cold: bool,
+}
+
+/// A request to generate tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Generate {
+    /// Identifies the request for its cancellation.
+    pub id: id::AttemptId,
+    /// Manifest digest of the weights to use.
+    pub digest: digest::Digest,
+    /// The prompt.
+    pub prompt: sync::Arc<str>,
+    /// Index after the last token.
+    pub max_tokens: u64,
+    /// Index of the first token to return, for the resumption of a stream.
+    pub from: u64,
+}
+
+/// A model engine.
+pub trait Engine {
+    /// Returns what the engine reports of itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fault::PlatformError`].
+    fn status(&self) -> LocalBoxFuture<'static, Result<Status, fault::PlatformError>>;
+
+    /// Loads weights, given as consecutive pieces.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fault::PlatformError`]; [`fault::Kind::Stale`] when the engine has seen a higher fencing number.
+    fn load(
+        &self,
+        digest: digest::Digest,
+        fence: u64,
+        pieces: Vec<Bytes>,
+    ) -> LocalBoxFuture<'static, Result<(), fault::PlatformError>>;
+
+    /// Unloads weights.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fault::PlatformError`]; [`fault::Kind::Stale`] when the engine has seen a higher fencing number.
+    fn unload(
+        &self,
+        digest: digest::Digest,
+        fence: u64,
+    ) -> LocalBoxFuture<'static, Result<(), fault::PlatformError>>;
+
+    /// Starts to generate; the body of the response is a stream of server-sent events.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`client::CallError`]; a refusal by the engine is a response with its status.
+    fn generate(
+        &self,
+        request: Generate,
+    ) -> LocalBoxFuture<'static, Result<client::Response, client::CallError>>;
+
+    /// Cancels a request; one that the engine does not know is not an error.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fault::PlatformError`].
+    fn cancel(
+        &self,
+        id: id::AttemptId,
+    ) -> LocalBoxFuture<'static, Result<(), fault::PlatformError>>;
+}
+
+/// Client of an engine's HTTP interface.
+#[derive(Clone)]
+pub struct HttpEngine {
+    client: client::Client,
+    address: net::SocketAddr,
+    timeout: Millis,
+    load_timeout: Millis,
+}
+
+impl HttpEngine {
+    /// Returns a client of the engine at `address`; `timeout` bounds the wait for the head of each response. Load orders
+    /// have a timeout of their own, 300 s unless set.
+    ///
+    /// ```
+    /// use chestnutpick_platform::{client, engine};
+    /// use chestnutpick_types::time;
+    /// let address = "127.0.0.1:7003".parse().unwrap();
+    /// let _engine = engine::HttpEngine::new(client::Client::new(), address, time::Millis(2_000))
+    ///     .with_load_timeout(time::Millis::from_secs(60));
+    /// ```
+    pub fn new(client: client::Client, address: net::SocketAddr, timeout: Millis) -> Self {
+        Self { client, address, timeout, load_timeout: LOAD_TIMEOUT }
+    }
+
+    /// Sets the time for the weights of a load order to be taken in and for the answer to arrive.
+    #[must_use]
+    pub fn with_load_timeout(mut self, timeout: Millis) -> Self {
+        self.load_timeout = timeout;
+        self
+    }
+
+    fn order(
+        &self,
+        request: client::Request,
+        timeout: Millis,
+    ) -> LocalBoxFuture<'static, Result<(), fault::PlatformError>> {
+        let Self { client, address, .. } = self.clone();
+        async move {
+            let response = client.call(address, request, timeout).await?;
+            fault::checked(response).await.map(drop)
+        }
+        .boxed_local()
+    }
+}
+
+impl Engine for HttpEngine {
+    fn status(&self) -> LocalBoxFuture<'static, Result<Status, fault::PlatformError>> {
+        let Self { client, address, timeout, .. } = self.clone();
+        let request = client::Request::new("GET", "/v1/status");
+        async move {
+            let response = client.call(address, request, timeout).await?;
+            let body = fault::checked(response).await?.read(STATUS_LIMIT).await?;
+            fault::parsed(address, &body)
+        }
+        .boxed_local()
+    }
+
+    fn load(
+        &self,
+        digest: digest::Digest,
+        fence: u64,
+        pieces: Vec<Bytes>,
+    ) -> LocalBoxFuture<'static, Result<(), fault::PlatformError>> {
+        let path = format!("/v1/load?digest={digest}&fence={fence}");
+        let mut request = client::Request::new("PUT", path);
+        request.body = pieces;
+        self.order(request, self.load_timeout)
+    }
+
+    fn unload(
+        &self,
+        digest: digest::Digest,
+        fence: u64,
+    ) -> LocalBoxFuture<'static, Result<(), fault::PlatformError>> {
+        let request = client::Request::new("DELETE", format!("/v1/load/{digest}?fence={fence}"));
+        self.order(request, self.timeout)
+    }
+
+    fn generate(
+        &self,
+        request: Generate,
+    ) -> LocalBoxFuture<'static, Result<client::Response, client::CallError>> {
+        let Self { client, address, timeout, .. } = self.clone();
+        let mut call = client::Request::new("POST", "/v1/generate");
+        call.headers = vec![("content-type".into(), "application/json".into())];
+        async move {
+            let body = serde_json::to_vec(&request).map_err(|reason| {
+                client::CallError::NotSent { address, reason: reason.to_string().into() }
+            })?;
+            call.body = vec![body.into()];
+            client.call(address, call, timeout).await
+        }
+        .boxed_local()
+    }
+
+    fn cancel(
+        &self,
+        id: id::AttemptId,
+    ) -> LocalBoxFuture<'static, Result<(), fault::PlatformError>> {
+        let request = client::Request::new("DELETE", format!("/v1/generate/{id}"));
+        let cancelled = self.order(request, self.timeout);
+        async move {
+            match cancelled.await {
+                Err(error) if error.kind == fault::Kind::NotFound => Ok(()),
+                outcome => outcome,
+            }
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_platform/src/fault.rs
@@ -0,0 +1,90 @@
+//! The error of platform calls.
+
+use std::net;
+use std::sync;
+
+use chestnutpick_types::size;
+use snafu::Snafu;
+
+use crate::client;
+
+/// Longest error body that is read for its message.
+const MESSAGE_LIMIT: size::Bytes = size::Bytes(64 << 10);
+
+/// Longest message that is kept, in characters.
+const MESSAGE_CHARS: usize = 200;
+
+/// What kind of failure it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// The request certainly did not reach the peer.
+    NotSent,
+    /// The response was lost; the outcome is unknown.
+    Lost,
+    /// The response did not arrive in time; the outcome is unknown.
+    Timeout,
+    /// The peer refused the call because of its rate or an outage (status 429 or 503); it did not run.
+    Busy,
+    /// The peer has no such item (status 404).
+    NotFound,
+    /// The peer refused an order because its fencing number is old (status 409).
+    Stale,
+    /// The peer refused the call for another reason (any other status).
+    Rejected,
+    /// The response cannot be understood.
+    Malformed,
+}
+
+/// A platform call that failed.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display("{address}: {kind}: {reason}"))]
+pub struct PlatformError {
+    /// What kind of failure it is.
+    pub kind: Kind,
+    /// The peer.
+    pub address: net::SocketAddr,
+    /// What happened, for the person who reads it.
+    pub reason: sync::Arc<str>,
+}
+
+impl From<client::CallError> for PlatformError {
+    fn from(error: client::CallError) -> Self {
+        let (kind, address, reason) = match error {
+            client::CallError::NotSent { address, reason } => (Kind::NotSent, address, reason),
+            client::CallError::Lost { address, reason } => (Kind::Lost, address, reason),
+            client::CallError::Timeout { address, reason } => (Kind::Timeout, address, reason),
+        };
+        Self { kind, address, reason }
+    }
+}
+
+/// Returns `response` if its status is 2xx, otherwise the error that its status means.
+pub(crate) async fn checked(
+    mut response: client::Response,
+) -> Result<client::Response, PlatformError> {
+    let kind = match response.status {
+        200..=299 => return Ok(response),
+        404 => Kind::NotFound,
+        409 => Kind::Stale,
+        429 | 503 => Kind::Busy,
+        _ => Kind::Rejected,
+    };
+    let address = response.address();
+    let text = response.read(MESSAGE_LIMIT).await.unwrap_or_default();
+    let text: String = String::from_utf8_lossy(&text).chars().take(MESSAGE_CHARS).collect();
+    let reason = format!("status {}: {text}", response.status).into();
+    Err(PlatformError { kind, address, reason })
+}
+
+/// Parses a JSON body.
+pub(crate) fn parsed<T>(address: net::SocketAddr, body: &[u8]) -> Result<T, PlatformError>
+where
+    T: serde::de::DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|reason| PlatformError {
+        kind: Kind::Malformed,
+        address,
+        reason: reason.to_string().into(),
+    })
+}
--- /dev/null
+++ b/crates/chestnutpick_platform/src/hosts.rs
@@ -0,0 +1,128 @@
+//! The platform's host list, which lags behind the hosts.
+
+use std::net;
+
+use chestnutpick_types::id;
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+use futures::future::{FutureExt, LocalBoxFuture};
+use serde::{Deserialize, Serialize};
+
+use crate::client;
+use crate::fault;
+
+/// Largest host list that is read; 11,000 hosts of 300 bytes fit.
+const LIST_LIMIT: size::Bytes = size::Bytes::from_mib(8);
+
+/// What a host runs.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// An endpoint with its agent.
+    Agent,
+}
+
+/// Whether a host stays.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum State {
+    /// The host is in service.
+    Live,
+    /// The host has announced its planned stop and gets no new work.
+    Leaving,
+}
+
+/// One line of the host list.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostRecord {
+    /// The host.
+    pub host: id::HostId,
+    /// Its availability zone.
+    pub zone: id::ZoneId,
+    /// The zone's region.
+    pub region: id::RegionId,
+    /// What it runs.
+    pub role: Role,
+    /// Address of its HTTP server.
+    pub http: net::SocketAddr,
+    /// Address of its control server.
+    pub control: net::SocketAddr,
+    /// Whether it stays.
+    pub state: State,
+}
+
+/// The host list.
+pub trait HostList {
+    /// Returns all listed hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fault::PlatformError`].
+    fn list(&self) -> LocalBoxFuture<'static, Result<Vec<HostRecord>, fault::PlatformError>>;
+}
+
+/// Client of the host list's HTTP interface.
+#[derive(Clone)]
+pub struct HttpHostList {
+    client: client::Client,
+    address: net::SocketAddr,
+    timeout: Millis,
+}
+
+impl HttpHostList {
+    /// Returns a client of the host list at `address`; `timeout` bounds each call.
+    ///
+    /// ```
+    /// use chestnutpick_platform::{client, hosts};
+    /// use chestnutpick_types::time;
+    /// let address = "127.0.0.1:7001".parse().unwrap();
+    /// let _hosts = hosts::HttpHostList::new(client::Client::new(), address, time::Millis(500));
+    /// ```
+    pub fn new(client: client::Client, address: net::SocketAddr, timeout: Millis) -> Self {
+        Self { client, address, timeout }
+    }
+}
+
+impl HostList for HttpHostList {
+    fn list(&self) -> LocalBoxFuture<'static, Result<Vec<HostRecord>, fault::PlatformError>> {
+        let Self { client, address, timeout } = self.clone();
+        let request = client::Request::new("GET", "/v1/hosts");
+        async move {
+            let response = client.call(address, request, timeout).await?;
+            let body = fault::checked(response).await?.read(LIST_LIMIT).await?;
+            fault::parsed(address, &body)
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_platform/src/origin.rs
@@ -0,0 +1,99 @@
+//! The platform's weight store.
+
+use std::net;
+
+use bytes::Bytes;
+use chestnutpick_types::id;
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+use futures::future::{FutureExt, LocalBoxFuture};
+
+use crate::client;
+use crate::fault;
+
+/// Largest manifest that is read.
+const MANIFEST_LIMIT: size::Bytes = size::Bytes::from_mib(8);
+
+/// The weight store.
+pub trait Origin {
+    /// Returns the manifest of a version, as published.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fault::PlatformError`].
+    fn manifest(
+        &self,
+        model: id::ModelId,
+        version: id::VersionId,
+    ) -> LocalBoxFuture<'static, Result<Bytes, fault::PlatformError>>;
+
+    /// Returns a chunk of at most `limit`; the caller verifies its digest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fault::PlatformError`].
+    fn chunk(
+        &self,
+        model: id::ModelId,
+        version: id::VersionId,
+        index: u32,
+        limit: size::Bytes,
+    ) -> LocalBoxFuture<'static, Result<Bytes, fault::PlatformError>>;
+}
+
+/// Client of the weight store's HTTP interface.
+#[derive(Clone)]
+pub struct HttpOrigin {
+    client: client::Client,
+    address: net::SocketAddr,
+    timeout: Millis,
+}
+
+impl HttpOrigin {
+    /// Returns a client of the weight store at `address`; `timeout` bounds the wait for the head of each response and
+    /// for each piece of its body, not the whole transfer.
+    ///
+    /// ```
+    /// use chestnutpick_platform::{client, origin};
+    /// use chestnutpick_types::time;
+    /// let address = "127.0.0.1:7002".parse().unwrap();
+    /// let _origin = origin::HttpOrigin::new(client::Client::new(), address, time::Millis(5_000));
+    /// ```
+    pub fn new(client: client::Client, address: net::SocketAddr, timeout: Millis) -> Self {
+        Self { client, address, timeout }
+    }
+
+    fn read(
+        &self,
+        path: String,
+        limit: size::Bytes,
+    ) -> LocalBoxFuture<'static, Result<Bytes, fault::PlatformError>> {
+        let Self { client, address, timeout } = self.clone();
+        let request = client::Request::new("GET", path);
+        async move {
+            let response = client.call(address, request, timeout).await?;
+            Ok(fault::checked(response).await?.read(limit).await?)
+        }
+        .boxed_local()
+    }
+}
+
+impl Origin for HttpOrigin {
+    fn manifest(
+        &self,
+        model: id::ModelId,
+        version: id::VersionId,
+    ) -> LocalBoxFuture<'static, Result<Bytes, fault::PlatformError>> {
+        self.read(format!("/v1/weights/{model}/{version}/manifest"), MANIFEST_LIMIT)
+    }
+
+    fn chunk(
+        &self,
+        model: id::ModelId,
+        version: id::VersionId,
+        index: u32,
+        limit: size::Bytes,
+    ) -> LocalBoxFuture<'static, Result<Bytes, fault::PlatformError>> {
+        self.read(format!("/v1/weights/{model}/{version}/chunks/{index}"), limit)
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_platform/src/store.rs
@@ -0,0 +1,188 @@
+//! The key-value service: reads, compare-and-swap writes and watches.
+
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+use futures::future::{FutureExt, LocalBoxFuture};
+use snafu::Snafu;
+
+use crate::client;
+
+/// Largest value that the store accepts.
+pub const VALUE_LIMIT: size::Bytes = size::Bytes::from_mib(1);
+
+/// A value with its revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Value {
+    /// Number that rises with every write of the key; 0 never occurs.
+    pub revision: u64,
+    /// The content, at most [`VALUE_LIMIT`].
+    pub bytes: Bytes,
+}
+
+/// A store call that failed.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// The key has another revision than expected; nothing was written.
+    #[snafu(display("conflict: the current revision is {current}"))]
+    Conflict {
+        /// The current revision, 0 if the key does not exist.
+        current: u64,
+    },
+    /// The call was certainly not applied.
+    #[snafu(display("refused: {reason}"))]
+    Refused {
+        /// What prevented it.
+        reason: sync::Arc<str>,
+    },
+    /// The call may have been applied.
+    #[snafu(display("outcome unknown: {reason}"))]
+    Unknown {
+        /// How the response was lost.
+        reason: sync::Arc<str>,
+    },
+}
+
+/// The key-value service.
+pub trait Store {
+    /// Reads a key; `None` means that it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Refused`] or [`StoreError::Unknown`].
+    fn get(
+        &self,
+        key: sync::Arc<str>,
+    ) -> LocalBoxFuture<'static, Result<Option<Value>, StoreError>>;
+
+    /// Writes a key if its revision is `expected`, 0 meaning that it must not exist; returns the new revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`]; after [`StoreError::Unknown`] the caller reads the key back.
+    fn put(
+        &self,
+        key: sync::Arc<str>,
+        expected: u64,
+        bytes: Bytes,
+    ) -> LocalBoxFuture<'static, Result<u64, StoreError>>;
+
+    /// Returns the value once its revision is higher than `after`, or `None` after `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Refused`] or [`StoreError::Unknown`].
+    fn watch(
+        &self,
+        key: sync::Arc<str>,
+        after: u64,
+        wait: Millis,
+    ) -> LocalBoxFuture<'static, Result<Option<Value>, StoreError>>;
+}
+
+/// Client of the store's HTTP interface. Keys consist of characters that need no encoding in a URL.
+#[derive(Clone)]
+pub struct HttpStore {
+    client: client::Client,
+    address: net::SocketAddr,
+    timeout: Millis,
+}
+
+impl HttpStore {
+    /// Returns a client of the store at `address`; `timeout` bounds each call, for a watch in addition to its wait.
+    ///
+    /// ```
+    /// use chestnutpick_platform::{client, store};
+    /// use chestnutpick_types::time;
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let _store = store::HttpStore::new(client::Client::new(), address, time::Millis(500));
+    /// ```
+    pub fn new(client: client::Client, address: net::SocketAddr, timeout: Millis) -> Self {
+        Self { client, address, timeout }
+    }
+}
+
+impl Store for HttpStore {
+    fn get(
+        &self,
+        key: sync::Arc<str>,
+    ) -> LocalBoxFuture<'static, Result<Option<Value>, StoreError>> {
+        let Self { client, address, timeout } = self.clone();
+        let request = client::Request::new("GET", format!("/v1/kv/{key}"));
+        async move { value(client.call(address, request, timeout).await?).await }.boxed_local()
+    }
+
+    fn put(
+        &self,
+        key: sync::Arc<str>,
+        expected: u64,
+        bytes: Bytes,
+    ) -> LocalBoxFuture<'static, Result<u64, StoreError>> {
+        let Self { client, address, timeout } = self.clone();
+        let mut request = client::Request::new("PUT", format!("/v1/kv/{key}?expected={expected}"));
+        request.body = vec![bytes];
+        async move { written(client.call(address, request, timeout).await?) }.boxed_local()
+    }
+
+    fn watch(
+        &self,
+        key: sync::Arc<str>,
+        after: u64,
+        wait: Millis,
+    ) -> LocalBoxFuture<'static, Result<Option<Value>, StoreError>> {
+        let Self { client, address, timeout } = self.clone();
+        let path = format!("/v1/watch/{key}?after={after}&wait-ms={}", wait.0);
+        let request = client::Request::new("GET", path);
+        async move { value(client.call(address, request, wait + timeout).await?).await }
+            .boxed_local()
+    }
+}
+
+impl From<client::CallError> for StoreError {
+    fn from(error: client::CallError) -> Self {
+        let reason = error.to_string().into();
+        if error.is_not_sent() { Self::Refused { reason } } else { Self::Unknown { reason } }
+    }
+}
+
+async fn value(mut response: client::Response) -> Result<Option<Value>, StoreError> {
+    match response.status {
+        200 => {
+            let revision = revision(&response)?;
+            let bytes = response.read(VALUE_LIMIT).await?;
+            Ok(Some(Value { revision, bytes }))
+        }
+        204 | 404 => Ok(None),
+        _ => Err(status_error(&response)),
+    }
+}
+
+fn written(response: client::Response) -> Result<u64, StoreError> {
+    match response.status {
+        200 => revision(&response),
+        409 => match revision(&response) {
+            Ok(current) => Err(StoreError::Conflict { current }),
+            Err(_) => Err(StoreError::Refused { reason: "conflict without a revision".into() }),
+        },
+        _ => Err(status_error(&response)),
+    }
+}
+
+fn revision(response: &client::Response) -> Result<u64, StoreError> {
+    let text = response.header("x-revision").unwrap_or_default();
+    text.parse().map_err(|_| StoreError::Unknown {
+        reason: format!("{}: header x-revision is {text:?}", response.address()).into(),
+    })
+}
+
+/// Maps a status: 4xx and 503 say that the call was not applied, any other status says nothing.
+fn status_error(response: &client::Response) -> StoreError {
+    let reason = format!("{}: status {}", response.address(), response.status).into();
+    match response.status {
+        400..=499 | 503 => StoreError::Refused { reason },
+        _ => StoreError::Unknown { reason },
+    }
+}
