Add the agent's attempts, calls, control protocol and engine watch

Cause: a single point beside the endpoint must admit, check the answering version and settle attempts.

Ruled out: cancelling a call to a plain service when the entry's connection breaks (its outcome would become unknown).

Change: crate agent without the transfer of weights.

--- /dev/null
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -0,0 +1,195 @@
+//! Attempts to generate: admission, the engine's stream, and its relay to the entry.
+
+use std::rc;
+use std::sync;
+
+use actix_http as http;
+use chestnutpick_admission::attempt;
+use chestnutpick_http::{body, request, respond};
+use chestnutpick_platform::client;
+use chestnutpick_platform::engine::{self, Engine};
+use chestnutpick_telemetry::event;
+use chestnutpick_types::{digest, error, id, size, time};
+use serde::Deserialize;
+
+use crate::node;
+use crate::settings;
+
+/// Bytes of prompt that count as one token in the cost of an attempt, the usual estimate for a byte-pair tokenizer.
+pub const BYTES_PER_TOKEN: u64 = 4;
+
+/// Body of a completion.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Completion {
+    /// The prompt.
+    pub prompt: sync::Arc<str>,
+    /// Number of tokens to generate.
+    pub max_tokens: u64,
+}
+
+impl Completion {
+    /// Returns prompt plus expected output.
+    ///
+    /// ```
+    /// let completion = chestnutpick_agent::attempts::Completion { prompt: "12345".into(), max_tokens: 8 };
+    /// assert_eq!(completion.cost().0, 10);
+    /// ```
+    pub fn cost(&self) -> size::Tokens {
+        let prompt = size::Bytes::of_len(self.prompt.len()).0.div_ceil(BYTES_PER_TOKEN);
+        size::Tokens(prompt.saturating_add(self.max_tokens))
+    }
+}
+
+/// What the headers of an attempt say.
+struct Head {
+    attempt: id::AttemptId,
+    digest: digest::Digest,
+    fingerprint: digest::Digest,
+    from: u64,
+}
+
+impl Head {
+    fn read(request: &http::Request) -> Result<Self, error::Refusal> {
+        Ok(Self {
+            attempt: request::required_header(request, "x-attempt-id")?,
+            digest: request::required_header(request, "x-weights-digest")?,
+            fingerprint: request::required_header(request, "x-fingerprint")?,
+            from: request::parsed_header(request, "x-resume-from")?.unwrap_or(0),
+        })
+    }
+}
+
+/// Answers `POST /v1/attempts`.
+pub async fn handle(node: rc::Rc<node::Node>, mut request: http::Request) -> respond::Response {
+    match run(node, &mut request).await {
+        Ok(response) => response,
+        Err(refusal) => respond::refusal(&refusal),
+    }
+}
+
+async fn run(node: rc::Rc<node::Node>, request: &mut http::Request) -> Result<respond::Response, error::Refusal> {
+    let head = Head::read(request)?;
+    let body = request::read_body(request, size::Bytes(settings::MAX_BODY)).await?;
+    let completion: Completion = serde_json::from_slice(&body).map_err(|reason| {
+        error::Refusal::new(error::ErrorKind::InvalidRequest, format!("the body is not a completion: {reason}"))
+    })?;
+    admit(&node, &head, &completion)?;
+    let running = node::Running::new(rc::Rc::clone(&node), head.attempt.clone());
+    let generate = engine::Generate {
+        id: head.attempt.clone(),
+        digest: head.digest,
+        prompt: completion.prompt,
+        max_tokens: completion.max_tokens,
+        from: head.from,
+    };
+    match node.engine.generate(generate).await {
+        Ok(response) => relay_or_refuse(node, head, running, response).await,
+        Err(reason) => Err(not_started(running, &reason)),
+    }
+}
+
+fn admit(node: &node::Node, head: &Head, completion: &Completion) -> Result<(), error::Refusal> {
+    let ask = attempt::Request {
+        attempt: head.attempt.clone(),
+        digest: Some(head.digest),
+        cost: completion.cost(),
+        fingerprint: head.fingerprint,
+        standing: node.standing(&head.fingerprint),
+        claim_age: None,
+    };
+    match node.admit(&ask)? {
+        attempt::Admitted::Run => Ok(()),
+        attempt::Admitted::Running | attempt::Admitted::Finished(_) | attempt::Admitted::Unknown => {
+            let message = format!("attempt {} was received before", head.attempt);
+            Err(error::Refusal::new(error::ErrorKind::OutcomeUnknown, message))
+        }
+    }
+}
+
+fn not_started(running: node::Running, reason: &client::CallError) -> error::Refusal {
+    let (kind, outcome) = match reason {
+        client::CallError::NotSent { .. } => {
+            (error::ErrorKind::EndpointUnreachable, attempt::Outcome::NotSent)
+        }
+        client::CallError::Lost { .. } => (error::ErrorKind::EndpointLost, attempt::Outcome::Lost),
+        client::CallError::Timeout { .. } => (error::ErrorKind::EndpointSilent, attempt::Outcome::Lost),
+    };
+    running.end(outcome);
+    error::Refusal::new(kind, reason.to_string())
+}
+
+async fn relay_or_refuse(
+    node: rc::Rc<node::Node>,
+    head: Head,
+    running: node::Running,
+    mut response: client::Response,
+) -> Result<respond::Response, error::Refusal> {
+    if response.status != 200 {
+        let reason = response.read(size::Bytes(settings::MAX_BODY)).await.unwrap_or_default();
+        running.end(attempt::Outcome::NotSent);
+        let kind = match response.status {
+            409 => error::ErrorKind::VersionNotLoaded,
+            400 | 413 | 422 => error::ErrorKind::InvalidRequest,
+            _ => error::ErrorKind::EndpointFull,
+        };
+        return Err(error::Refusal::new(kind, String::from_utf8_lossy(&reason).into_owned()));
+    }
+    let answered = response.header("x-weights-digest").and_then(|text| text.parse().ok());
+    if answered != Some(head.digest) {
+        cancel(&node, head.attempt);
+        let message = "the engine answers from another version".to_owned();
+        return Err(error::Refusal::new(error::ErrorKind::AnswerMismatch, message));
+    }
+    Ok(relay(node, head, running, response))
+}
+
+fn relay(
+    node: rc::Rc<node::Node>,
+    head: Head,
+    running: node::Running,
+    upstream: client::Response,
+) -> respond::Response {
+    let (sender, body) = body::channel();
+    let mut response = respond::stream(200, "text/event-stream", body);
+    respond::set_header(&mut response, "x-attempt-id", head.attempt.as_str());
+    respond::set_header(&mut response, "x-weights-digest", &head.digest.to_string());
+    actix_rt::spawn(async move {
+        if forward(&node, &sender, upstream).await {
+            running.end(attempt::Outcome::Done(node::Stored::default()));
+        } else {
+            cancel(&node, head.attempt);
+        }
+    });
+    response
+}
+
+/// Forwards the stream; returns whether the engine ended it by itself.
+async fn forward(node: &node::Node, sender: &body::Sender, mut upstream: client::Response) -> bool {
+    let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
+    loop {
+        let piece = tokio::select! {
+            () = sender.closed() => return false,
+            piece = upstream.next(timeout) => piece,
+        };
+        match piece {
+            Ok(Some(piece)) => {
+                if sender.send(piece).await.is_err() {
+                    return false;
+                }
+            }
+            Ok(None) => return true,
+            Err(reason) => {
+                event::Event::new("stream_broken").with("reason", reason).warn();
+                return false;
+            }
+        }
+    }
+}
+
+fn cancel(node: &node::Node, attempt: id::AttemptId) {
+    let cancelling = node.engine.cancel(attempt);
+    actix_rt::spawn(async move {
+        // An engine that cannot be reached has lost the stream as well.
+        let _ = cancelling.await;
+    });
+}
--- /dev/null
+++ b/crates/chestnutpick_agent/src/calls.rs
@@ -0,0 +1,136 @@
+//! Calls to the plain service: deduplicated by attempt id, run to their end even if the entry goes away.
+
+use std::rc;
+
+use actix_http as http;
+use bytes::Bytes;
+use chestnutpick_admission::attempt;
+use chestnutpick_http::{request, respond};
+use chestnutpick_platform::client;
+use chestnutpick_platform::service::Service;
+use chestnutpick_types::{digest, error, id, size, time};
+
+use crate::node;
+use crate::settings;
+
+/// Memory units that a call to a plain service counts as.
+const CALL_COST: size::Tokens = size::Tokens(1);
+
+struct Call {
+    attempt: id::AttemptId,
+    service: id::ServiceId,
+    method: String,
+    path: String,
+    headers: Vec<client::Header>,
+    body: Bytes,
+    claim_age: Option<time::Millis>,
+}
+
+/// Answers `/v1/calls/<service>/<path>`.
+pub async fn handle(node: rc::Rc<node::Node>, mut request: http::Request) -> respond::Response {
+    match run(node, &mut request).await {
+        Ok(response) => response,
+        Err(refusal) => respond::refusal(&refusal),
+    }
+}
+
+async fn run(node: rc::Rc<node::Node>, request: &mut http::Request) -> Result<respond::Response, error::Refusal> {
+    let call = read(request).await?;
+    if !node.settings.endpoint.services.contains(&call.service) {
+        let message = format!("{} does not offer service {}", node.settings.host, call.service);
+        return Err(error::Refusal::new(error::ErrorKind::NoEndpoint, message));
+    }
+    let ask = attempt::Request {
+        attempt: call.attempt.clone(),
+        digest: None,
+        cost: CALL_COST,
+        fingerprint: digest::Digest::of(&call.body),
+        standing: attempt::Standing::Clear,
+        claim_age: call.claim_age,
+    };
+    match node.admit(&ask)? {
+        attempt::Admitted::Run => execute(node, call).await,
+        attempt::Admitted::Finished(stored) => Ok(answer(&call.attempt, stored)),
+        attempt::Admitted::Running => {
+            Err(error::Refusal::new(error::ErrorKind::ClaimPending, "the call is running"))
+        }
+        attempt::Admitted::Unknown => {
+            Err(error::Refusal::new(error::ErrorKind::OutcomeUnknown, "the call may have run"))
+        }
+    }
+}
+
+async fn read(request: &mut http::Request) -> Result<Call, error::Refusal> {
+    let path = request.path().strip_prefix("/v1/calls/").unwrap_or_default();
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    let service = service.parse().map_err(|reason: id::IdError| {
+        error::Refusal::new(error::ErrorKind::InvalidRequest, reason.to_string())
+    })?;
+    let query = request.uri().query().map_or_else(String::new, |query| format!("?{query}"));
+    let path = format!("/v1/{service}/{rest}{query}");
+    let mut headers: Vec<client::Header> = Vec::new();
+    for (from, to) in [("x-idempotency-key", "idempotency-key"), ("content-type", "content-type")] {
+        if let Some(value) = request::header(request, from) {
+            headers.push((to.into(), value.into()));
+        }
+    }
+    Ok(Call {
+        attempt: request::required_header(request, "x-attempt-id")?,
+        service,
+        method: request.method().as_str().to_owned(),
+        path,
+        headers,
+        claim_age: request::parsed_header(request, "x-claim-age-ms")?.map(time::Millis),
+        body: request::read_body(request, size::Bytes(settings::MAX_BODY)).await?,
+    })
+}
+
+async fn execute(node: rc::Rc<node::Node>, call: Call) -> Result<respond::Response, error::Refusal> {
+    let attempt = call.attempt.clone();
+    // A task of its own: a call that was sent is not cancelled when the entry's connection breaks.
+    let task = actix_rt::spawn(async move {
+        let running = node::Running::new(rc::Rc::clone(&node), call.attempt.clone());
+        let sent = node.service.call(call.method.into(), call.path.into(), call.headers, call.body).await;
+        match sent {
+            Ok(response) => complete(running, response).await,
+            Err(reason) => Err(failed(running, &reason)),
+        }
+    });
+    match task.await {
+        Ok(Ok(stored)) => Ok(answer(&attempt, stored)),
+        Ok(Err(refusal)) => Err(refusal),
+        Err(reason) => Err(error::Refusal::new(error::ErrorKind::Internal, reason.to_string())),
+    }
+}
+
+async fn complete(
+    running: node::Running,
+    mut response: client::Response,
+) -> Result<node::Stored, error::Refusal> {
+    match response.read(size::Bytes(settings::MAX_BODY)).await {
+        Ok(body) => {
+            let content_type = response.header("content-type").unwrap_or("application/octet-stream").into();
+            let stored = node::Stored { status: response.status, content_type, body };
+            running.end(attempt::Outcome::Done(stored.clone()));
+            Ok(stored)
+        }
+        Err(reason) => Err(failed(running, &reason)),
+    }
+}
+
+fn failed(running: node::Running, reason: &client::CallError) -> error::Refusal {
+    let (kind, outcome) = if reason.is_not_sent() {
+        (error::ErrorKind::EndpointUnreachable, attempt::Outcome::NotSent)
+    } else {
+        (error::ErrorKind::OutcomeUnknown, attempt::Outcome::Lost)
+    };
+    running.end(outcome);
+    error::Refusal::new(kind, reason.to_string())
+}
+
+fn answer(attempt: &id::AttemptId, stored: node::Stored) -> respond::Response {
+    let mut response = respond::bytes(stored.status, "application/json", stored.body);
+    respond::set_header(&mut response, "content-type", &stored.content_type);
+    respond::set_header(&mut response, "x-attempt-id", attempt.as_str());
+    response
+}
--- /dev/null
+++ b/crates/chestnutpick_agent/src/control.rs
@@ -0,0 +1,115 @@
+//! The control protocol as the agent answers it.
+
+use bytes::Bytes;
+use chestnutpick_admission::{attempt, ramp};
+use chestnutpick_config::{replica, update};
+use chestnutpick_rpc::{message, server};
+use chestnutpick_telemetry::event;
+use chestnutpick_types::{id, time};
+
+use crate::node;
+
+impl server::Handler for node::Node {
+    fn heartbeat(&self, sender: id::HostId, _revision: u64, suspects: Vec<message::Suspect>) -> message::Report {
+        let now = self.now();
+        self.entries.borrow_mut().insert(sender, now);
+        for suspect in suspects {
+            self.suspects.borrow_mut().merge(now, suspect.fingerprint, suspect.crashes, suspect.age);
+        }
+        self.report()
+    }
+
+    fn put_config(&self, _revision: u64, document: Bytes) -> u64 {
+        match update::Update::decode(&document) {
+            Ok(update) => self.offer(&update),
+            Err(reason) => {
+                event::Event::new("config_rejected").with("reason", reason).warn();
+            }
+        }
+        self.config.borrow().wanted()
+    }
+
+    fn get_config(&self, known: u64) -> (u64, Bytes) {
+        let config = self.config.borrow();
+        if config.revision() <= known {
+            return (config.revision(), Bytes::new());
+        }
+        (config.revision(), config.update_since(known).encode().into())
+    }
+
+    fn settle(&self, attempt: id::AttemptId, claim_age: time::Millis) -> message::Verdict {
+        let verdict = self.table.borrow_mut().settle(self.now(), &attempt, claim_age);
+        let verdict = match verdict {
+            attempt::Verdict::NotRun => message::Verdict::NotRun,
+            attempt::Verdict::Running => message::Verdict::Running,
+            attempt::Verdict::Unknown => message::Verdict::Unknown,
+            attempt::Verdict::Finished(stored) => {
+                message::Verdict::Finished { status: stored.status, body: stored.body }
+            }
+        };
+        event::Event::new("attempt_settled").with("attempt", attempt).with("verdict", name(&verdict)).info();
+        verdict
+    }
+}
+
+fn name(verdict: &message::Verdict) -> &'static str {
+    match verdict {
+        message::Verdict::NotRun => "not_run",
+        message::Verdict::Running => "running",
+        message::Verdict::Finished { .. } => "finished",
+        message::Verdict::Unknown => "unknown",
+    }
+}
+
+impl node::Node {
+    fn offer(&self, update: &update::Update) {
+        let offer = self.config.borrow_mut().offer_update(update);
+        match offer {
+            replica::Offer::Accepted(revision) => {
+                event::Event::new("config_in_force").with("revision", revision).info();
+            }
+            replica::Offer::Stale => {}
+            replica::Offer::Invalid(reason) => {
+                event::Event::new("config_rejected").with("reason", reason).warn();
+            }
+            replica::Offer::NeedsFull(reason) => {
+                event::Event::new("config_needs_full").with("reason", reason).info();
+            }
+        }
+    }
+
+    fn report(&self) -> message::Report {
+        let report = self.table.borrow_mut().report();
+        let (chunks_held, chunks_total) = self.chunks.borrow().progress();
+        message::Report {
+            host: self.settings.host.clone(),
+            incarnation: report.incarnation,
+            sequence: report.seq,
+            revision: self.config.borrow().wanted(),
+            leaving: report.leaving,
+            cold: report.temperature == ramp::Temperature::Cold,
+            slots: self.settings.endpoint.slots,
+            running: report.load.slots,
+            memory_used: report.load.memory.0,
+            memory_limit: report.limits.memory.0,
+            admit_limit: report.limits.slots,
+            loaded: report.loaded,
+            services: self.settings.endpoint.services.clone(),
+            chunks_held,
+            chunks_total,
+            suspects: self.local_suspects(),
+            origin_bytes: self.chunks.borrow().origin_bytes(),
+            suspect_running: report.suspect,
+        }
+    }
+
+    fn local_suspects(&self) -> Vec<message::Suspect> {
+        let listed = self.suspects.borrow_mut().list(self.now());
+        let convert = |item: chestnutpick_routing::suspects::Item| message::Suspect {
+            fingerprint: item.fingerprint,
+            crashes: item.crashes,
+            age: item.age,
+        };
+        listed.into_iter().map(convert).collect()
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_agent/src/engine.rs
@@ -0,0 +1,64 @@
+//! Watching the engine: what it has loaded, whether it crashed, how much it bears.
+
+use std::rc;
+use std::time;
+
+use chestnutpick_admission::{limits, status};
+use chestnutpick_platform::engine::Engine;
+use chestnutpick_platform::fault;
+use chestnutpick_telemetry::event;
+use chestnutpick_types::size;
+use tokio_util::sync;
+
+use crate::node;
+
+/// Interval between two reads of the engine's status.
+const POLL: time::Duration = time::Duration::from_millis(100);
+
+/// Reads the engine's status until `stop` is cancelled.
+pub async fn watch(node: rc::Rc<node::Node>, stop: sync::CancellationToken) {
+    while !stop.is_cancelled() {
+        match node.engine.status().await {
+            Ok(status) => {
+                let status = status::Status {
+                    generation: status.generation,
+                    loaded: status.loaded,
+                    cold: status.cold,
+                    load: limits::Load {
+                        slots: u32::try_from(status.running).unwrap_or(u32::MAX),
+                        memory: size::Tokens(status.memory_used),
+                    },
+                };
+                let change = node.table.borrow_mut().on_engine_status(node.now(), &status);
+                apply(&node, &change);
+            }
+            Err(reason) if reason.kind == fault::Kind::NotSent => {
+                let change = node.table.borrow_mut().on_engine_down(node.now());
+                apply(&node, &change);
+            }
+            // A slow status says nothing about the requests in flight; their progress timeouts decide.
+            Err(reason) => event::Event::new("engine_status_missing").with("reason", reason).debug(),
+        }
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = actix_rt::time::sleep(POLL) => {}
+        }
+    }
+}
+
+fn apply(node: &node::Node, change: &status::Change) {
+    for digest in &change.opened {
+        event::Event::new("gate_opened").with("digest", digest).info();
+        node.chunks.borrow_mut().on_loaded(node.now(), *digest);
+    }
+    for digest in &change.closed {
+        event::Event::new("gate_closed").with("digest", digest).info();
+    }
+    if let Some(crash) = &change.crash {
+        let event = event::Event::new("engine_crashed").with("generation", crash.generation);
+        event.with("lost", crash.lost.len()).warn();
+        metrics::counter!("agent_engine_crashes_total").increment(1);
+        let fingerprints: Vec<_> = crash.lost.iter().map(|lost| lost.fingerprint).collect();
+        node.suspects.borrow_mut().on_crash(node.now(), &fingerprints);
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_agent/src/fence.rs
@@ -0,0 +1,47 @@
+//! The fencing epoch of this incarnation: one compare-and-swap increment in the store at start.
+
+use std::rc;
+use std::sync as std_sync;
+use std::time;
+
+use bytes::Bytes;
+use chestnutpick_platform::store::{self, Store};
+use chestnutpick_telemetry::event;
+use tokio_util::sync;
+
+use crate::node;
+
+/// Pause after a failed try.
+const RETRY: time::Duration = time::Duration::from_millis(500);
+
+/// Obtains the epoch, trying until `stop` is cancelled. Orders to the engine wait for it; serving does not.
+pub async fn acquire(node: rc::Rc<node::Node>, stop: sync::CancellationToken) {
+    let key: std_sync::Arc<str> = format!("fence/{}", node.settings.host).into();
+    while !stop.is_cancelled() {
+        match increment(&node, &key).await {
+            Ok(epoch) => {
+                node.epoch.set(Some(epoch));
+                event::Event::new("fence_acquired").with("epoch", epoch).info();
+                return;
+            }
+            Err(reason) => event::Event::new("fence_pending").with("reason", reason).warn(),
+        }
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = actix_rt::time::sleep(RETRY) => {}
+        }
+    }
+}
+
+async fn increment(node: &node::Node, key: &std_sync::Arc<str>) -> Result<u64, store::StoreError> {
+    let current = node.store.get(std_sync::Arc::clone(key)).await?;
+    let (revision, epoch) = current.map_or((0, 0), |value| (value.revision, parse(&value.bytes)));
+    let next = epoch + 1;
+    // A lost answer needs no settlement: the retry takes a higher epoch, which is as good.
+    node.store.put(std_sync::Arc::clone(key), revision, Bytes::from(next.to_string())).await?;
+    Ok(next)
+}
+
+fn parse(bytes: &[u8]) -> u64 {
+    std::str::from_utf8(bytes).ok().and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/chestnutpick_agent/src/hosts.rs
@@ -0,0 +1,27 @@
+//! Reading the platform's host list.
+
+use std::rc;
+use std::time;
+
+use chestnutpick_platform::hosts::HostList;
+use chestnutpick_telemetry::event;
+use tokio_util::sync;
+
+use crate::node;
+
+/// Interval between two reads.
+const POLL: time::Duration = time::Duration::from_secs(1);
+
+/// Reads the list until `stop` is cancelled; while it is unavailable the last one stays in use.
+pub async fn watch(node: rc::Rc<node::Node>, stop: sync::CancellationToken) {
+    while !stop.is_cancelled() {
+        match node.list.list().await {
+            Ok(hosts) => *node.hosts.borrow_mut() = hosts,
+            Err(reason) => event::Event::new("host_list_unavailable").with("reason", reason).warn(),
+        }
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = actix_rt::time::sleep(POLL) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_agent/src/run.rs
@@ -0,0 +1,117 @@
+//! The agent's life: start, serve, drain.
+
+use std::io;
+use std::rc;
+use std::time;
+
+use actix_http as http;
+use actix_rt::net;
+use chestnutpick_http::{respond, server};
+use chestnutpick_process::{page, signal};
+use chestnutpick_telemetry::{event, metric};
+use chestnutpick_types::error;
+use tokio_util::sync;
+
+use crate::attempts;
+use crate::calls;
+use crate::chunks;
+use crate::engine;
+use crate::fence;
+use crate::hosts;
+use crate::node;
+use crate::settings;
+use crate::transfer;
+
+/// Runs the agent until a stop signal and its graceful shutdown.
+///
+/// # Errors
+///
+/// Returns the reason when an address cannot be bound or the metrics cannot be installed.
+pub async fn run(settings: settings::Settings) -> io::Result<()> {
+    let metrics = metric::Page::install().map_err(io::Error::other)?;
+    let signal = signal::stop_token()?;
+    let listener = server::bind(settings.listen).await?;
+    let control = server::bind(settings.control).await?;
+    let node = rc::Rc::new(node::Node::new(settings));
+    announce(&node, &listener, &control)?;
+    let stop = sync::CancellationToken::new();
+    spawn_tasks(&node, &stop, control);
+    let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
+    let drain = sync::CancellationToken::new();
+    let deadline = time::Duration::from_millis(node.settings.drain_deadline_ms);
+    let handler = handler(&node, pages);
+    let serving = actix_rt::spawn(server::serve(listener, drain.clone(), deadline, handler));
+    signal.cancelled().await;
+    node.leave();
+    event::Event::new("leaving").info();
+    wait_until_idle(&node, deadline).await;
+    drain.cancel();
+    let drained = serving.await.map_err(io::Error::other)?;
+    stop.cancel();
+    event::Event::new("stopped").with("drained", drained == server::Drained::Clean).info();
+    Ok(())
+}
+
+fn announce(node: &node::Node, http: &net::TcpListener, control: &net::TcpListener) -> io::Result<()> {
+    event::Event::new("listening")
+        .with("http", http.local_addr()?)
+        .with("control", control.local_addr()?)
+        .with("host", &node.settings.host)
+        .info();
+    Ok(())
+}
+
+fn spawn_tasks(node: &rc::Rc<node::Node>, stop: &sync::CancellationToken, control: net::TcpListener) {
+    let share = || (rc::Rc::clone(node), stop.clone());
+    let (serving, token) = share();
+    actix_rt::spawn(chestnutpick_rpc::server::serve(control, token, serving));
+    let (watching, token) = share();
+    actix_rt::spawn(hosts::watch(watching, token));
+    if node.is_engine() {
+        let (watching, token) = share();
+        actix_rt::spawn(engine::watch(watching, token));
+        let (fencing, token) = share();
+        actix_rt::spawn(fence::acquire(fencing, token));
+        let (moving, token) = share();
+        actix_rt::spawn(transfer::run(moving, token));
+    }
+}
+
+/// Waits until nothing is in flight, so that entries which still hold connections learn of the leave by heartbeat and by
+/// refusals while the agent drains.
+async fn wait_until_idle(node: &node::Node, deadline: time::Duration) {
+    const POLL: time::Duration = time::Duration::from_millis(20);
+    let start = time::Instant::now();
+    while !node.table.borrow().is_drained() && start.elapsed() < deadline {
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
+fn handler(
+    node: &rc::Rc<node::Node>,
+    pages: page::Pages<node::Node>,
+) -> impl Fn(http::Request) -> futures::future::LocalBoxFuture<'static, respond::Response> + Clone + 'static {
+    let node = rc::Rc::clone(node);
+    move |request| Box::pin(dispatch(rc::Rc::clone(&node), pages.clone(), request))
+}
+
+async fn dispatch(
+    node: rc::Rc<node::Node>,
+    pages: page::Pages<node::Node>,
+    request: http::Request,
+) -> respond::Response {
+    if let Some(response) = pages.answer(&request) {
+        return response;
+    }
+    let path = request.path();
+    match request.method().as_str() {
+        "POST" if path == "/v1/attempts" => attempts::handle(node, request).await,
+        "GET" if path.starts_with("/v1/chunks/") => chunks::send(&node, &request),
+        "GET" if path.starts_with("/v1/versions/") => chunks::describe(&node, &request),
+        _ if path.starts_with("/v1/calls/") => calls::handle(node, request).await,
+        _ => {
+            let message = format!("nothing is served at {} {path}", request.method());
+            respond::refusal(&error::Refusal::new(error::ErrorKind::NotFound, message))
+        }
+    }
+}
--- a/crates/chestnutpick_rpc/schema/node.capnp
+++ b/crates/chestnutpick_rpc/schema/node.capnp
@@ -35,6 +35,8 @@
   suspects @15 :List(Suspect);
   # Bytes drawn from the origin since the start of the process.
   originBytes @16 :UInt64;
+  # A request that is suspected of crashing endpoints is running.
+  suspectRunning @17 :Bool;
 }
 
 enum Verdict {
--- a/crates/chestnutpick_rpc/src/message.rs
+++ b/crates/chestnutpick_rpc/src/message.rs
@@ -56,6 +56,8 @@
     pub suspects: Vec<Suspect>,
     /// Bytes drawn from the origin since the start of the process.
     pub origin_bytes: u64,
+    /// A request that is suspected of crashing endpoints is running.
+    pub suspect_running: bool,
 }
 
 /// Outcome of an attempt, as the agent that was to run it knows it.
@@ -135,6 +137,7 @@
     to.set_chunks_held(report.chunks_held);
     to.set_chunks_total(report.chunks_total);
     to.set_origin_bytes(report.origin_bytes);
+    to.set_suspect_running(report.suspect_running);
     let mut loaded = to.reborrow().init_loaded(index(report.loaded.len()));
     for (position, digest) in report.loaded.iter().enumerate() {
         loaded.set(index(position), digest.as_bytes());
@@ -167,5 +170,6 @@
         chunks_total: from.get_chunks_total(),
         suspects: read_suspects(from.get_suspects()?)?,
         origin_bytes: from.get_origin_bytes(),
+        suspect_running: from.get_suspect_running(),
     })
 }
--- a/crates/chestnutpick_rpc/tests/calls.rs
+++ b/crates/chestnutpick_rpc/tests/calls.rs
@@ -32,6 +32,7 @@
             age: chestnutpick_types::time::Millis(12),
         }],
         origin_bytes: 77,
+        suspect_running: true,
     }
 }
 
