--- /dev/null
+++ b/crates/chestnutpick_weights/src/assignment.rs
@@ -0,0 +1,377 @@
+//! Which host draws which chunk from outside its zone: a pure function of the live hosts.
+//!
+//! Each chunk crosses every slow link once: one host draws it from the origin, one host per region from that host, and
+//! one per availability zone from the region's. Every process that sees the same live hosts computes the same answer, so
+//! no coordination is needed.
+
+use std::collections::BTreeMap;
+
+use chestnutpick_types::{digest, id};
+
+/// A live host and where it is. Zone ids are unique across regions.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct Member {
+    /// The host.
+    pub host: id::HostId,
+    /// Its availability zone.
+    pub zone: id::ZoneId,
+    /// Its region.
+    pub region: id::RegionId,
+}
+
+/// The hosts that share one duty, and the one picked for each chunk.
+#[derive(Debug, Clone)]
+struct Tier {
+    pool: Vec<u32>,
+    picks: Vec<u32>,
+}
+
+/// The assignment of all chunks of one version.
+#[derive(Debug, Clone)]
+pub struct Assignment {
+    members: Vec<Member>,
+    keys: Vec<u64>,
+    salts: Vec<u64>,
+    home: Tier,
+    home_region: Option<id::RegionId>,
+    regions: BTreeMap<id::RegionId, Tier>,
+    zones: BTreeMap<id::ZoneId, Tier>,
+}
+
+/// Which group of hosts a rank refers to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope<'a> {
+    /// The hosts that may draw from the origin.
+    Origin,
+    /// The hosts of one region.
+    Region(&'a id::RegionId),
+    /// The hosts of one availability zone.
+    Zone(&'a id::ZoneId),
+}
+
+impl Assignment {
+    /// Returns the assignment of `chunks` chunks of `version` over the live `hosts`, in any order.
+    ///
+    /// The hosts in the region `origin` draw from the origin while there are any; otherwise all hosts do.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let member = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let version = digest::Digest::of(b"v1");
+    /// let assignment = assignment::Assignment::new(version, 8, &member.region, vec![member.clone()]);
+    /// assert_eq!(assignment.pick(assignment::Scope::Origin, 3), Some(&member));
+    /// ```
+    pub fn new(
+        version: digest::Digest,
+        chunks: usize,
+        origin: &id::RegionId,
+        hosts: Vec<Member>,
+    ) -> Self {
+        let mut members = hosts;
+        members.sort();
+        members.dedup_by(|a, b| a.host == b.host);
+        let keys = members.iter().map(|member| host_key(&member.host)).collect();
+        let salts = (0..chunks as u64).map(|chunk| mix(version.prefix() ^ mix(chunk))).collect();
+        let mut this = Self {
+            members,
+            keys,
+            salts,
+            home: Tier { pool: Vec::new(), picks: Vec::new() },
+            home_region: None,
+            regions: BTreeMap::new(),
+            zones: BTreeMap::new(),
+        };
+        this.assign_home(origin);
+        this.assign_regions();
+        this.assign_zones();
+        this
+    }
+
+    /// Returns the host of rank 1 for `chunk`, or nothing if the group is empty or there is no such chunk.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert_eq!(empty.pick(assignment::Scope::Region(&region), 0), None);
+    /// ```
+    pub fn pick(&self, scope: Scope<'_>, chunk: usize) -> Option<&Member> {
+        let pick = *self.tier(scope)?.picks.get(chunk)?;
+        self.members.get(pick as usize)
+    }
+
+    /// Returns the hosts of a group for `chunk` by rank: the assigned host, then its replacements.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert!(empty.ranked(assignment::Scope::Origin, 0).is_empty());
+    /// ```
+    pub fn ranked(&self, scope: Scope<'_>, chunk: usize) -> Vec<&Member> {
+        let Some(tier) = self.tier(scope).filter(|_| chunk < self.salts.len()) else {
+            return Vec::new();
+        };
+        let mut order = tier.pool.clone();
+        let first = tier.picks[chunk];
+        order.sort_by_key(|at| (*at != first, std::cmp::Reverse(self.weight(*at, chunk))));
+        order.into_iter().map(|at| &self.members[at as usize]).collect()
+    }
+
+    /// Returns the rank of `host` for `chunk` in a group, from 1, or nothing if it is not in the group.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let member = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let hosts = vec![member.clone()];
+    /// let assignment = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &member.region, hosts);
+    /// assert_eq!(assignment.rank(assignment::Scope::Origin, 0, &member.host), Some(1));
+    /// ```
+    pub fn rank(&self, scope: Scope<'_>, chunk: usize, host: &id::HostId) -> Option<usize> {
+        let tier = self.tier(scope).filter(|_| chunk < self.salts.len())?;
+        let at = self.position(host)?;
+        let (first, own) = (tier.picks[chunk], self.weight(at, chunk));
+        if at == first {
+            return Some(1);
+        }
+        let ahead = |other: &&u32| **other != first && self.weight(**other, chunk) > own;
+        let known = tier.pool.contains(&at);
+        known.then(|| 2 + tier.pool.iter().filter(ahead).count())
+    }
+
+    /// Returns the chunks that `host` draws from outside its zone, in ascending order.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let member = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let hosts = vec![member.clone()];
+    /// let assignment = assignment::Assignment::new(digest::Digest::of(b"v1"), 2, &member.region, hosts);
+    /// assert_eq!(assignment.duties(&member.host), [0, 1]);
+    /// ```
+    pub fn duties(&self, host: &id::HostId) -> Vec<usize> {
+        let Some(at) = self.position(host) else { return Vec::new() };
+        let zone = &self.zones[&self.members[at as usize].zone];
+        (0..self.salts.len()).filter(|chunk| zone.picks[*chunk] == at).collect()
+    }
+
+    /// Returns the hosts that rely on `host` as a source: those of its zone, and those that draw a chunk from it.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert!(empty.dependents(&"h1".parse().unwrap()).is_empty());
+    /// ```
+    pub fn dependents(&self, host: &id::HostId) -> Vec<id::HostId> {
+        let Some(at) = self.position(host) else { return Vec::new() };
+        let own = &self.members[at as usize];
+        let mut found: Vec<u32> = self.zones[&own.zone].pool.clone();
+        for chunk in 0..self.salts.len() {
+            if self.home.picks[chunk] == at {
+                found.extend(self.regions.values().map(|tier| tier.picks[chunk]));
+            }
+            if self.regions[&own.region].picks[chunk] == at {
+                let zones = self.zones.values().map(|tier| tier.picks[chunk]);
+                found
+                    .extend(zones.filter(|pick| self.members[*pick as usize].region == own.region));
+            }
+        }
+        found.sort_unstable();
+        found.dedup();
+        found.retain(|other| *other != at);
+        found.into_iter().map(|other| self.members[other as usize].host.clone()).collect()
+    }
+
+    /// Returns a live host.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert_eq!(empty.find(&"h1".parse().unwrap()), None);
+    /// ```
+    pub fn find(&self, host: &id::HostId) -> Option<&Member> {
+        self.position(host).and_then(|at| self.members.get(at as usize))
+    }
+
+    /// Returns the live hosts in order of their ids.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert!(empty.members().is_empty());
+    /// ```
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the live hosts of a zone in order of their ids.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert_eq!(empty.zone_members(&"lima".parse().unwrap()).count(), 0);
+    /// ```
+    pub fn zone_members(&self, zone: &id::ZoneId) -> impl ExactSizeIterator<Item = &Member> {
+        let pool = self.zones.get(zone).map_or(&[][..], |tier| &tier.pool);
+        pool.iter().map(|at| &self.members[*at as usize])
+    }
+
+    /// Returns the regions with live hosts.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert_eq!(empty.regions().count(), 0);
+    /// ```
+    pub fn regions(&self) -> impl Iterator<Item = &id::RegionId> {
+        self.regions.keys()
+    }
+
+    /// Returns the region whose hosts draw from the origin, or nothing while none of its hosts is live.
+    ///
+    /// ```
+    /// use chestnutpick_types::digest;
+    /// use chestnutpick_weights::assignment;
+    /// let region = "coast".parse().unwrap();
+    /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
+    /// assert_eq!(empty.home_region(), None);
+    /// ```
+    pub fn home_region(&self) -> Option<&id::RegionId> {
+        self.home_region.as_ref()
+    }
+
+    fn tier(&self, scope: Scope<'_>) -> Option<&Tier> {
+        match scope {
+            Scope::Origin => Some(&self.home),
+            Scope::Region(region) => self.regions.get(region),
+            Scope::Zone(zone) => self.zones.get(zone),
+        }
+        .filter(|tier| !tier.pool.is_empty())
+    }
+
+    fn position(&self, host: &id::HostId) -> Option<u32> {
+        let found = self.members.binary_search_by(|member| member.host.cmp(host)).ok()?;
+        u32::try_from(found).ok()
+    }
+
+    fn weight(&self, at: u32, chunk: usize) -> u64 {
+        mix(self.keys[at as usize] ^ self.salts[chunk])
+    }
+
+    fn assign_home(&mut self, origin: &id::RegionId) {
+        let local = self.pool(|member| member.region == *origin);
+        self.home_region = (!local.is_empty()).then(|| origin.clone());
+        let pool = if local.is_empty() { self.pool(|_| true) } else { local };
+        let picks = vec![None; self.salts.len()];
+        self.home = self.balance(pool, picks);
+    }
+
+    fn assign_regions(&mut self) {
+        let mut names: Vec<_> = self.members.iter().map(|member| member.region.clone()).collect();
+        names.sort();
+        names.dedup();
+        for name in names {
+            let pool = self.pool(|member| member.region == name);
+            let picks = self.inherit(&self.home, |member| member.region == name);
+            let tier = self.balance(pool, picks);
+            self.regions.insert(name, tier);
+        }
+    }
+
+    fn assign_zones(&mut self) {
+        let mut names: Vec<_> = self
+            .members
+            .iter()
+            .map(|member| (member.zone.clone(), member.region.clone()))
+            .collect();
+        names.sort();
+        names.dedup_by(|a, b| a.0 == b.0);
+        for (name, region) in names {
+            let pool = self.pool(|member| member.zone == name);
+            let picks = self.inherit(&self.regions[&region], |member| member.zone == name);
+            let tier = self.balance(pool, picks);
+            self.zones.insert(name, tier);
+        }
+    }
+
+    fn pool<F>(&self, include: F) -> Vec<u32>
+    where
+        F: Fn(&Member) -> bool,
+    {
+        (0..).zip(&self.members).filter(|(_, member)| include(member)).map(|(at, _)| at).collect()
+    }
+
+    /// Keeps the picks of the wider group that are in the narrower one: such a host has the chunk already.
+    fn inherit<F>(&self, wider: &Tier, inside: F) -> Vec<Option<u32>>
+    where
+        F: Fn(&Member) -> bool,
+    {
+        let keep = |at: &u32| inside(&self.members[*at as usize]).then_some(*at);
+        wider.picks.iter().map(keep).collect()
+    }
+
+    /// Gives each chunk without a pick to the host with the highest weight among those that are not full, so that the
+    /// loads of the newly picked hosts differ by at most one.
+    fn balance(&self, pool: Vec<u32>, given: Vec<Option<u32>>) -> Tier {
+        if pool.is_empty() {
+            return Tier { pool, picks: Vec::new() };
+        }
+        let open = given.iter().filter(|pick| pick.is_none()).count();
+        let (floor, even) = (open / pool.len(), open - open % pool.len());
+        let mut loads = vec![0; pool.len()];
+        let mut placed = 0;
+        let mut picks = Vec::with_capacity(given.len());
+        for (chunk, pick) in given.into_iter().enumerate() {
+            picks.push(pick.unwrap_or_else(|| {
+                let cap = if placed < even { floor } else { floor + 1 };
+                let at = self.heaviest(&pool, &loads, cap, chunk);
+                loads[at] += 1;
+                placed += 1;
+                pool[at]
+            }));
+        }
+        Tier { pool, picks }
+    }
+
+    fn heaviest(&self, pool: &[u32], loads: &[usize], cap: usize, chunk: usize) -> usize {
+        let free = (0..pool.len()).filter(|at| loads[*at] < cap);
+        free.max_by_key(|at| self.weight(pool[*at], chunk)).unwrap_or_default()
+    }
+}
+
+fn host_key(host: &id::HostId) -> u64 {
+    digest::Digest::of(host.as_str().as_bytes()).prefix()
+}
+
+/// Spreads the bits of `value` (the finalizer of SplitMix64).
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/chestnutpick_weights/src/holders.rs
@@ -0,0 +1,409 @@
+//! What one host knows about the chunks of its peers: a bounded number of bitmaps, refreshed and replaced over time.
+
+use chestnutpick_types::{id, time};
+use rand_core::Rng;
+
+use crate::bitmap;
+
+/// Bounds on what is known.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Peers whose bitmaps are kept.
+    pub peers: usize,
+    /// Time between two questions to one peer.
+    pub refresh: time::Millis,
+    /// Time after which an unanswered peer is replaced.
+    pub answer: time::Millis,
+    /// Fetches at once from one peer.
+    pub per_peer: usize,
+}
+
+/// Order in which chunks are fetched when several are available.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Order {
+    /// The chunk that the fewest known peers hold, ties at random.
+    RarestFirst,
+    /// A random chunk.
+    Shuffled,
+}
+
+#[derive(Debug)]
+struct Peer {
+    host: id::HostId,
+    chunks: bitmap::Bitmap,
+    /// When it was asked, while the answer is outstanding.
+    asked: Option<time::Millis>,
+    next_ask: time::Millis,
+    not_before: time::Millis,
+    fetches: usize,
+}
+
+/// The known peers.
+#[derive(Debug)]
+pub struct Holders {
+    limits: Limits,
+    peers: Vec<Peer>,
+    counts: Vec<u16>,
+}
+
+impl Holders {
+    /// Returns empty knowledge about a version of `chunks` chunks.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert_eq!(holders::Holders::new(limits, 8).len(), 0);
+    /// ```
+    pub fn new(limits: Limits, chunks: usize) -> Self {
+        Self { limits, peers: Vec::new(), counts: vec![0; chunks] }
+    }
+
+    /// Returns the number of known peers.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert_eq!(holders::Holders::new(limits, 8).len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns whether no peer is known.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert!(holders::Holders::new(limits, 8).is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Returns whether every known peer has answered at least once or was dropped.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert!(holders::Holders::new(limits, 8).is_settled());
+    /// ```
+    pub fn is_settled(&self) -> bool {
+        self.peers.iter().all(|peer| peer.next_ask > time::Millis::ZERO)
+    }
+
+    /// Adds a peer to be asked, if there is room and it is not known yet.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// holders.admit(&"h2".parse().unwrap());
+    /// assert_eq!(holders.due(Millis(0)).len(), 1);
+    /// ```
+    pub fn admit(&mut self, host: &id::HostId) {
+        if self.peers.len() < self.limits.peers && !self.knows(host) {
+            self.peers.push(Peer {
+                host: host.clone(),
+                chunks: bitmap::Bitmap::new(self.counts.len()),
+                asked: None,
+                next_ask: time::Millis::ZERO,
+                not_before: time::Millis::ZERO,
+                fetches: 0,
+            });
+        }
+    }
+
+    /// Returns whether a peer is known.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert!(!holders::Holders::new(limits, 8).knows(&"h2".parse().unwrap()));
+    /// ```
+    pub fn knows(&self, host: &id::HostId) -> bool {
+        self.peers.iter().any(|peer| peer.host == *host)
+    }
+
+    /// Returns whether another peer could be admitted.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert!(holders::Holders::new(limits, 8).has_room());
+    /// ```
+    pub fn has_room(&self) -> bool {
+        self.peers.len() < self.limits.peers
+    }
+
+    /// Forgets the peers for which `keep` is false.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// holders.admit(&"h2".parse().unwrap());
+    /// holders.retain(|_| false);
+    /// assert!(holders.is_empty());
+    /// ```
+    pub fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(&id::HostId) -> bool,
+    {
+        let counts = &mut self.counts;
+        self.peers.retain(|peer| {
+            let kept = keep(&peer.host);
+            if !kept {
+                peer.chunks.iter().for_each(|chunk| counts[chunk] -= 1);
+            }
+            kept
+        });
+    }
+
+    /// Returns the peers to ask now, and notes that they were asked; peers that did not answer in time are dropped.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// holders.admit(&"h2".parse().unwrap());
+    /// assert_eq!(holders.due(Millis(0)).len(), 1);
+    /// assert_eq!(holders.due(Millis(1)).len(), 0);
+    /// ```
+    pub fn due(&mut self, now: time::Millis) -> Vec<id::HostId> {
+        let answer = self.limits.answer;
+        let late = |peer: &Peer| peer.asked.is_some_and(|asked| asked + answer <= now);
+        let dropped: Vec<_> =
+            self.peers.iter().filter(|peer| late(peer)).map(|peer| peer.host.clone()).collect();
+        self.retain(|host| !dropped.contains(host));
+        let mut due = Vec::new();
+        for peer in
+            self.peers.iter_mut().filter(|peer| peer.asked.is_none() && peer.next_ask <= now)
+        {
+            peer.asked = Some(now);
+            due.push(peer.host.clone());
+        }
+        due
+    }
+
+    /// Notes the answer of a peer; nothing means that it could not be asked, and drops it.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::{bitmap, holders};
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// let peer = "h2".parse().unwrap();
+    /// holders.admit(&peer);
+    /// holders.learn(Millis(0), &peer, Some(&bitmap::Bitmap::full(8)));
+    /// assert!(holders.holds(3));
+    /// ```
+    pub fn learn(&mut self, now: time::Millis, host: &id::HostId, chunks: Option<&bitmap::Bitmap>) {
+        let Some(chunks) = chunks.filter(|chunks| chunks.len() == self.counts.len()) else {
+            return self.retain(|known| known != host);
+        };
+        let Some(peer) = self.peers.iter_mut().find(|peer| peer.host == *host) else { return };
+        peer.chunks.iter().for_each(|chunk| self.counts[chunk] -= 1);
+        chunks.iter().for_each(|chunk| self.counts[chunk] += 1);
+        peer.chunks = chunks.clone();
+        peer.asked = None;
+        peer.next_ask = now + self.limits.refresh;
+    }
+
+    /// Notes that a peer does not hold a chunk after all.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::{bitmap, holders};
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// let peer = "h2".parse().unwrap();
+    /// holders.admit(&peer);
+    /// holders.learn(Millis(0), &peer, Some(&bitmap::Bitmap::full(8)));
+    /// holders.unlearn(&peer, 3);
+    /// assert!(!holders.holds(3));
+    /// ```
+    pub fn unlearn(&mut self, host: &id::HostId, chunk: usize) {
+        let Some(peer) = self.peers.iter_mut().find(|peer| peer.host == *host) else { return };
+        if peer.chunks.has(chunk) {
+            peer.chunks.clear(chunk);
+            self.counts[chunk] -= 1;
+        }
+    }
+
+    /// Asks nothing of a peer until the given time.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// holders.admit(&"h2".parse().unwrap());
+    /// holders.back_off(&"h2".parse().unwrap(), Millis(500));
+    /// assert_eq!(holders.next_ready(Millis(0)), Some(Millis(500)));
+    /// ```
+    pub fn back_off(&mut self, host: &id::HostId, until: time::Millis) {
+        if let Some(peer) = self.peers.iter_mut().find(|peer| peer.host == *host) {
+            peer.not_before = peer.not_before.max(until);
+        }
+    }
+
+    /// Notes that a fetch from a peer has started.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// holders.start(&"h2".parse().unwrap()); // unknown peers are ignored
+    /// ```
+    pub fn start(&mut self, host: &id::HostId) {
+        if let Some(peer) = self.peers.iter_mut().find(|peer| peer.host == *host) {
+            peer.fetches += 1;
+        }
+    }
+
+    /// Notes that a fetch from a peer has ended.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// holders.end(&"h2".parse().unwrap()); // unknown peers are ignored
+    /// ```
+    pub fn end(&mut self, host: &id::HostId) {
+        if let Some(peer) = self.peers.iter_mut().find(|peer| peer.host == *host) {
+            peer.fetches = peer.fetches.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether any known peer holds a chunk.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert!(!holders::Holders::new(limits, 8).holds(3));
+    /// ```
+    pub fn holds(&self, chunk: usize) -> bool {
+        self.counts.get(chunk).is_some_and(|count| *count > 0)
+    }
+
+    /// Forgets the peers that hold none of the `wanted` chunks, to make room for others, unless they have not answered.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::{bitmap, holders};
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// let peer = "h2".parse().unwrap();
+    /// holders.admit(&peer);
+    /// holders.learn(Millis(0), &peer, Some(&bitmap::Bitmap::new(8)));
+    /// holders.drop_useless(&bitmap::Bitmap::full(8));
+    /// assert!(holders.is_empty());
+    /// ```
+    pub fn drop_useless(&mut self, wanted: &bitmap::Bitmap) {
+        let offers = |peer: &Peer| peer.chunks.iter().any(|chunk| wanted.has(chunk));
+        let useless =
+            |peer: &&Peer| peer.next_ask > time::Millis::ZERO && peer.fetches == 0 && !offers(peer);
+        let dropped: Vec<_> =
+            self.peers.iter().filter(useless).map(|peer| peer.host.clone()).collect();
+        self.retain(|host| !dropped.contains(host));
+    }
+
+    /// Chooses one of the `wanted` chunks and a peer that holds it and is ready to be asked for it.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::{bitmap, holders};
+    /// use rand_core::SeedableRng;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// let mut rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(1);
+    /// let wanted = bitmap::Bitmap::full(8);
+    /// assert_eq!(holders.choose(Millis(0), &wanted, holders::Order::RarestFirst, &mut rng), None);
+    /// ```
+    pub fn choose<R>(
+        &self,
+        now: time::Millis,
+        wanted: &bitmap::Bitmap,
+        order: Order,
+        rng: &mut R,
+    ) -> Option<(usize, id::HostId)>
+    where
+        R: Rng,
+    {
+        let ready = |peer: &&Peer| peer.not_before <= now && peer.fetches < self.limits.per_peer;
+        let mut offered = bitmap::Bitmap::new(wanted.len());
+        self.peers.iter().filter(ready).for_each(|peer| offered.union(&peer.chunks));
+        let chunk = self.choose_chunk(&offered, wanted, order, rng)?;
+        let holders = self.peers.iter().filter(ready).filter(|peer| peer.chunks.has(chunk));
+        let peer = holders.min_by_key(|peer| (peer.fetches, rng.next_u32()))?;
+        Some((chunk, peer.host.clone()))
+    }
+
+    /// Returns when the next peer is due to be asked or ready again.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert_eq!(holders::Holders::new(limits, 8).next_ready(Millis(0)), None);
+    /// ```
+    pub fn next_ready(&self, now: time::Millis) -> Option<time::Millis> {
+        let asks = self.peers.iter().map(|peer| match peer.asked {
+            Some(asked) => asked + self.limits.answer,
+            None => peer.next_ask,
+        });
+        let backs = self.peers.iter().map(|peer| peer.not_before);
+        asks.chain(backs).filter(|at| *at > now).min()
+    }
+
+    /// Returns the internal state for the state dump.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// assert_eq!(holders::Holders::new(limits, 8).dump(), serde_json::json!([]));
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        let peers = self.peers.iter().map(|peer| {
+            serde_json::json!({
+                "host": peer.host, "chunks": peer.chunks.count(), "fetches": peer.fetches,
+                "not_before": peer.not_before, "next_ask": peer.next_ask,
+            })
+        });
+        peers.collect()
+    }
+
+    fn choose_chunk<R>(
+        &self,
+        offered: &bitmap::Bitmap,
+        wanted: &bitmap::Bitmap,
+        order: Order,
+        rng: &mut R,
+    ) -> Option<usize>
+    where
+        R: Rng,
+    {
+        let available = offered.iter().filter(|chunk| wanted.has(*chunk));
+        available.min_by_key(|chunk| {
+            let count = match order {
+                Order::RarestFirst => self.counts[*chunk],
+                Order::Shuffled => 0,
+            };
+            (count, rng.next_u32())
+        })
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_weights/src/sources.rs
@@ -0,0 +1,116 @@
+//! Which sources are not used for a while: hosts that sent corrupt chunks or were late, and regions that do not answer.
+
+use std::collections::BTreeMap;
+
+use chestnutpick_types::{id, time};
+
+use crate::assignment;
+
+/// Time-outs in a row after which a region counts as cut off; a single one may be the fault of one host.
+const REGION_STRIKES: u32 = 2;
+
+/// Time for which a region that counts as cut off is not asked.
+const REGION_PAUSE: time::Millis = time::Millis(10_000);
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Link {
+    strikes: u32,
+    until: time::Millis,
+}
+
+/// Sources that are not used at present.
+#[derive(Debug, Default)]
+pub struct Sources {
+    aside: BTreeMap<id::HostId, time::Millis>,
+    links: BTreeMap<id::RegionId, Link>,
+}
+
+impl Sources {
+    /// Sets a host aside until the given time.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::sources;
+    /// let mut sources = sources::Sources::default();
+    /// sources.set_aside(Millis(0), &"h2".parse().unwrap(), Millis(100));
+    /// assert!(sources.is_aside(Millis(99), &"h2".parse().unwrap()));
+    /// ```
+    pub fn set_aside(&mut self, now: time::Millis, host: &id::HostId, until: time::Millis) {
+        self.aside.retain(|_, until| *until > now);
+        let entry = self.aside.entry(host.clone()).or_default();
+        *entry = until.max(*entry);
+    }
+
+    /// Returns whether a host is set aside.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::sources;
+    /// assert!(!sources::Sources::default().is_aside(Millis(0), &"h2".parse().unwrap()));
+    /// ```
+    pub fn is_aside(&self, now: time::Millis, host: &id::HostId) -> bool {
+        self.aside.get(host).is_some_and(|until| *until > now)
+    }
+
+    /// Returns whether a host may be asked: neither it nor its region is set aside.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::{assignment, sources};
+    /// let member = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// assert!(sources::Sources::default().is_usable(Millis(0), &member));
+    /// ```
+    pub fn is_usable(&self, now: time::Millis, member: &assignment::Member) -> bool {
+        let link = self.links.get(&member.region).copied().unwrap_or_default();
+        link.until <= now && !self.is_aside(now, &member.host)
+    }
+
+    /// Notes that a chunk from another region was late.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::{assignment, sources};
+    /// let member = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let mut sources = sources::Sources::default();
+    /// sources.on_late(Millis(0), &member.region);
+    /// sources.on_late(Millis(0), &member.region);
+    /// assert!(!sources.is_usable(Millis(1), &member));
+    /// ```
+    pub fn on_late(&mut self, now: time::Millis, region: &id::RegionId) {
+        let link = self.links.entry(region.clone()).or_default();
+        link.strikes += 1;
+        if link.strikes >= REGION_STRIKES {
+            link.until = now + REGION_PAUSE;
+        }
+    }
+
+    /// Notes that a chunk from another region arrived.
+    ///
+    /// ```
+    /// use chestnutpick_weights::sources;
+    /// sources::Sources::default().on_arrived(&"coast".parse().unwrap());
+    /// ```
+    pub fn on_arrived(&mut self, region: &id::RegionId) {
+        self.links.remove(region);
+    }
+
+    /// Returns the internal state for the state dump.
+    ///
+    /// ```
+    /// use chestnutpick_weights::sources;
+    /// assert!(sources::Sources::default().dump()["aside"].is_object());
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        let links: BTreeMap<_, _> =
+            self.links.iter().map(|(region, link)| (region.as_str(), link.until)).collect();
+        serde_json::json!({ "aside": self.aside, "regions": links })
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_weights/src/uploads.rs
@@ -0,0 +1,290 @@
+//! Upload slots: which requests for chunks a host serves now.
+//!
+//! Live requests come first on every link. The host's own pace for uploads shrinks while requests are in flight, and
+//! uploads to another region share a set part of the region link.
+
+use std::collections::BTreeMap;
+
+use chestnutpick_types::{id, rate, size, time};
+
+use crate::assignment;
+use crate::bucket;
+
+/// Bounds on uploads.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Uploads at once.
+    pub total: usize,
+    /// Uploads at once to one peer.
+    pub per_peer: usize,
+    /// Slots, out of the total, that only peers of other zones may use. Without them the hosts that bring a chunk into
+    /// a zone compete with every host of this zone.
+    pub reserved: usize,
+    /// Pace of all uploads together while no request is in flight.
+    pub pace: rate::BytesPerSec,
+    /// Share of the pace, in percent, that remains however many requests are in flight.
+    pub floor_percent: u64,
+    /// Number of requests in flight that halves the pace.
+    pub half_load: u64,
+    /// Credit that an idle link gathers.
+    pub burst: size::Bytes,
+    /// Delay that a peer is told when no slot is free.
+    pub retry: time::Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            total: 6,
+            per_peer: 2,
+            reserved: 2,
+            pace: rate::BytesPerSec(u64::MAX),
+            floor_percent: 10,
+            half_load: 4,
+            burst: size::Bytes::from_mib(8),
+            retry: time::Millis(150),
+        }
+    }
+}
+
+/// The answer to a peer's request for a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// The upload may start; [`Uploads::finish`] must follow when it ends in any way.
+    Grant,
+    /// No slot or no rate is free; the peer may ask again after the given time.
+    Refuse(time::Millis),
+}
+
+/// The upload slots of one host.
+#[derive(Debug)]
+pub struct Uploads {
+    limits: Limits,
+    zone: id::ZoneId,
+    region: id::RegionId,
+    active: BTreeMap<id::HostId, usize>,
+    in_zone: usize,
+    far: usize,
+    live: u64,
+    pace: bucket::Bucket,
+    shares: BTreeMap<id::RegionId, bucket::Bucket>,
+}
+
+impl Uploads {
+    /// Returns the slots of the host `own`, all free.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let slots = uploads::Uploads::new(time::Millis(0), uploads::Limits::default(), &own);
+    /// assert_eq!(slots.active(), 0);
+    /// ```
+    pub fn new(now: time::Millis, limits: Limits, own: &assignment::Member) -> Self {
+        Self {
+            limits,
+            zone: own.zone.clone(),
+            region: own.region.clone(),
+            active: BTreeMap::new(),
+            in_zone: 0,
+            far: 0,
+            live: 0,
+            pace: bucket::Bucket::new(now, limits.pace, limits.burst, size::Bytes(0)),
+            shares: BTreeMap::new(),
+        }
+    }
+
+    /// Sets this host's part of the link to another region; without one, uploads to that region are not limited.
+    ///
+    /// The link's share for weights is divided by the number of live hosts here. `delay` is a debt in bytes with which
+    /// a new limit starts: hosts that start with different debts do not all upload in the same instant.
+    ///
+    /// ```
+    /// use chestnutpick_types::{rate, size, time};
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let mut slots = uploads::Uploads::new(time::Millis(0), uploads::Limits::default(), &own);
+    /// slots.set_share(time::Millis(0), &"sierra".parse().unwrap(), rate::BytesPerSec(1_000), size::Bytes(0));
+    /// ```
+    pub fn set_share(
+        &mut self,
+        now: time::Millis,
+        region: &id::RegionId,
+        rate: rate::BytesPerSec,
+        delay: size::Bytes,
+    ) {
+        match self.shares.get_mut(region) {
+            Some(share) => share.set_rate(now, rate),
+            None => {
+                let share = bucket::Bucket::new(now, rate, size::Bytes(0), delay);
+                self.shares.insert(region.clone(), share);
+            }
+        }
+    }
+
+    /// Notes the number of live requests in flight on this host.
+    ///
+    /// ```
+    /// use chestnutpick_types::{rate, time};
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let limits = uploads::Limits { pace: rate::BytesPerSec(1_000), half_load: 4, ..Default::default() };
+    /// let mut slots = uploads::Uploads::new(time::Millis(0), limits, &own);
+    /// slots.on_live(time::Millis(0), 4);
+    /// assert_eq!(slots.pace(), rate::BytesPerSec(500));
+    /// ```
+    pub fn on_live(&mut self, now: time::Millis, in_flight: u64) {
+        self.live = in_flight;
+        self.pace.set_rate(now, self.pace());
+    }
+
+    /// Returns the pace of all uploads together under the current number of requests in flight.
+    ///
+    /// ```
+    /// use chestnutpick_types::{rate, time};
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let limits = uploads::Limits { pace: rate::BytesPerSec(1_000), ..Default::default() };
+    /// let slots = uploads::Uploads::new(time::Millis(0), limits, &own);
+    /// assert_eq!(slots.pace(), rate::BytesPerSec(1_000));
+    /// ```
+    pub fn pace(&self) -> rate::BytesPerSec {
+        let full = u128::from(self.limits.pace.0);
+        let half = u128::from(self.limits.half_load.max(1));
+        let shrunk = full * half / (half + u128::from(self.live));
+        let floor = full * u128::from(self.limits.floor_percent.min(100)) / 100;
+        rate::BytesPerSec(u64::try_from(shrunk.max(floor)).unwrap_or(u64::MAX))
+    }
+
+    /// Decides on a request of `peer` for a chunk of `size` that this host holds.
+    ///
+    /// ```
+    /// use chestnutpick_types::{size, time};
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let peer = assignment::Member { host: "h2".parse().unwrap(), ..own.clone() };
+    /// let mut slots = uploads::Uploads::new(time::Millis(0), uploads::Limits::default(), &own);
+    /// assert_eq!(slots.request(time::Millis(0), &peer, size::Bytes(1)), uploads::Decision::Grant);
+    /// ```
+    pub fn request(
+        &mut self,
+        now: time::Millis,
+        peer: &assignment::Member,
+        size: size::Bytes,
+    ) -> Decision {
+        if !self.has_slot(peer) {
+            return Decision::Refuse(self.limits.retry);
+        }
+        let share = self.shares.get_mut(&peer.region).filter(|_| peer.region != self.region);
+        let wait =
+            share.map_or(time::Millis::ZERO, |share| share.wait(now)).max(self.pace.wait(now));
+        if wait > time::Millis::ZERO {
+            return Decision::Refuse(wait);
+        }
+        self.grant(now, peer, size);
+        Decision::Grant
+    }
+
+    /// Notes that an upload to `peer` has ended, complete or not.
+    ///
+    /// ```
+    /// use chestnutpick_types::{size, time};
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let peer = assignment::Member { host: "h2".parse().unwrap(), ..own.clone() };
+    /// let mut slots = uploads::Uploads::new(time::Millis(0), uploads::Limits::default(), &own);
+    /// slots.request(time::Millis(0), &peer, size::Bytes(1));
+    /// slots.finish(&peer);
+    /// assert_eq!(slots.active(), 0);
+    /// ```
+    pub fn finish(&mut self, peer: &assignment::Member) {
+        let Some(count) = self.active.get_mut(&peer.host) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.active.remove(&peer.host);
+        }
+        let group = if peer.zone == self.zone { &mut self.in_zone } else { &mut self.far };
+        *group = group.saturating_sub(1);
+    }
+
+    /// Returns the number of uploads at present.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// assert_eq!(uploads::Uploads::new(time::Millis(0), uploads::Limits::default(), &own).active(), 0);
+    /// ```
+    pub fn active(&self) -> usize {
+        self.in_zone + self.far
+    }
+
+    /// Returns the internal state for the state dump.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// use chestnutpick_weights::{assignment, uploads};
+    /// let own = assignment::Member {
+    ///     host: "h1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     region: "coast".parse().unwrap(),
+    /// };
+    /// let slots = uploads::Uploads::new(time::Millis(0), uploads::Limits::default(), &own);
+    /// assert_eq!(slots.dump()["in_zone"], 0);
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        let shares: BTreeMap<_, _> =
+            self.shares.iter().map(|(region, share)| (region.as_str(), share.rate())).collect();
+        serde_json::json!({
+            "in_zone": self.in_zone, "far": self.far, "live": self.live, "pace": self.pace(),
+            "active": self.active, "shares": shares,
+        })
+    }
+
+    fn has_slot(&self, peer: &assignment::Member) -> bool {
+        let own = self.active.get(&peer.host).copied().unwrap_or_default();
+        let open = self.limits.total.saturating_sub(self.limits.reserved);
+        let reserved = peer.zone == self.zone && self.in_zone >= open;
+        own < self.limits.per_peer && self.active() < self.limits.total && !reserved
+    }
+
+    fn grant(&mut self, now: time::Millis, peer: &assignment::Member, size: size::Bytes) {
+        *self.active.entry(peer.host.clone()).or_default() += 1;
+        let group = if peer.zone == self.zone { &mut self.in_zone } else { &mut self.far };
+        *group += 1;
+        self.pace.charge(now, size);
+        if let Some(share) =
+            self.shares.get_mut(&peer.region).filter(|_| peer.region != self.region)
+        {
+            share.charge(now, size);
+        }
+    }
+}
