--- /dev/null
+++ b/crates/chestnutpick_config/src/change.rs
@@ -0,0 +1,332 @@
+//! Changes to the document and their validation.
+
+use std::sync;
+
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+use chestnutpick_types::time;
+use snafu::Snafu;
+
+use crate::document;
+use crate::document::Document;
+
+mod edit;
+
+/// Largest weight of a workspace.
+pub const MAX_WEIGHT: u32 = 1_000_000;
+
+/// Most hosts that a roll may change at once.
+pub const MAX_PACE: u32 = 10_000;
+
+/// Largest minimum serving share, in percent; at 100 no host could ever change.
+pub const MAX_MIN_SERVING: u8 = 99;
+
+/// Reason why a change is rejected. Nothing has been written.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+pub enum ChangeError {
+    /// The name refers to nothing.
+    #[snafu(display("unknown {what} {word:?}; known: {known}"))]
+    Unknown {
+        /// Kind of the name.
+        what: &'static str,
+        /// The name.
+        word: String,
+        /// The names that exist.
+        known: String,
+    },
+    /// The name is taken.
+    #[snafu(display("{what} {word:?} exists already; choose another name"))]
+    Duplicate {
+        /// Kind of the name.
+        what: &'static str,
+        /// The name.
+        word: String,
+    },
+    /// The name is pinned to another digest.
+    #[snafu(display(
+        "{what} {word:?} is pinned to digest {pinned}; create another {what} for {given}"
+    ))]
+    Pinned {
+        /// Kind of the name.
+        what: &'static str,
+        /// The name.
+        word: String,
+        /// The digest in the document.
+        pinned: digest::Digest,
+        /// The digest in the change.
+        given: digest::Digest,
+    },
+    /// The item is in use.
+    #[snafu(display("{what} {word:?} is used by {by}; {allowed}"))]
+    InUse {
+        /// Kind of the name.
+        what: &'static str,
+        /// The name.
+        word: String,
+        /// What uses it.
+        by: String,
+        /// What can be done.
+        allowed: &'static str,
+    },
+    /// No zone would remain in service.
+    #[snafu(display(
+        "zone {word:?} is the last one in service; bring another zone back before taking it out"
+    ))]
+    LastZone {
+        /// The zone.
+        word: String,
+    },
+    /// The change would leave the document as it is.
+    #[snafu(display("{what} {word:?} {state} already; nothing to change"))]
+    NoEffect {
+        /// Kind of the name.
+        what: &'static str,
+        /// The name.
+        word: String,
+        /// The state that it is in.
+        state: &'static str,
+    },
+    /// The workspace has no declared version.
+    #[snafu(display(
+        "no version is declared to workspace {word:?}; declare a model and version to it first"
+    ))]
+    NotDeclared {
+        /// The workspace.
+        word: String,
+    },
+    /// A number is outside its range.
+    #[snafu(display("{what} {word} is out of range; allowed are {allowed}"))]
+    OutOfRange {
+        /// What the number means.
+        what: &'static str,
+        /// The number.
+        word: String,
+        /// The range.
+        allowed: String,
+    },
+    /// The document would exceed the store's limit.
+    #[snafu(display(
+        "the document would have {word} bytes, allowed are {}; delete what is not declared first",
+        document::MAX_BYTES
+    ))]
+    TooLarge {
+        /// The size in bytes.
+        word: String,
+    },
+}
+
+impl ChangeError {
+    /// Returns the word of the command that is at fault.
+    ///
+    /// ```
+    /// use chestnutpick_config::change;
+    /// let error = change::ChangeError::LastZone { word: "lima".to_owned() };
+    /// assert_eq!(error.word(), "lima");
+    /// ```
+    pub fn word(&self) -> &str {
+        match self {
+            Self::Unknown { word, .. }
+            | Self::Duplicate { word, .. }
+            | Self::Pinned { word, .. }
+            | Self::InUse { word, .. }
+            | Self::LastZone { word }
+            | Self::NoEffect { word, .. }
+            | Self::NotDeclared { word }
+            | Self::OutOfRange { word, .. }
+            | Self::TooLarge { word } => word,
+        }
+    }
+}
+
+/// Who made a change, when and with which command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stamp {
+    /// Id of the change.
+    pub id: id::ChangeId,
+    /// The operator.
+    pub operator: sync::Arc<str>,
+    /// The command text as given.
+    pub command: sync::Arc<str>,
+    /// Time since the Unix epoch.
+    pub at: time::Millis,
+}
+
+/// A change to the document.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(tag = "op", rename_all = "snake_case")]
+#[expect(missing_docs, reason = "the fields repeat the types' names")]
+pub enum Change {
+    /// Creates a model.
+    CreateModel { model: id::ModelId },
+    /// Deletes a model none of whose versions is declared.
+    DeleteModel { model: id::ModelId },
+    /// Pins a version of a model to a manifest digest.
+    CreateVersion { model: id::ModelId, version: id::VersionId, digest: digest::Digest },
+    /// Deletes a version that is not declared.
+    DeleteVersion { model: id::ModelId, version: id::VersionId },
+    /// Pins an adapter of a model to a manifest digest.
+    CreateAdapter { model: id::ModelId, adapter: id::AdapterId, digest: digest::Digest },
+    /// Deletes an adapter that is not declared.
+    DeleteAdapter { model: id::ModelId, adapter: id::AdapterId },
+    /// Creates a region.
+    CreateRegion { region: id::RegionId },
+    /// Deletes a region without zones.
+    DeleteRegion { region: id::RegionId },
+    /// Creates an availability zone, in service.
+    CreateZone { zone: id::ZoneId, region: id::RegionId },
+    /// Deletes an availability zone that is out of service.
+    DeleteZone { zone: id::ZoneId },
+    /// Creates a workspace.
+    CreateWorkspace {
+        workspace: id::WorkspaceId,
+        weight: Option<u32>,
+        priority: Option<document::Priority>,
+    },
+    /// Deletes a workspace with its declaration.
+    DeleteWorkspace { workspace: id::WorkspaceId },
+    /// Creates a plain service.
+    CreateService { service: id::ServiceId },
+    /// Deletes a plain service.
+    DeleteService { service: id::ServiceId },
+    /// Declares a version, with or without an adapter, to a workspace.
+    Declare {
+        workspace: id::WorkspaceId,
+        model: id::ModelId,
+        version: id::VersionId,
+        adapter: Option<id::AdapterId>,
+    },
+    /// Rolls a workspace to another version of its model. Settings that are not given keep their value; the adapter
+    /// stays.
+    Roll {
+        workspace: id::WorkspaceId,
+        version: id::VersionId,
+        pace: Option<u32>,
+        min_serving: Option<u8>,
+    },
+    /// Pauses a workspace's rollout.
+    PauseRoll { workspace: id::WorkspaceId },
+    /// Resumes a workspace's rollout.
+    ResumeRoll { workspace: id::WorkspaceId },
+    /// Takes an availability zone out of service.
+    TakeOut { zone: id::ZoneId },
+    /// Brings an availability zone back into service.
+    BringBack { zone: id::ZoneId },
+}
+
+/// Something that a change reads or writes. Two changes that share one conflict.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Item {
+    /// A model with its versions and adapters.
+    Model(id::ModelId),
+    /// A version of a model.
+    Version(id::ModelId, id::VersionId),
+    /// An adapter of a model.
+    Adapter(id::ModelId, id::AdapterId),
+    /// A region.
+    Region(id::RegionId),
+    /// All zones together: whether one may leave depends on which others serve.
+    Zones,
+    /// A workspace.
+    Workspace(id::WorkspaceId),
+    /// A plain service.
+    Service(id::ServiceId),
+}
+
+impl Change {
+    /// Validates the change and returns the document that it produces, one revision higher.
+    ///
+    /// ```
+    /// use chestnutpick_config::{change, document};
+    /// use chestnutpick_types::time;
+    /// let stamp = change::Stamp {
+    ///     id: "change-1".parse().unwrap(),
+    ///     operator: "ana".into(),
+    ///     command: "create model drafts".into(),
+    ///     at: time::Millis(1_700_000_000_000),
+    /// };
+    /// let change = change::Change::CreateModel { model: "drafts".parse().unwrap() };
+    /// let next = change.apply(&document::Document::default(), &stamp).unwrap();
+    /// assert_eq!(next.revision, 1);
+    /// assert!(change.apply(&next, &stamp).is_err());
+    /// ```
+    pub fn apply(&self, document: &Document, stamp: &Stamp) -> Result<Document, ChangeError> {
+        let mut next = document.clone();
+        edit::edit(self, &mut next)?;
+        next.revision += 1;
+        next.history.push_back(self.entry(stamp, next.revision));
+        let surplus = next.history.len().saturating_sub(document::HISTORY_LEN);
+        next.history.drain(..surplus);
+        match next.encode().len() {
+            bytes if bytes > document::MAX_BYTES => {
+                TooLargeSnafu { word: bytes.to_string() }.fail()
+            }
+            _ => Ok(next),
+        }
+    }
+
+    fn entry(&self, stamp: &Stamp, revision: u64) -> document::Entry {
+        document::Entry {
+            id: stamp.id.clone(),
+            revision,
+            operator: stamp.operator.clone(),
+            command: stamp.command.clone(),
+            at: stamp.at,
+            change: self.clone(),
+        }
+    }
+
+    /// Returns what the change reads or writes.
+    ///
+    /// ```
+    /// use chestnutpick_config::change;
+    /// let zone = "lima".parse().unwrap();
+    /// assert_eq!(change::Change::TakeOut { zone }.items(), vec![change::Item::Zones]);
+    /// ```
+    pub fn items(&self) -> Vec<Item> {
+        match self.clone() {
+            Self::CreateModel { model } | Self::DeleteModel { model } => vec![Item::Model(model)],
+            Self::CreateVersion { model, version, .. } | Self::DeleteVersion { model, version } => {
+                vec![Item::Version(model, version)]
+            }
+            Self::CreateAdapter { model, adapter, .. } | Self::DeleteAdapter { model, adapter } => {
+                vec![Item::Adapter(model, adapter)]
+            }
+            Self::CreateRegion { region } | Self::DeleteRegion { region } => {
+                vec![Item::Region(region)]
+            }
+            Self::CreateZone { region, .. } => vec![Item::Zones, Item::Region(region)],
+            Self::DeleteZone { .. } | Self::TakeOut { .. } | Self::BringBack { .. } => {
+                vec![Item::Zones]
+            }
+            Self::CreateWorkspace { workspace, .. }
+            | Self::DeleteWorkspace { workspace }
+            | Self::Roll { workspace, .. }
+            | Self::PauseRoll { workspace }
+            | Self::ResumeRoll { workspace } => vec![Item::Workspace(workspace)],
+            Self::CreateService { service } | Self::DeleteService { service } => {
+                vec![Item::Service(service)]
+            }
+            Self::Declare { workspace, model, version, adapter } => {
+                let mut items =
+                    vec![Item::Workspace(workspace), Item::Version(model.clone(), version)];
+                items.extend(adapter.map(|adapter| Item::Adapter(model, adapter)));
+                items
+            }
+        }
+    }
+
+    /// Returns whether this change and another touch the same item, so that neither operator can be assumed to have
+    /// known of the other's change.
+    ///
+    /// ```
+    /// use chestnutpick_config::change;
+    /// let out = change::Change::TakeOut { zone: "lima".parse().unwrap() };
+    /// let back = change::Change::BringBack { zone: "cusco".parse().unwrap() };
+    /// let service = change::Change::CreateService { service: "ledger".parse().unwrap() };
+    /// assert!(out.meets(&back) && !out.meets(&service));
+    /// ```
+    pub fn meets(&self, other: &Self) -> bool {
+        let theirs = other.items();
+        self.items().iter().any(|item| theirs.contains(item))
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_config/src/change/edit.rs
@@ -0,0 +1,370 @@
+//! The effect of each change on the document, with its validation.
+
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+
+use crate::change::Change;
+use crate::change::ChangeError;
+use crate::change::DuplicateSnafu;
+use crate::change::InUseSnafu;
+use crate::change::LastZoneSnafu;
+use crate::change::MAX_MIN_SERVING;
+use crate::change::MAX_PACE;
+use crate::change::MAX_WEIGHT;
+use crate::change::NoEffectSnafu;
+use crate::change::NotDeclaredSnafu;
+use crate::change::OutOfRangeSnafu;
+use crate::change::PinnedSnafu;
+use crate::change::UnknownSnafu;
+use crate::document;
+use crate::document::Document;
+
+type Outcome = Result<(), ChangeError>;
+
+/// Applies a change to a copy of the document; on an error the copy is discarded.
+pub(super) fn edit(change: &Change, doc: &mut Document) -> Outcome {
+    match change {
+        Change::CreateModel { model } => create_model(doc, model),
+        Change::DeleteModel { model } => delete_model(doc, model),
+        Change::CreateVersion { model, version, digest } => {
+            pin("version", &mut model_of(doc, model)?.versions, version, *digest)
+        }
+        Change::DeleteVersion { model, version } => delete_version(doc, model, version),
+        Change::CreateAdapter { model, adapter, digest } => {
+            pin("adapter", &mut model_of(doc, model)?.adapters, adapter, *digest)
+        }
+        Change::DeleteAdapter { model, adapter } => delete_adapter(doc, model, adapter),
+        Change::CreateRegion { region } => {
+            fresh("region", doc.regions.insert(region.clone()), region)
+        }
+        Change::DeleteRegion { region } => delete_region(doc, region),
+        Change::CreateZone { zone, region } => create_zone(doc, zone, region),
+        Change::DeleteZone { zone } => delete_zone(doc, zone),
+        Change::CreateWorkspace { workspace, weight, priority } => {
+            create_workspace(doc, workspace, *weight, *priority)
+        }
+        Change::DeleteWorkspace { workspace } => {
+            workspace_of(doc, workspace)?;
+            doc.workspaces.remove(workspace);
+            Ok(())
+        }
+        Change::CreateService { service } => {
+            fresh("service", doc.services.insert(service.clone()), service)
+        }
+        Change::DeleteService { service } => delete_service(doc, service),
+        Change::Declare { workspace, model, version, adapter } => {
+            let declared = document::Declared {
+                model: model.clone(),
+                version: version.clone(),
+                adapter: adapter.clone(),
+            };
+            declare(doc, workspace, declared)
+        }
+        Change::Roll { workspace, version, pace, min_serving } => {
+            roll(doc, workspace, version, *pace, *min_serving)
+        }
+        Change::PauseRoll { workspace } => set_paused(doc, workspace, true),
+        Change::ResumeRoll { workspace } => set_paused(doc, workspace, false),
+        Change::TakeOut { zone } => take_out(doc, zone),
+        Change::BringBack { zone } => bring_back(doc, zone),
+    }
+}
+
+fn fresh<N>(what: &'static str, inserted: bool, name: &N) -> Outcome
+where
+    N: ToString,
+{
+    match inserted {
+        true => Ok(()),
+        false => DuplicateSnafu { what, word: name.to_string() }.fail(),
+    }
+}
+
+fn unknown<'a, T, N, I>(what: &'static str, name: &N, known: I) -> Result<T, ChangeError>
+where
+    N: ToString + 'a,
+    I: IntoIterator<Item = &'a N>,
+{
+    UnknownSnafu { what, word: name.to_string(), known: Document::list(known) }.fail()
+}
+
+fn model_of<'a>(
+    doc: &'a mut Document,
+    model: &id::ModelId,
+) -> Result<&'a mut document::Model, ChangeError> {
+    if !doc.models.contains_key(model) {
+        return unknown("model", model, doc.models.keys());
+    }
+    Ok(doc.models.entry(model.clone()).or_default())
+}
+
+fn workspace_of<'a>(
+    doc: &'a mut Document,
+    workspace: &id::WorkspaceId,
+) -> Result<&'a mut document::Workspace, ChangeError> {
+    if !doc.workspaces.contains_key(workspace) {
+        return unknown("workspace", workspace, doc.workspaces.keys());
+    }
+    match doc.workspaces.get_mut(workspace) {
+        Some(found) => Ok(found),
+        None => unknown("workspace", workspace, []),
+    }
+}
+
+fn zone_state(doc: &Document, zone: &id::ZoneId) -> Result<document::ZoneState, ChangeError> {
+    match doc.zones.get(zone) {
+        Some(found) => Ok(found.state),
+        None => unknown("zone", zone, doc.zones.keys()),
+    }
+}
+
+fn create_model(doc: &mut Document, model: &id::ModelId) -> Outcome {
+    fresh("model", !doc.models.contains_key(model), model)?;
+    doc.models.insert(model.clone(), document::Model::default());
+    Ok(())
+}
+
+fn delete_model(doc: &mut Document, model: &id::ModelId) -> Outcome {
+    model_of(doc, model)?;
+    refuse_declared(doc, "model", model.as_str(), |d| d.model == *model)?;
+    doc.models.remove(model);
+    forget_previous(doc, |d| d.model == *model);
+    Ok(())
+}
+
+fn pin<N>(
+    what: &'static str,
+    names: &mut std::collections::BTreeMap<N, digest::Digest>,
+    name: &N,
+    given: digest::Digest,
+) -> Outcome
+where
+    N: Ord + Clone + ToString,
+{
+    match names.get(name) {
+        Some(&pinned) if pinned != given => {
+            PinnedSnafu { what, word: name.to_string(), pinned, given }.fail()
+        }
+        Some(_) => DuplicateSnafu { what, word: name.to_string() }.fail(),
+        None => {
+            names.insert(name.clone(), given);
+            Ok(())
+        }
+    }
+}
+
+fn delete_version(doc: &mut Document, model: &id::ModelId, version: &id::VersionId) -> Outcome {
+    let versions = &model_of(doc, model)?.versions;
+    if !versions.contains_key(version) {
+        return unknown("version", version, versions.keys());
+    }
+    let matches = |d: &document::Declared| d.model == *model && d.version == *version;
+    refuse_declared(doc, "version", version.as_str(), matches)?;
+    model_of(doc, model)?.versions.remove(version);
+    forget_previous(doc, matches);
+    Ok(())
+}
+
+fn delete_adapter(doc: &mut Document, model: &id::ModelId, adapter: &id::AdapterId) -> Outcome {
+    let adapters = &model_of(doc, model)?.adapters;
+    if !adapters.contains_key(adapter) {
+        return unknown("adapter", adapter, adapters.keys());
+    }
+    let matches = |d: &document::Declared| d.model == *model && d.adapter.as_ref() == Some(adapter);
+    refuse_declared(doc, "adapter", adapter.as_str(), matches)?;
+    model_of(doc, model)?.adapters.remove(adapter);
+    forget_previous(doc, matches);
+    Ok(())
+}
+
+fn refuse_declared<F>(doc: &Document, what: &'static str, word: &str, matches: F) -> Outcome
+where
+    F: Fn(&document::Declared) -> bool,
+{
+    let user = doc.workspaces.iter().find(|(_, w)| w.declared.as_ref().is_some_and(&matches));
+    match user {
+        Some((workspace, _)) => InUseSnafu {
+            what,
+            word,
+            by: format!("workspace {workspace}"),
+            allowed: "declare something else to it first",
+        }
+        .fail(),
+        None => Ok(()),
+    }
+}
+
+fn forget_previous<F>(doc: &mut Document, matches: F)
+where
+    F: Fn(&document::Declared) -> bool,
+{
+    for workspace in doc.workspaces.values_mut() {
+        workspace.previous.take_if(|previous| matches(previous));
+    }
+}
+
+fn delete_region(doc: &mut Document, region: &id::RegionId) -> Outcome {
+    if !doc.regions.contains(region) {
+        return unknown("region", region, &doc.regions);
+    }
+    if let Some((zone, _)) = doc.zones.iter().find(|(_, zone)| zone.region == *region) {
+        return InUseSnafu {
+            what: "region",
+            word: region.as_str(),
+            by: format!("zone {zone}"),
+            allowed: "delete its zones first",
+        }
+        .fail();
+    }
+    doc.regions.remove(region);
+    Ok(())
+}
+
+fn create_zone(doc: &mut Document, zone: &id::ZoneId, region: &id::RegionId) -> Outcome {
+    if !doc.regions.contains(region) {
+        return unknown("region", region, &doc.regions);
+    }
+    fresh("zone", !doc.zones.contains_key(zone), zone)?;
+    let state = document::ZoneState::InService;
+    doc.zones.insert(zone.clone(), document::Zone { region: region.clone(), state });
+    doc.retired.remove(zone);
+    Ok(())
+}
+
+fn delete_zone(doc: &mut Document, zone: &id::ZoneId) -> Outcome {
+    if zone_state(doc, zone)? == document::ZoneState::InService {
+        return InUseSnafu {
+            what: "zone",
+            word: zone.as_str(),
+            by: "requests",
+            allowed: "take it out of service first",
+        }
+        .fail();
+    }
+    doc.zones.remove(zone);
+    doc.retired.insert(zone.clone());
+    Ok(())
+}
+
+fn create_workspace(
+    doc: &mut Document,
+    workspace: &id::WorkspaceId,
+    weight: Option<u32>,
+    priority: Option<document::Priority>,
+) -> Outcome {
+    fresh("workspace", !doc.workspaces.contains_key(workspace), workspace)?;
+    let weight = weight.unwrap_or(document::DEFAULT_WEIGHT);
+    in_range("weight", weight, 1, MAX_WEIGHT)?;
+    let created = document::Workspace {
+        weight,
+        priority: priority.unwrap_or_default(),
+        declared: None,
+        previous: None,
+        roll: document::Roll::default(),
+    };
+    doc.workspaces.insert(workspace.clone(), created);
+    Ok(())
+}
+
+fn delete_service(doc: &mut Document, service: &id::ServiceId) -> Outcome {
+    if !doc.services.remove(service) {
+        return unknown("service", service, &doc.services);
+    }
+    Ok(())
+}
+
+fn in_range(what: &'static str, value: u32, min: u32, max: u32) -> Outcome {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    OutOfRangeSnafu { what, word: value.to_string(), allowed: format!("{min} to {max}") }.fail()
+}
+
+fn declare(
+    doc: &mut Document,
+    workspace: &id::WorkspaceId,
+    declared: document::Declared,
+) -> Outcome {
+    workspace_of(doc, workspace)?;
+    let model = model_of(doc, &declared.model)?;
+    if !model.versions.contains_key(&declared.version) {
+        return unknown("version", &declared.version, model.versions.keys());
+    }
+    if let Some(adapter) = &declared.adapter
+        && !model.adapters.contains_key(adapter)
+    {
+        return unknown("adapter", adapter, model.adapters.keys());
+    }
+    let target = workspace_of(doc, workspace)?;
+    if target.declared.as_ref() == Some(&declared) {
+        let word = declared.version.as_str();
+        return NoEffectSnafu { what: "version", word, state: "is declared" }.fail();
+    }
+    target.previous = target.declared.replace(declared);
+    target.roll.paused = false;
+    Ok(())
+}
+
+fn roll(
+    doc: &mut Document,
+    workspace: &id::WorkspaceId,
+    version: &id::VersionId,
+    pace: Option<u32>,
+    min_serving: Option<u8>,
+) -> Outcome {
+    let target = workspace_of(doc, workspace)?;
+    let Some(current) = target.declared.clone() else {
+        return NotDeclaredSnafu { word: workspace.as_str() }.fail();
+    };
+    let mut settings = target.roll;
+    settings.pace = pace.unwrap_or(settings.pace);
+    settings.min_serving = min_serving.unwrap_or(settings.min_serving);
+    settings.paused = false;
+    in_range("pace", settings.pace, 1, MAX_PACE)?;
+    in_range("min-serving", settings.min_serving.into(), 0, MAX_MIN_SERVING.into())?;
+    // Rolling to the declared version again is how an operator changes the settings of a running roll.
+    if current.version != *version || settings == target.roll {
+        declare(doc, workspace, document::Declared { version: version.clone(), ..current })?;
+    }
+    workspace_of(doc, workspace)?.roll = settings;
+    Ok(())
+}
+
+fn set_paused(doc: &mut Document, workspace: &id::WorkspaceId, paused: bool) -> Outcome {
+    let target = workspace_of(doc, workspace)?;
+    if target.declared.is_none() {
+        return NotDeclaredSnafu { word: workspace.as_str() }.fail();
+    }
+    if target.roll.paused == paused {
+        let state = if paused { "is paused" } else { "is not paused" };
+        return NoEffectSnafu { what: "roll of workspace", word: workspace.as_str(), state }.fail();
+    }
+    target.roll.paused = paused;
+    Ok(())
+}
+
+fn take_out(doc: &mut Document, zone: &id::ZoneId) -> Outcome {
+    if zone_state(doc, zone)? == document::ZoneState::Out {
+        return NoEffectSnafu { what: "zone", word: zone.as_str(), state: "is out" }.fail();
+    }
+    let in_service = |z: &&document::Zone| z.state == document::ZoneState::InService;
+    if doc.zones.values().filter(in_service).count() < 2 {
+        return LastZoneSnafu { word: zone.as_str() }.fail();
+    }
+    set_state(doc, zone, document::ZoneState::Out);
+    Ok(())
+}
+
+fn bring_back(doc: &mut Document, zone: &id::ZoneId) -> Outcome {
+    if zone_state(doc, zone)? == document::ZoneState::InService {
+        return NoEffectSnafu { what: "zone", word: zone.as_str(), state: "is in service" }.fail();
+    }
+    set_state(doc, zone, document::ZoneState::InService);
+    Ok(())
+}
+
+fn set_state(doc: &mut Document, zone: &id::ZoneId, state: document::ZoneState) {
+    if let Some(found) = doc.zones.get_mut(zone) {
+        found.state = state;
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_config/src/document.rs
@@ -0,0 +1,398 @@
+//! The configuration document, the single value under the store's key `config`.
+
+use std::collections;
+use std::sync;
+
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+use chestnutpick_types::time;
+use snafu::Snafu;
+
+use crate::change;
+
+/// Key of the document in the store.
+pub const STORE_KEY: &str = "config";
+
+/// Largest encoded document, in bytes; the store takes values up to 1 MB and the history must still fit after growth.
+pub const MAX_BYTES: usize = 900_000;
+
+/// Number of history entries kept. At 19,000 changes a day 64 entries cover about five minutes, longer than a lost
+/// write takes to settle, and stay below 30 KB.
+pub const HISTORY_LEN: usize = 64;
+
+/// Weight of a workspace created without one.
+pub const DEFAULT_WEIGHT: u32 = 100;
+
+/// Hosts that change version at once when a roll names no pace.
+pub const DEFAULT_PACE: u32 = 10;
+
+/// Smallest share of serving hosts during a roll that names none, in percent.
+pub const DEFAULT_MIN_SERVING: u8 = 75;
+
+/// Reason why a document cannot be used.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+pub enum DocumentError {
+    /// The text is not a document.
+    #[snafu(display("not a configuration document: {reason}"))]
+    Malformed {
+        /// The decoder's message.
+        reason: String,
+    },
+    /// A name refers to nothing in the document.
+    #[snafu(display("{holder} refers to {what} {name:?}, which the document does not contain"))]
+    Dangling {
+        /// The item that holds the reference.
+        holder: String,
+        /// The kind of the missing item.
+        what: &'static str,
+        /// The missing name.
+        name: String,
+    },
+    /// The history does not end at the document's revision.
+    #[snafu(display("the history ends at revision {last}, the document is at {revision}"))]
+    History {
+        /// Revision of the last history entry.
+        last: u64,
+        /// Revision of the document.
+        revision: u64,
+    },
+    /// The encoded document exceeds the store's limit.
+    #[snafu(display("the document has {bytes} bytes, allowed are {MAX_BYTES}"))]
+    TooLarge {
+        /// Encoded size in bytes.
+        bytes: usize,
+    },
+}
+
+/// Whether an availability zone gets new work.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    strum::Display,
+    strum::EnumString,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum ZoneState {
+    /// The zone gets new work.
+    InService,
+    /// Operators have taken the zone out; it gets no new work.
+    Out,
+}
+
+/// Priority of a workspace's requests.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Default,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Served after the others.
+    Low,
+    /// The usual priority.
+    #[default]
+    Normal,
+    /// Served before the others.
+    High,
+}
+
+/// A model with its versions and adapters.
+#[derive(Debug, Clone, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct Model {
+    /// Manifest digest of each version.
+    pub versions: collections::BTreeMap<id::VersionId, digest::Digest>,
+    /// Manifest digest of each adapter.
+    pub adapters: collections::BTreeMap<id::AdapterId, digest::Digest>,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Zone {
+    /// The region that contains the zone.
+    pub region: id::RegionId,
+    /// Whether the zone gets new work.
+    pub state: ZoneState,
+}
+
+/// What a workspace's requests run on.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Declared {
+    /// The model.
+    pub model: id::ModelId,
+    /// The version of the model.
+    pub version: id::VersionId,
+    /// The adapter, if one is used.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<id::AdapterId>,
+}
+
+/// Settings of a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Roll {
+    /// Hosts that change version at once, at least 1.
+    pub pace: u32,
+    /// Smallest share of hosts that keep serving, in percent, 0 to 99.
+    pub min_serving: u8,
+    /// Whether operators have paused the rollout.
+    pub paused: bool,
+}
+
+impl Default for Roll {
+    fn default() -> Self {
+        Self { pace: DEFAULT_PACE, min_serving: DEFAULT_MIN_SERVING, paused: false }
+    }
+}
+
+/// A workspace.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Workspace {
+    /// Share of capacity relative to other workspaces.
+    pub weight: u32,
+    /// Priority of its requests.
+    pub priority: Priority,
+    /// What its requests run on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub declared: Option<Declared>,
+    /// What was declared before; hosts that have not been rolled yet still serve it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous: Option<Declared>,
+    /// Settings of the rollout to the declared version.
+    pub roll: Roll,
+}
+
+/// One applied change. It carries the change itself so that a replica can replay it instead of fetching the document.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Id of the change.
+    pub id: id::ChangeId,
+    /// Revision that the change produced.
+    pub revision: u64,
+    /// Operator who made it.
+    pub operator: sync::Arc<str>,
+    /// Command text as given.
+    pub command: sync::Arc<str>,
+    /// Time since the Unix epoch.
+    pub at: time::Millis,
+    /// The change.
+    pub change: change::Change,
+}
+
+/// The configuration document.
+#[derive(Debug, Clone, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct Document {
+    /// Monotonic revision; the empty document has revision 0.
+    pub revision: u64,
+    /// Models.
+    pub models: collections::BTreeMap<id::ModelId, Model>,
+    /// Regions.
+    pub regions: collections::BTreeSet<id::RegionId>,
+    /// Availability zones.
+    pub zones: collections::BTreeMap<id::ZoneId, Zone>,
+    /// Deleted zones. They stay out of service until they are created again, because hosts may still run there.
+    #[serde(default, skip_serializing_if = "collections::BTreeSet::is_empty")]
+    pub retired: collections::BTreeSet<id::ZoneId>,
+    /// Workspaces.
+    pub workspaces: collections::BTreeMap<id::WorkspaceId, Workspace>,
+    /// Plain services.
+    pub services: collections::BTreeSet<id::ServiceId>,
+    /// The latest changes, oldest first, at most [`HISTORY_LEN`].
+    pub history: collections::VecDeque<Entry>,
+}
+
+impl Document {
+    /// Returns the document as the text that is written to the store.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// let text = document::Document::default().encode();
+    /// assert_eq!(document::Document::decode(text.as_bytes()), Ok(document::Document::default()));
+    /// ```
+    pub fn encode(&self) -> String {
+        // Serialisation to memory fails only for maps whose keys are not text, and every key here is.
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Decodes and checks a document.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// assert!(document::Document::decode(b"{}").is_err());
+    /// ```
+    pub fn decode(bytes: &[u8]) -> Result<Self, DocumentError> {
+        let document = serde_json::from_slice::<Self>(bytes)
+            .map_err(|e| DocumentError::Malformed { reason: e.to_string() })?;
+        document.check()?;
+        Ok(document)
+    }
+
+    /// Returns the digest of the encoded document, by which replicas compare their contents.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// let empty = document::Document::default();
+    /// assert_eq!(empty.digest(), empty.clone().digest());
+    /// ```
+    pub fn digest(&self) -> digest::Digest {
+        digest::Digest::of(self.encode().as_bytes())
+    }
+
+    /// Checks that every reference resolves and that the history ends at the revision.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// let odd = document::Document { revision: 3, ..Default::default() };
+    /// assert!(odd.check().is_err());
+    /// ```
+    pub fn check(&self) -> Result<(), DocumentError> {
+        let last = self.history.back().map_or(0, |entry| entry.revision);
+        if last != self.revision {
+            return HistorySnafu { last, revision: self.revision }.fail();
+        }
+        self.check_zones()?;
+        self.check_workspaces()
+    }
+
+    fn check_zones(&self) -> Result<(), DocumentError> {
+        for (id, zone) in &self.zones {
+            if !self.regions.contains(&zone.region) {
+                return dangling(format!("zone {id}"), "region", &zone.region);
+            }
+        }
+        Ok(())
+    }
+
+    fn check_workspaces(&self) -> Result<(), DocumentError> {
+        for (id, workspace) in &self.workspaces {
+            for declared in workspace.declared.iter().chain(&workspace.previous) {
+                self.check_declared(id, declared)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_declared(
+        &self,
+        workspace: &id::WorkspaceId,
+        declared: &Declared,
+    ) -> Result<(), DocumentError> {
+        let holder = format!("workspace {workspace}");
+        let Some(model) = self.models.get(&declared.model) else {
+            return dangling(holder, "model", &declared.model);
+        };
+        if !model.versions.contains_key(&declared.version) {
+            return dangling(holder, "version", &declared.version);
+        }
+        match &declared.adapter {
+            Some(adapter) if !model.adapters.contains_key(adapter) => {
+                dangling(holder, "adapter", adapter)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the history entry of a change, if it is still kept.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// let id = "change-1".parse().unwrap();
+    /// assert!(document::Document::default().find(&id).is_none());
+    /// ```
+    pub fn find(&self, id: &id::ChangeId) -> Option<&Entry> {
+        self.history.iter().rev().find(|entry| entry.id == *id)
+    }
+
+    /// Returns the entries after `revision`, oldest first, or `None` if some of them are no longer kept.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// let empty = document::Document::default();
+    /// assert!(empty.entries_after(0).is_some_and(|entries| entries.is_empty()));
+    /// ```
+    pub fn entries_after(&self, revision: u64) -> Option<Vec<&Entry>> {
+        let wanted = self.revision.saturating_sub(revision);
+        let kept: Vec<_> = self.history.iter().filter(|e| e.revision > revision).collect();
+        (kept.len() as u64 == wanted).then_some(kept)
+    }
+
+    /// Returns the manifest digest of a version.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// let (model, version) = ("m".parse().unwrap(), "v1".parse().unwrap());
+    /// assert_eq!(document::Document::default().version_digest(&model, &version), None);
+    /// ```
+    pub fn version_digest(
+        &self,
+        model: &id::ModelId,
+        version: &id::VersionId,
+    ) -> Option<digest::Digest> {
+        self.models.get(model)?.versions.get(version).copied()
+    }
+
+    /// Returns the digest that is declared to a workspace. [`crate::lookup::Index`] answers this without a search.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// assert_eq!(document::Document::default().digest_of(&"w".parse().unwrap()), None);
+    /// ```
+    pub fn digest_of(&self, workspace: &id::WorkspaceId) -> Option<digest::Digest> {
+        let declared = self.workspaces.get(workspace)?.declared.as_ref()?;
+        self.version_digest(&declared.model, &declared.version)
+    }
+
+    /// Returns whether a zone gets no new work: it was taken out, or deleted. Zones that the document has never
+    /// contained are in service.
+    ///
+    /// ```
+    /// use chestnutpick_config::document;
+    /// assert!(!document::Document::default().is_out(&"lima".parse().unwrap()));
+    /// ```
+    pub fn is_out(&self, zone: &id::ZoneId) -> bool {
+        match self.zones.get(zone) {
+            Some(zone) => zone.state == ZoneState::Out,
+            None => self.retired.contains(zone),
+        }
+    }
+
+    /// Returns the names of what is here for a person who mistyped one, at most five and then an ellipsis.
+    pub(crate) fn list<'a, I, T>(names: I) -> String
+    where
+        I: IntoIterator<Item = &'a T>,
+        T: ToString + 'a,
+    {
+        const SHOWN: usize = 5;
+        let names: Vec<_> = names.into_iter().map(ToString::to_string).collect();
+        match names.len() {
+            0 => "none exists".to_owned(),
+            n if n > SHOWN => format!("{}, ... ({n})", names[..SHOWN].join(", ")),
+            _ => names.join(", "),
+        }
+    }
+}
+
+fn dangling<T, N>(holder: String, what: &'static str, name: &N) -> Result<T, DocumentError>
+where
+    N: ToString,
+{
+    DanglingSnafu { holder, what, name: name.to_string() }.fail()
+}
--- /dev/null
+++ b/crates/chestnutpick_config/src/replica.rs
@@ -0,0 +1,170 @@
+//! A process's copy of the configuration document.
+
+use std::sync;
+
+use crate::document;
+use crate::lookup;
+use crate::update;
+
+/// What became of an offered document or update.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// The replica moved to the given revision.
+    Accepted(u64),
+    /// The replica has this revision or a higher one; nothing changed.
+    Stale,
+    /// The document or update was rejected; nothing changed.
+    Invalid(String),
+    /// The update does not fit the replica's document; fetch with [`Replica::wanted`] as revision.
+    NeedsFull(update::UpdateError),
+}
+
+/// A copy of the document whose revision never falls.
+#[derive(Debug, Clone, Default)]
+pub struct Replica {
+    current: sync::Arc<document::Document>,
+    index: sync::Arc<lookup::Index>,
+    needs_full: bool,
+    accepted: u64,
+    stale: u64,
+    invalid: u64,
+    full: u64,
+}
+
+impl Replica {
+    /// Returns a replica of the empty document, revision 0.
+    ///
+    /// ```
+    /// assert_eq!(chestnutpick_config::replica::Replica::new().revision(), 0);
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision of the copy.
+    ///
+    /// ```
+    /// assert_eq!(chestnutpick_config::replica::Replica::new().revision(), 0);
+    /// ```
+    pub fn revision(&self) -> u64 {
+        self.current.revision
+    }
+
+    /// Returns the copy.
+    ///
+    /// ```
+    /// assert!(chestnutpick_config::replica::Replica::new().document().models.is_empty());
+    /// ```
+    pub fn document(&self) -> &sync::Arc<document::Document> {
+        &self.current
+    }
+
+    /// Returns the lookups for the copy.
+    ///
+    /// ```
+    /// assert!(chestnutpick_config::replica::Replica::new().index().holds().is_empty());
+    /// ```
+    pub fn index(&self) -> &sync::Arc<lookup::Index> {
+        &self.index
+    }
+
+    /// Returns the revision to ask a peer for updates from: this copy's, or 0 for the full document after an update
+    /// that did not fit.
+    ///
+    /// ```
+    /// assert_eq!(chestnutpick_config::replica::Replica::new().wanted(), 0);
+    /// ```
+    pub fn wanted(&self) -> u64 {
+        if self.needs_full { 0 } else { self.revision() }
+    }
+
+    /// Returns the update for a peer at `revision`.
+    ///
+    /// ```
+    /// use chestnutpick_config::replica;
+    /// assert_eq!(replica::Replica::new().update_since(0).revision(), 0);
+    /// ```
+    pub fn update_since(&self, revision: u64) -> update::Update {
+        update::Update::since(&self.current, revision)
+    }
+
+    /// Offers a whole document. A lower revision is never accepted.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use chestnutpick_config::{document, replica};
+    /// let mut replica = replica::Replica::new();
+    /// assert_eq!(replica.offer(Arc::new(document::Document::default())), replica::Offer::Stale);
+    /// ```
+    pub fn offer(&mut self, document: sync::Arc<document::Document>) -> Offer {
+        if document.revision <= self.current.revision {
+            return self.compare(&document);
+        }
+        if let Err(error) = document.check() {
+            self.invalid += 1;
+            return Offer::Invalid(error.to_string());
+        }
+        self.full += 1;
+        self.adopt(document)
+    }
+
+    fn compare(&mut self, document: &document::Document) -> Offer {
+        if document.revision == self.current.revision && *document != *self.current {
+            self.invalid += 1;
+            let revision = document.revision;
+            return Offer::Invalid(format!("another document with the same revision {revision}"));
+        }
+        self.stale += 1;
+        Offer::Stale
+    }
+
+    fn adopt(&mut self, document: sync::Arc<document::Document>) -> Offer {
+        self.index = sync::Arc::new(lookup::Index::new(&document));
+        self.current = document;
+        self.needs_full = false;
+        self.accepted += 1;
+        Offer::Accepted(self.current.revision)
+    }
+
+    /// Offers an update from a peer.
+    ///
+    /// ```
+    /// use chestnutpick_config::{replica, update};
+    /// let mut replica = replica::Replica::new();
+    /// assert_eq!(replica.offer_update(&update::Update::Full(Default::default())), replica::Offer::Stale);
+    /// ```
+    pub fn offer_update(&mut self, update: &update::Update) -> Offer {
+        if let update::Update::Full(document) = update {
+            return self.offer(document.clone());
+        }
+        if update.revision() <= self.current.revision {
+            self.stale += 1;
+            return Offer::Stale;
+        }
+        match update.apply(&self.current) {
+            Ok(document) => self.adopt(document),
+            Err(error) => {
+                self.invalid += 1;
+                self.needs_full = true;
+                Offer::NeedsFull(error)
+            }
+        }
+    }
+
+    /// Returns the state for the state dump.
+    ///
+    /// ```
+    /// assert_eq!(chestnutpick_config::replica::Replica::new().dump()["revision"], 0);
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "revision": self.revision(),
+            "digest": self.current.digest(),
+            "needs_full": self.needs_full,
+            "accepted": self.accepted,
+            "stale": self.stale,
+            "invalid": self.invalid,
+            "full": self.full,
+        })
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_config/src/update.rs
@@ -0,0 +1,168 @@
+//! What one process sends another to bring its replica up to date.
+//!
+//! A document of 50 KB sent to every process for each of 19,000 changes a day is 11 KB/s a process, above the whole
+//! control budget of 9 KB/s. Peers therefore send the changes since the receiver's revision, which it replays, and the
+//! digest of the result; the full document is sent only when the history does not reach back far enough.
+
+use std::sync;
+
+use chestnutpick_types::digest;
+use snafu::Snafu;
+
+use crate::change;
+use crate::document;
+
+/// An update for a replica.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Update {
+    /// The whole document.
+    Full(sync::Arc<document::Document>),
+    /// The changes after a revision.
+    Changes {
+        /// Revision that the changes are applied to.
+        from: u64,
+        /// The changes, oldest first.
+        entries: Vec<document::Entry>,
+        /// Digest of the document after the last change.
+        digest: digest::Digest,
+    },
+}
+
+/// Reason why an update cannot be applied; the full document is needed.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+pub enum UpdateError {
+    /// The update starts at another revision than the replica's.
+    #[snafu(display("the update starts at revision {from}, the replica is at {revision}"))]
+    Gap {
+        /// First revision of the update.
+        from: u64,
+        /// Revision of the replica.
+        revision: u64,
+    },
+    /// A change does not apply.
+    #[snafu(display("revision {revision} does not apply: {source}"))]
+    Rejected {
+        /// Revision of the change.
+        revision: u64,
+        /// The reason.
+        source: change::ChangeError,
+    },
+    /// The replayed document differs from the sender's.
+    #[snafu(display(
+        "replaying up to revision {revision} gave another document than the sender's"
+    ))]
+    Differs {
+        /// Revision of the last change.
+        revision: u64,
+    },
+    /// The text is not an update.
+    #[snafu(display("not an update: {reason}"))]
+    Malformed {
+        /// The decoder's message.
+        reason: String,
+    },
+}
+
+impl Update {
+    /// Returns the update that brings a replica at `revision` to `document`. Revision 0 gets the full document.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use chestnutpick_config::{document, update};
+    /// let document = Arc::new(document::Document::default());
+    /// assert!(matches!(update::Update::since(&document, 0), update::Update::Full(_)));
+    /// ```
+    pub fn since(document: &sync::Arc<document::Document>, revision: u64) -> Self {
+        match document.entries_after(revision) {
+            Some(entries) if revision > 0 && !entries.is_empty() => Self::Changes {
+                from: revision,
+                entries: entries.into_iter().cloned().collect(),
+                digest: document.digest(),
+            },
+            _ => Self::Full(document.clone()),
+        }
+    }
+
+    /// Returns the revision that the update leads to.
+    ///
+    /// ```
+    /// use chestnutpick_config::update;
+    /// assert_eq!(update::Update::Full(Default::default()).revision(), 0);
+    /// ```
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Full(document) => document.revision,
+            Self::Changes { from, entries, .. } => entries.last().map_or(*from, |e| e.revision),
+        }
+    }
+
+    /// Returns the update as the text that is sent to a peer.
+    ///
+    /// ```
+    /// use chestnutpick_config::update;
+    /// let update = update::Update::Full(Default::default());
+    /// assert_eq!(update::Update::decode(update.encode().as_bytes()), Ok(update));
+    /// ```
+    pub fn encode(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Decodes an update; the replica checks its content.
+    ///
+    /// ```
+    /// use chestnutpick_config::update;
+    /// assert!(update::Update::decode(b"[]").is_err());
+    /// ```
+    pub fn decode(bytes: &[u8]) -> Result<Self, UpdateError> {
+        serde_json::from_slice(bytes).map_err(|e| UpdateError::Malformed { reason: e.to_string() })
+    }
+
+    /// Returns the document that the update produces from `base`.
+    ///
+    /// ```
+    /// use chestnutpick_config::{document, update};
+    /// let update = update::Update::Changes {
+    ///     from: 7,
+    ///     entries: vec![],
+    ///     digest: document::Document::default().digest(),
+    /// };
+    /// assert!(update.apply(&document::Document::default()).is_err());
+    /// ```
+    pub fn apply(
+        &self,
+        base: &document::Document,
+    ) -> Result<sync::Arc<document::Document>, UpdateError> {
+        match self {
+            Self::Full(document) => Ok(document.clone()),
+            Self::Changes { from, .. } if *from != base.revision => {
+                GapSnafu { from: *from, revision: base.revision }.fail()
+            }
+            Self::Changes { entries, digest, .. } => {
+                let next = replay(base, entries)?;
+                if next.digest() != *digest {
+                    return DiffersSnafu { revision: next.revision }.fail();
+                }
+                Ok(sync::Arc::new(next))
+            }
+        }
+    }
+}
+
+fn replay(
+    base: &document::Document,
+    entries: &[document::Entry],
+) -> Result<document::Document, UpdateError> {
+    entries.iter().try_fold(base.clone(), |document, entry| {
+        let stamp = change::Stamp {
+            id: entry.id.clone(),
+            operator: entry.operator.clone(),
+            command: entry.command.clone(),
+            at: entry.at,
+        };
+        entry
+            .change
+            .apply(&document, &stamp)
+            .map_err(|source| UpdateError::Rejected { revision: entry.revision, source })
+    })
+}
--- /dev/null
+++ b/crates/chestnutpick_config/src/watch.rs
@@ -0,0 +1,235 @@
+//! Holds a reader's watch on the store.
+
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+use chestnutpick_types::size;
+use chestnutpick_types::time;
+
+use crate::document;
+
+/// How long the store holds a watch. A pending watch counts as one call: 34 readers at 5 s make 7 calls a second of
+/// the 2,000 that the store allows, and a watch that went silent in both readers of a zone is found within 6 s.
+pub const WATCH_WAIT: time::Millis = time::Millis(5_000);
+
+/// How much later than [`WATCH_WAIT`] the answer may come before the connection counts as silent.
+pub const GRACE: time::Millis = time::Millis(1_000);
+
+/// Rate at which a reader takes documents from the store, in bytes a second: what remains of the control budget of
+/// 9 KB/s after heartbeats. A watch returns the whole document, and with 19,000 changes a day one comes every 4.5 s.
+pub const READ_RATE: u64 = 6_000;
+
+/// Longest pause for [`READ_RATE`]. A change must be in force everywhere within 13 s, of which this is the largest part.
+pub const MAX_PAUSE: time::Millis = time::Millis(6_000);
+
+/// First wait after a failed watch; doubled after each further one.
+pub const FIRST_WAIT: time::Millis = time::Millis(100);
+
+/// Longest wait after a failed watch.
+pub const MAX_WAIT: time::Millis = time::Millis(2_000);
+
+/// Answer to a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The value differs from the version that the watch named.
+    Changed {
+        /// The store's version of the value.
+        version: u64,
+        /// The value.
+        document: Box<document::Document>,
+        /// Size of the value.
+        size: size::Bytes,
+    },
+    /// The wait passed without a change.
+    Unchanged,
+    /// The store could not be reached or the value is not a document.
+    Failed,
+}
+
+/// What the driver does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Watch the key and pass the answer to [`Watcher::on_answer`] with the same call number.
+    Watch {
+        /// Number of the call.
+        call: u64,
+        /// Version that the reader has; the watch returns when the value has another one.
+        version: u64,
+        /// How long the store holds the watch.
+        wait: time::Millis,
+    },
+    /// Offer the document to the replica.
+    Offer(Box<document::Document>),
+    /// Drop the connection to the store: it is silent, or the process is no longer a reader.
+    Close,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Idle,
+    Watching { until: time::Millis },
+    Waiting { until: time::Millis },
+}
+
+/// The state machine of a process that may be a reader.
+#[derive(Debug, Clone)]
+pub struct Watcher {
+    seed: u64,
+    state: State,
+    version: u64,
+    call: u64,
+    failures: u32,
+    silent: u64,
+}
+
+impl Watcher {
+    /// Returns an idle watcher. The host decides how its back-off is spread.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// let watcher = watch::Watcher::new(&"entry-1".parse().unwrap());
+    /// assert_eq!(watcher.next_deadline(), None);
+    /// ```
+    pub fn new(host: &id::HostId) -> Self {
+        let seed = digest::Digest::of(host.as_str().as_bytes()).prefix();
+        Self { seed, state: State::Idle, version: 0, call: 0, failures: 0, silent: 0 }
+    }
+
+    /// Tells whether the process is a reader now.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// use chestnutpick_types::time;
+    /// let mut watcher = watch::Watcher::new(&"entry-1".parse().unwrap());
+    /// let actions = watcher.set_reader(time::Millis(0), true);
+    /// assert!(matches!(actions[..], [watch::Action::Watch { call: 1, version: 0, .. }]));
+    /// assert_eq!(watcher.set_reader(time::Millis(9), false), vec![watch::Action::Close]);
+    /// ```
+    pub fn set_reader(&mut self, now: time::Millis, reader: bool) -> Vec<Action> {
+        match (reader, self.state) {
+            (true, State::Idle) => self.watch(now),
+            (false, State::Watching { .. }) => {
+                self.state = State::Idle;
+                vec![Action::Close]
+            }
+            (false, _) => {
+                self.state = State::Idle;
+                Vec::new()
+            }
+            (true, _) => Vec::new(),
+        }
+    }
+
+    fn watch(&mut self, now: time::Millis) -> Vec<Action> {
+        self.call += 1;
+        self.state = State::Watching { until: now + WATCH_WAIT + GRACE };
+        vec![Action::Watch { call: self.call, version: self.version, wait: WATCH_WAIT }]
+    }
+
+    /// Handles the answer to a watch; answers to earlier calls are ignored.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// use chestnutpick_types::time;
+    /// let mut watcher = watch::Watcher::new(&"entry-1".parse().unwrap());
+    /// watcher.set_reader(time::Millis(0), true);
+    /// let actions = watcher.on_answer(time::Millis(5_000), 1, watch::Answer::Unchanged);
+    /// assert!(matches!(actions[..], [watch::Action::Watch { call: 2, .. }]));
+    /// ```
+    pub fn on_answer(&mut self, now: time::Millis, call: u64, answer: Answer) -> Vec<Action> {
+        if call != self.call || !matches!(self.state, State::Watching { .. }) {
+            return Vec::new();
+        }
+        match answer {
+            Answer::Changed { version, document, size } => {
+                self.failures = 0;
+                self.version = version;
+                self.state = State::Waiting { until: now + pause(size) };
+                vec![Action::Offer(document)]
+            }
+            Answer::Unchanged => {
+                self.failures = 0;
+                self.watch(now)
+            }
+            Answer::Failed => {
+                self.fail(now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn fail(&mut self, now: time::Millis) {
+        self.failures = self.failures.saturating_add(1);
+        let full = (FIRST_WAIT.0 << self.failures.min(10)).min(MAX_WAIT.0);
+        let spread = self.seed.rotate_left(self.failures) % (full / 2 + 1);
+        self.state = State::Waiting { until: now + time::Millis(full - spread) };
+    }
+
+    /// Returns when [`Watcher::on_tick`] is due.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// use chestnutpick_types::time;
+    /// let mut watcher = watch::Watcher::new(&"entry-1".parse().unwrap());
+    /// watcher.set_reader(time::Millis(0), true);
+    /// assert_eq!(watcher.next_deadline(), Some(watch::WATCH_WAIT + watch::GRACE));
+    /// ```
+    pub fn next_deadline(&self) -> Option<time::Millis> {
+        match self.state {
+            State::Idle => None,
+            State::Watching { until } | State::Waiting { until } => Some(until),
+        }
+    }
+
+    /// Handles the passing of time: starts the next watch, or replaces a silent connection.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// use chestnutpick_types::time;
+    /// let mut watcher = watch::Watcher::new(&"entry-1".parse().unwrap());
+    /// watcher.set_reader(time::Millis(0), true);
+    /// let actions = watcher.on_tick(time::Millis(6_000));
+    /// assert!(matches!(actions[..], [watch::Action::Close, watch::Action::Watch { call: 2, .. }]));
+    /// ```
+    pub fn on_tick(&mut self, now: time::Millis) -> Vec<Action> {
+        match self.state {
+            State::Waiting { until } if now >= until => self.watch(now),
+            State::Watching { until } if now >= until => {
+                self.silent += 1;
+                let mut actions = vec![Action::Close];
+                actions.extend(self.watch(now));
+                actions
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns the number of store calls made so far.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// assert_eq!(watch::Watcher::new(&"entry-1".parse().unwrap()).calls(), 0);
+    /// ```
+    pub fn calls(&self) -> u64 {
+        self.call
+    }
+
+    /// Returns the state for the state dump.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// assert_eq!(watch::Watcher::new(&"entry-1".parse().unwrap()).dump()["calls"], 0);
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "state": format!("{:?}", self.state),
+            "version": self.version,
+            "calls": self.call,
+            "failures": self.failures,
+            "silent": self.silent,
+        })
+    }
+}
+
+fn pause(size: size::Bytes) -> time::Millis {
+    time::Millis(size.0 * 1_000 / READ_RATE).min(MAX_PAUSE)
+}
--- /dev/null
+++ b/crates/chestnutpick_config/src/writer.rs
@@ -0,0 +1,436 @@
+//! Writes one change to the store by compare-and-swap.
+//!
+//! A conflicting write is repeated on top of the other changes if none of them touches an item that this change reads
+//! or writes; otherwise the operator gets a conflict that names the other change. All zone states are one item, so that
+//! two operators never take out two zones without knowing of each other.
+//!
+//! A write whose answer was lost may still take effect later. It is ruled out only when the document has moved past its
+//! revision without the change in its history; until then the outcome is unknown and only the same change is written
+//! again, at the same expected version, so that at most one of the writes takes effect.
+
+use std::sync;
+
+use chestnutpick_types::digest;
+use chestnutpick_types::error;
+use chestnutpick_types::time;
+
+use crate::change;
+use crate::document;
+use crate::document::Document;
+
+/// Failed store calls before the writer gives up. With the back-off below that is about 4 s.
+pub const MAX_FAILURES: u32 = 8;
+
+/// Changes of other operators that the writer steps over before it reports a conflict.
+pub const MAX_REBASES: u32 = 32;
+
+/// First wait after a failed store call; doubled after each further one.
+pub const FIRST_WAIT: time::Millis = time::Millis(50);
+
+/// Longest wait after a failed store call.
+pub const MAX_WAIT: time::Millis = time::Millis(1_000);
+
+/// Answer to a read of the document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Read {
+    /// The document with the store's version of the value.
+    Found {
+        /// The store's version, which compare-and-swap expects.
+        version: u64,
+        /// The document.
+        document: Document,
+    },
+    /// The key does not exist.
+    Absent,
+    /// The store cannot be reached or gave no answer.
+    Unavailable,
+    /// The value is not a document.
+    Unreadable(String),
+}
+
+/// Answer to a write of the document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Written {
+    /// The value was written.
+    Done,
+    /// The store's version is not the expected one.
+    Mismatch,
+    /// The write was certainly not executed: the connection failed before it was sent, or the store declined it.
+    NotSent,
+    /// No answer came; the write may have taken effect or still do so.
+    Lost,
+}
+
+/// What the driver does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Read the document and call [`Writer::on_read`].
+    Read,
+    /// Write the document if the store's version is `expected` (0 if the key must not exist) and call
+    /// [`Writer::on_write`].
+    Write {
+        /// Expected version of the value in the store.
+        expected: u64,
+        /// The document to write.
+        document: sync::Arc<Document>,
+    },
+    /// The change is settled.
+    Finish(Outcome),
+}
+
+/// What became of the change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The change is in the document.
+    Applied {
+        /// Revision that the change produced.
+        revision: u64,
+        /// The document, at this revision or a later one.
+        document: sync::Arc<Document>,
+    },
+    /// The change is invalid; nothing was written.
+    Invalid(change::ChangeError),
+    /// Another change came first; nothing was written.
+    Conflict(Box<document::Entry>),
+    /// The store is down; nothing was written.
+    NotRun,
+    /// The change may have been written and could not be read back.
+    Unknown,
+    /// The value in the store is not a document; nothing was written.
+    Unreadable(String),
+}
+
+impl Outcome {
+    /// Returns the refusal to answer the operator with, or `None` if the change was applied.
+    ///
+    /// ```
+    /// use chestnutpick_config::writer;
+    /// use chestnutpick_types::error;
+    /// let refusal = writer::Outcome::NotRun.refusal().unwrap();
+    /// assert_eq!(refusal.kind, error::ErrorKind::StoreUnavailable);
+    /// ```
+    pub fn refusal(&self) -> Option<error::Refusal> {
+        let refusal = match self {
+            Self::Applied { .. } => return None,
+            Self::Invalid(e) => {
+                error::Refusal::new(error::ErrorKind::InvalidCommand, e.to_string())
+            }
+            Self::Conflict(other) => {
+                error::Refusal::new(error::ErrorKind::Conflict, conflict(other))
+            }
+            Self::NotRun => error::Refusal::new(
+                error::ErrorKind::StoreUnavailable,
+                "the store cannot be reached; the change was not made",
+            ),
+            Self::Unknown => error::Refusal::new(
+                error::ErrorKind::OutcomeUnknown,
+                "the store did not confirm the change; look for it with 'history' before repeating it",
+            ),
+            Self::Unreadable(reason) => error::Refusal::new(
+                error::ErrorKind::Internal,
+                format!("the value in the store is not a configuration document: {reason}"),
+            ),
+        };
+        Some(refusal)
+    }
+}
+
+fn conflict(other: &document::Entry) -> String {
+    format!(
+        "operator {} made change {} first, revision {}: {}",
+        other.operator, other.id, other.revision, other.command
+    )
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Idle,
+    Reading,
+    Writing,
+    Waiting(time::Millis),
+    Finished,
+}
+
+/// The state machine for one change.
+#[derive(Debug, Clone)]
+pub struct Writer {
+    change: change::Change,
+    stamp: change::Stamp,
+    base: Option<u64>,
+    deadline: time::Millis,
+    state: State,
+    /// Revision of the document last written, if the write's answer is still missing.
+    doubt: Option<u64>,
+    /// Document of the write in progress.
+    written: Option<sync::Arc<Document>>,
+    failures: u32,
+    rebases: u32,
+    calls: u64,
+}
+
+impl Writer {
+    /// Returns a writer for a change.
+    ///
+    /// `base` is the revision that the operator saw; changes after it that touch the same items are conflicts. Without
+    /// it, only changes made while this one is being written are. The change is settled by `deadline`.
+    ///
+    /// ```
+    /// use chestnutpick_config::{change, writer};
+    /// use chestnutpick_types::time;
+    /// let stamp = change::Stamp {
+    ///     id: "change-1".parse().unwrap(),
+    ///     operator: "ana".into(),
+    ///     command: "create model m".into(),
+    ///     at: time::Millis(1_700_000_000_000),
+    /// };
+    /// let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let mut writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// assert_eq!(writer.start(time::Millis(0)), vec![writer::Action::Read]);
+    /// let write = writer.on_read(time::Millis(1), writer::Read::Absent);
+    /// assert!(matches!(write[..], [writer::Action::Write { expected: 0, .. }]));
+    /// let done = writer.on_write(time::Millis(2), writer::Written::Done);
+    /// assert!(matches!(
+    ///     done[..],
+    ///     [writer::Action::Finish(writer::Outcome::Applied { revision: 1, .. })]
+    /// ));
+    /// ```
+    pub fn new(
+        change: change::Change,
+        stamp: change::Stamp,
+        base: Option<u64>,
+        deadline: time::Millis,
+    ) -> Self {
+        Self {
+            change,
+            stamp,
+            base,
+            deadline,
+            state: State::Idle,
+            doubt: None,
+            written: None,
+            failures: 0,
+            rebases: 0,
+            calls: 0,
+        }
+    }
+
+    /// Starts the writer. See [`Writer::new`] for an example.
+    pub fn start(&mut self, _now: time::Millis) -> Vec<Action> {
+        match self.state {
+            State::Idle => self.read(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn read(&mut self) -> Vec<Action> {
+        self.state = State::Reading;
+        self.calls += 1;
+        vec![Action::Read]
+    }
+
+    fn finish(&mut self, outcome: Outcome) -> Vec<Action> {
+        self.state = State::Finished;
+        vec![Action::Finish(outcome)]
+    }
+
+    /// Returns when [`Writer::on_tick`] is due.
+    ///
+    /// See [`Writer::on_tick`] for an example.
+    pub fn next_deadline(&self) -> Option<time::Millis> {
+        match self.state {
+            State::Finished => None,
+            State::Waiting(until) => Some(until.min(self.deadline)),
+            _ => Some(self.deadline),
+        }
+    }
+
+    /// Handles the passing of time.
+    ///
+    /// ```
+    /// # use chestnutpick_config::{change, writer};
+    /// # use chestnutpick_types::time;
+    /// # let stamp = change::Stamp {
+    /// #     id: "change-1".parse().unwrap(),
+    /// #     operator: "ana".into(),
+    /// #     command: "create model m".into(),
+    /// #     at: time::Millis(0),
+    /// # };
+    /// # let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let mut writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// writer.start(time::Millis(0));
+    /// writer.on_read(time::Millis(9), writer::Read::Unavailable);
+    /// let due = writer.next_deadline().unwrap();
+    /// assert_eq!(writer.on_tick(due), vec![writer::Action::Read]);
+    /// let late = writer.on_tick(time::Millis(5_000));
+    /// assert_eq!(late, vec![writer::Action::Finish(writer::Outcome::NotRun)]);
+    /// ```
+    pub fn on_tick(&mut self, now: time::Millis) -> Vec<Action> {
+        if self.state == State::Finished {
+            return Vec::new();
+        }
+        if now >= self.deadline {
+            return self.give_up();
+        }
+        match self.state {
+            State::Waiting(until) if now >= until => self.read(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn give_up(&mut self) -> Vec<Action> {
+        let unsettled = self.doubt.is_some() || self.state == State::Writing;
+        self.finish(if unsettled { Outcome::Unknown } else { Outcome::NotRun })
+    }
+
+    fn fail(&mut self, now: time::Millis) -> Vec<Action> {
+        self.failures += 1;
+        if self.failures >= MAX_FAILURES || now >= self.deadline {
+            return self.give_up();
+        }
+        self.state = State::Waiting(now + self.wait());
+        Vec::new()
+    }
+
+    /// Returns the back-off, spread by up to half according to the change id so that writers do not retry in step.
+    fn wait(&self) -> time::Millis {
+        let full = (FIRST_WAIT.0 << self.failures.min(10)).min(MAX_WAIT.0);
+        let seed = digest::Digest::of(self.stamp.id.as_str().as_bytes()).prefix();
+        let spread = seed.rotate_left(self.failures) % (full / 2 + 1);
+        time::Millis(full - spread)
+    }
+
+    /// Handles the answer to a read. See [`Writer::new`] for an example.
+    pub fn on_read(&mut self, now: time::Millis, answer: Read) -> Vec<Action> {
+        if self.state != State::Reading {
+            return Vec::new();
+        }
+        match answer {
+            Read::Found { version, document } => self.on_document(version, document),
+            Read::Absent => self.on_document(0, Document::default()),
+            Read::Unavailable => self.fail(now),
+            Read::Unreadable(_) if self.doubt.is_some() => self.finish(Outcome::Unknown),
+            Read::Unreadable(reason) => self.finish(Outcome::Unreadable(reason)),
+        }
+    }
+
+    fn on_document(&mut self, version: u64, document: Document) -> Vec<Action> {
+        if let Some(entry) = document.find(&self.stamp.id) {
+            let revision = entry.revision;
+            let document = sync::Arc::new(document);
+            return self.finish(Outcome::Applied { revision, document });
+        }
+        if !self.settle_doubt(&document) {
+            return self.finish(Outcome::Unknown);
+        }
+        if let Some(other) = self.find_conflict(&document) {
+            return self.finish(Outcome::Conflict(Box::new(other)));
+        }
+        self.write(version, &document)
+    }
+
+    /// Clears the doubt about a lost write if the document has moved past its revision. Returns false if the history no
+    /// longer tells.
+    fn settle_doubt(&mut self, document: &Document) -> bool {
+        match self.doubt {
+            Some(revision) if document.revision >= revision => {
+                self.doubt = None;
+                document.entries_after(revision - 1).is_some()
+            }
+            _ => true,
+        }
+    }
+
+    fn find_conflict(&mut self, document: &Document) -> Option<document::Entry> {
+        let base = self.base.replace(document.revision).unwrap_or(document.revision);
+        if document.revision > base {
+            self.rebases += 1;
+        }
+        let newest = document.history.back();
+        match document.entries_after(base) {
+            Some(_) if self.rebases > MAX_REBASES => newest.cloned(),
+            Some(entries) => entries.into_iter().rfind(|e| self.change.meets(&e.change)).cloned(),
+            // The operator's view is older than the history, so that a conflict cannot be ruled out.
+            None => newest.cloned(),
+        }
+    }
+
+    fn write(&mut self, expected: u64, document: &Document) -> Vec<Action> {
+        match self.change.apply(document, &self.stamp) {
+            Ok(next) => {
+                let next = sync::Arc::new(next);
+                self.written = Some(next.clone());
+                self.state = State::Writing;
+                self.calls += 1;
+                vec![Action::Write { expected, document: next }]
+            }
+            Err(error) => self.finish(Outcome::Invalid(error)),
+        }
+    }
+
+    /// Handles the answer to a write. See [`Writer::new`] for an example.
+    pub fn on_write(&mut self, now: time::Millis, answer: Written) -> Vec<Action> {
+        if self.state != State::Writing {
+            return Vec::new();
+        }
+        let Some(document) = self.written.take() else { return Vec::new() };
+        let revision = document.revision;
+        match answer {
+            Written::Done => self.finish(Outcome::Applied { revision, document }),
+            Written::Mismatch => self.read(),
+            Written::NotSent => {
+                self.state = State::Reading;
+                self.fail(now)
+            }
+            Written::Lost => {
+                self.doubt = Some(revision);
+                self.fail(now)
+            }
+        }
+    }
+
+    /// Returns the number of store calls made so far.
+    ///
+    /// ```
+    /// # use chestnutpick_config::{change, writer};
+    /// # use chestnutpick_types::time;
+    /// # let stamp = change::Stamp {
+    /// #     id: "change-1".parse().unwrap(),
+    /// #     operator: "ana".into(),
+    /// #     command: "create model m".into(),
+    /// #     at: time::Millis(0),
+    /// # };
+    /// # let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// assert_eq!(writer.calls(), 0);
+    /// ```
+    pub fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    /// Returns the state for the state dump.
+    ///
+    /// ```
+    /// # use chestnutpick_config::{change, writer};
+    /// # use chestnutpick_types::time;
+    /// # let stamp = change::Stamp {
+    /// #     id: "change-1".parse().unwrap(),
+    /// #     operator: "ana".into(),
+    /// #     command: "create model m".into(),
+    /// #     at: time::Millis(0),
+    /// # };
+    /// # let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// assert_eq!(writer.dump()["change"], "change-1");
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "change": self.stamp.id,
+            "operator": self.stamp.operator,
+            "state": format!("{:?}", self.state),
+            "in_doubt": self.doubt,
+            "failures": self.failures,
+            "rebases": self.rebases,
+            "calls": self.calls,
+        })
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_language/src/error.rs
@@ -0,0 +1,105 @@
+//! Errors that point at the word at fault.
+
+use std::fmt;
+
+use crate::name;
+
+/// Words that differ by more edits than this are not suggested.
+const MAX_DISTANCE: usize = 2;
+
+/// Reason why a text is not a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseError {
+    /// The text.
+    pub text: String,
+    /// Byte offset of the word at fault, or the length of the text if words are missing.
+    pub offset: usize,
+    /// The word at fault; empty if words are missing.
+    pub found: String,
+    /// What can stand there.
+    pub expected: Vec<name::Expected>,
+    /// The keyword nearest to the word at fault.
+    pub nearest: Option<&'static str>,
+}
+
+impl ParseError {
+    pub(crate) fn new(
+        text: &str,
+        offset: usize,
+        found: &str,
+        expected: Vec<name::Expected>,
+    ) -> Self {
+        let nearest = nearest(found, &expected);
+        Self { text: text.to_owned(), offset, found: found.to_owned(), expected, nearest }
+    }
+
+    /// Returns the message in one line, without the caret.
+    ///
+    /// ```
+    /// let error = chestnutpick_language::parse::parse("shwo models").unwrap_err();
+    /// assert!(error.message().ends_with("did you mean 'show'?"));
+    /// ```
+    pub fn message(&self) -> String {
+        let found = match self.found.as_str() {
+            "" => "the end of the command".to_owned(),
+            word => format!("\"{word}\""),
+        };
+        let expected = join(&self.expected);
+        let hint = self.nearest.map(|word| format!("; did you mean '{word}'?")).unwrap_or_default();
+        format!("expected {expected}, found {found} at offset {}{hint}", self.offset)
+    }
+}
+
+impl fmt::Display for ParseError {
+    /// Writes the message, the text and a line with carets under the word at fault.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let before = self.text.get(..self.offset).unwrap_or(&self.text).chars().count();
+        let carets = self.found.chars().count().max(1);
+        let shown: String =
+            self.text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
+        write!(f, "{}\n  {shown}\n  {}{}", self.message(), " ".repeat(before), "^".repeat(carets))
+    }
+}
+
+impl std::error::Error for ParseError {}
+
+fn join(expected: &[name::Expected]) -> String {
+    let words: Vec<_> = expected.iter().map(ToString::to_string).collect();
+    match words.split_last() {
+        Some((last, [])) => last.clone(),
+        Some((last, rest)) => format!("{} or {last}", rest.join(", ")),
+        None => "nothing".to_owned(),
+    }
+}
+
+fn nearest(found: &str, expected: &[name::Expected]) -> Option<&'static str> {
+    let found = found.to_ascii_lowercase();
+    let keywords = expected.iter().filter_map(|e| match e {
+        name::Expected::Keyword(word) => Some(*word),
+        _ => None,
+    });
+    keywords
+        .map(|word| (distance(&found, word), word))
+        .filter(|(distance, word)| *distance <= MAX_DISTANCE && *distance < word.len())
+        .min()
+        .map(|(_, word)| word)
+}
+
+/// Returns the number of insertions, deletions, substitutions and swaps of neighbours that turn `a` into `b`.
+fn distance(a: &str, b: &str) -> usize {
+    let (a, b): (Vec<_>, Vec<_>) = (a.chars().collect(), b.chars().collect());
+    let mut rows: Vec<Vec<usize>> = vec![(0..=b.len()).collect()];
+    for i in 1..=a.len() {
+        let mut row = vec![i];
+        for j in 1..=b.len() {
+            let same = usize::from(a[i - 1] != b[j - 1]);
+            let mut best = (rows[i - 1][j] + 1).min(row[j - 1] + 1).min(rows[i - 1][j - 1] + same);
+            if i > 1 && j > 1 && a[i - 1] == b[j - 2] && a[i - 2] == b[j - 1] {
+                best = best.min(rows[i - 2][j - 2] + 1);
+            }
+            row.push(best);
+        }
+        rows.push(row);
+    }
+    rows[a.len()][b.len()]
+}
--- /dev/null
+++ b/crates/chestnutpick_language/src/query.rs
@@ -0,0 +1,362 @@
+//! Answers to queries.
+
+use chestnutpick_config::document;
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+use chestnutpick_types::time;
+use snafu::Snafu;
+
+use crate::command;
+use crate::command::Command;
+use crate::table::Cell;
+use crate::table::Table;
+use crate::view::Endpoint;
+use crate::view::Kind;
+use crate::view::Temperature;
+use crate::view::View;
+
+/// Reason why a query has no answer.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+pub enum QueryError {
+    /// The command does something instead of asking.
+    #[snafu(display("'{command}' is not a query; queries are show, status, diff and history"))]
+    NotQuery {
+        /// The command.
+        command: String,
+    },
+    /// The name refers to nothing that is known here.
+    #[snafu(display("unknown {what} {word:?}; 'show {what}s' lists those that are known"))]
+    Unknown {
+        /// Kind of the name.
+        what: &'static str,
+        /// The name.
+        word: String,
+    },
+    /// The revisions are not in the kept history.
+    #[snafu(display(
+        "revisions {from} to {to} cannot be compared; kept are revisions {oldest} to {newest}, the older one first"
+    ))]
+    Revisions {
+        /// The older revision.
+        from: u64,
+        /// The newer revision.
+        to: u64,
+        /// The oldest revision that can be compared.
+        oldest: u64,
+        /// The current revision.
+        newest: u64,
+    },
+}
+
+/// Answers a query.
+///
+/// ```
+/// use chestnutpick_language::{parse, query, view};
+/// let command = parse::parse("show config where name = revision").unwrap();
+/// let table = query::run(&command, &view::View::default()).unwrap();
+/// assert_eq!(table.to_string(), "name      value\nrevision      0\n");
+/// ```
+pub fn run(command: &Command, view: &View) -> Result<Table, QueryError> {
+    match command {
+        Command::Show { subject, filter } => Ok(show(*subject, filter, view)),
+        Command::Status(scope) => status(scope, view),
+        Command::Diff { from, to } => diff(*from, *to, &view.document),
+        Command::History { count } => Ok(history(*count, &view.document)),
+        Command::Change(_) | Command::Drain { .. } => {
+            NotQuerySnafu { command: command.to_string() }.fail()
+        }
+    }
+}
+
+fn show(subject: command::Subject, filter: &[command::Condition], view: &View) -> Table {
+    let columns = subject.fields().to_vec();
+    let mut rows = match subject {
+        command::Subject::Models => models(view),
+        command::Subject::Versions => versions(view),
+        command::Subject::Adapters => adapters(view),
+        command::Subject::Zones => zones(view),
+        command::Subject::Workspaces => workspaces(view),
+        command::Subject::Services => services(view),
+        command::Subject::Hosts => view.endpoints.iter().map(host).collect(),
+        command::Subject::Endpoints => view.endpoints.iter().map(endpoint).collect(),
+        command::Subject::Served => served(view),
+        command::Subject::Config => config(&view.document),
+    };
+    rows.retain(|row| filter.iter().all(|condition| holds(condition, &columns, row)));
+    Table { columns, rows }
+}
+
+fn holds(condition: &command::Condition, columns: &[&'static str], row: &[Cell]) -> bool {
+    let place = columns.iter().position(|column| *column == condition.field);
+    place.and_then(|place| row.get(place)).is_some_and(|cell| cell.matches(&condition.value))
+}
+
+fn count<T>(items: T) -> Cell
+where
+    T: IntoIterator,
+{
+    Cell::Number(items.into_iter().count() as u64)
+}
+
+fn option<T>(value: Option<&T>) -> Cell
+where
+    T: ToString,
+{
+    value.map_or(Cell::None, Cell::text)
+}
+
+fn models(view: &View) -> Vec<Vec<Cell>> {
+    let row = |(id, model): (&id::ModelId, &document::Model)| {
+        vec![Cell::text(id), count(&model.versions), count(&model.adapters)]
+    };
+    view.document.models.iter().map(row).collect()
+}
+
+fn declared_to<F>(view: &View, matches: F) -> Cell
+where
+    F: Fn(&document::Declared) -> bool,
+{
+    let users = view.document.workspaces.iter();
+    let users = users.filter(|(_, workspace)| workspace.declared.as_ref().is_some_and(&matches));
+    Cell::List(users.map(|(id, _)| id.to_string()).collect())
+}
+
+fn versions(view: &View) -> Vec<Vec<Cell>> {
+    let mut rows = Vec::new();
+    for (model, content) in &view.document.models {
+        for (version, digest) in &content.versions {
+            rows.push(vec![
+                Cell::text(model),
+                Cell::text(version),
+                Cell::text(digest),
+                declared_to(view, |d| d.model == *model && d.version == *version),
+                count(view.endpoints.iter().filter(|e| e.digests.contains(digest))),
+            ]);
+        }
+    }
+    rows
+}
+
+fn adapters(view: &View) -> Vec<Vec<Cell>> {
+    let mut rows = Vec::new();
+    for (model, content) in &view.document.models {
+        for (adapter, digest) in &content.adapters {
+            let uses =
+                |d: &document::Declared| d.model == *model && d.adapter.as_ref() == Some(adapter);
+            rows.push(vec![
+                Cell::text(model),
+                Cell::text(adapter),
+                Cell::text(digest),
+                declared_to(view, uses),
+            ]);
+        }
+    }
+    rows
+}
+
+fn zones(view: &View) -> Vec<Vec<Cell>> {
+    let row = |(id, zone): (&id::ZoneId, &document::Zone)| {
+        let hosts = view.endpoints.iter().filter(|e| e.zone == *id);
+        vec![Cell::text(id), Cell::text(&zone.region), Cell::text(&zone.state), count(hosts)]
+    };
+    view.document.zones.iter().map(row).collect()
+}
+
+fn workspaces(view: &View) -> Vec<Vec<Cell>> {
+    let row = |(id, workspace): (&id::WorkspaceId, &document::Workspace)| {
+        let declared = workspace.declared.as_ref();
+        let previous = workspace.previous.as_ref().map(|p| format!("{}/{}", p.model, p.version));
+        vec![
+            Cell::text(id),
+            Cell::Number(workspace.weight.into()),
+            Cell::text(&workspace.priority),
+            option(declared.map(|d| &d.model)),
+            option(declared.map(|d| &d.version)),
+            option(declared.and_then(|d| d.adapter.as_ref())),
+            option(previous.as_ref()),
+            Cell::Number(workspace.roll.pace.into()),
+            Cell::Text(format!("{}%", workspace.roll.min_serving)),
+            Cell::Flag(workspace.roll.paused),
+        ]
+    };
+    view.document.workspaces.iter().map(row).collect()
+}
+
+fn services(view: &View) -> Vec<Vec<Cell>> {
+    let row = |id: &id::ServiceId| {
+        let hosts =
+            view.endpoints.iter().filter(|e| matches!(&e.kind, Kind::Service(s) if s == id));
+        vec![Cell::text(id), count(hosts)]
+    };
+    view.document.services.iter().map(row).collect()
+}
+
+fn host(endpoint: &Endpoint) -> Vec<Cell> {
+    vec![
+        Cell::text(&endpoint.host),
+        Cell::text(&endpoint.zone),
+        Cell::text(&endpoint.kind),
+        Cell::Flag(endpoint.leaving),
+        Cell::Number(endpoint.seen.0),
+    ]
+}
+
+fn endpoint(endpoint: &Endpoint) -> Vec<Cell> {
+    vec![
+        Cell::text(&endpoint.host),
+        Cell::text(&endpoint.zone),
+        Cell::text(&endpoint.kind),
+        Cell::List(endpoint.digests.iter().map(ToString::to_string).collect()),
+        Cell::text(&endpoint.temperature),
+        Cell::Number(endpoint.in_flight.into()),
+        Cell::Number(endpoint.slots.into()),
+        Cell::Flag(endpoint.leaving),
+        Cell::Number(endpoint.seen.0),
+    ]
+}
+
+fn served(view: &View) -> Vec<Vec<Cell>> {
+    let index = chestnutpick_config::lookup::Index::new(&view.document);
+    let with_target = |id: &id::WorkspaceId| index.target(id).map(|target| (id.clone(), target));
+    let targets = view.document.workspaces.keys().filter_map(with_target);
+    targets
+        .map(|(id, target)| {
+            let staying = |digest: Option<digest::Digest>, temperature: Option<Temperature>| {
+                count(holders(view, digest).filter(move |e| {
+                    !e.leaving
+                        && !view.document.is_out(&e.zone)
+                        && temperature.is_none_or(|t| t == e.temperature)
+                }))
+            };
+            vec![
+                Cell::text(&id),
+                Cell::text(&target.model),
+                Cell::text(&target.version),
+                Cell::text(&target.digest),
+                staying(Some(target.digest), Some(Temperature::Warm)),
+                staying(Some(target.digest), Some(Temperature::Cold)),
+                staying(target.previous, None),
+                count(holders(view, Some(target.digest)).filter(|e| e.leaving)),
+            ]
+        })
+        .collect()
+}
+
+fn holders(view: &View, digest: Option<digest::Digest>) -> impl Iterator<Item = &Endpoint> {
+    view.endpoints.iter().filter(move |e| digest.is_some_and(|d| e.digests.contains(&d)))
+}
+
+fn config(document: &document::Document) -> Vec<Vec<Cell>> {
+    let out = document.zones.keys().filter(|zone| document.is_out(zone));
+    let row = |name: &str, value: Cell| vec![Cell::text(&name), value];
+    vec![
+        row("revision", Cell::Number(document.revision)),
+        row("models", count(&document.models)),
+        row("regions", count(&document.regions)),
+        row("zones", count(&document.zones)),
+        row("zones-out", count(out)),
+        row("workspaces", count(&document.workspaces)),
+        row("services", count(&document.services)),
+        row("bytes", Cell::Number(document.encode().len() as u64)),
+        row("digest", Cell::text(&document.digest())),
+    ]
+}
+
+fn status(scope: &command::Scope, view: &View) -> Result<Table, QueryError> {
+    if let command::Scope::Host(host) = scope {
+        return host_status(host, view);
+    }
+    let listed = view.document.zones.keys();
+    let mut zones: std::collections::BTreeSet<_> = listed.collect();
+    zones.extend(view.endpoints.iter().map(|e| &e.zone));
+    if let command::Scope::Zone(zone) = scope {
+        zones.retain(|id| *id == zone);
+        if zones.is_empty() {
+            return UnknownSnafu { what: "zone", word: zone.as_str() }.fail();
+        }
+    }
+    let columns =
+        vec!["zone", "state", "endpoints", "warm", "cold", "leaving", "in-flight", "slots"];
+    Ok(Table { columns, rows: zones.into_iter().map(|zone| zone_status(zone, view)).collect() })
+}
+
+fn zone_status(zone: &id::ZoneId, view: &View) -> Vec<Cell> {
+    let here: Vec<_> = view.endpoints.iter().filter(|e| e.zone == *zone).collect();
+    let with =
+        |temperature| count(here.iter().filter(|e| !e.leaving && e.temperature == temperature));
+    let state = if view.document.is_out(zone) {
+        document::ZoneState::Out
+    } else {
+        document::ZoneState::InService
+    };
+    vec![
+        Cell::text(zone),
+        Cell::text(&state),
+        count(&here),
+        with(Temperature::Warm),
+        with(Temperature::Cold),
+        count(here.iter().filter(|e| e.leaving)),
+        Cell::Number(here.iter().map(|e| u64::from(e.in_flight)).sum()),
+        Cell::Number(here.iter().map(|e| u64::from(e.slots)).sum()),
+    ]
+}
+
+fn host_status(host: &id::HostId, view: &View) -> Result<Table, QueryError> {
+    let rows: Vec<_> = view.endpoints.iter().filter(|e| e.host == *host).map(endpoint).collect();
+    if rows.is_empty() {
+        return UnknownSnafu { what: "host", word: host.as_str() }.fail();
+    }
+    Ok(Table { columns: command::Subject::Endpoints.fields().to_vec(), rows })
+}
+
+const CHANGE_COLUMNS: [&str; 5] = ["revision", "at", "operator", "change", "command"];
+
+fn entry(entry: &document::Entry) -> Vec<Cell> {
+    vec![
+        Cell::Number(entry.revision),
+        Cell::Text(utc(entry.at)),
+        Cell::text(&entry.operator),
+        Cell::text(&entry.id),
+        Cell::text(&entry.command),
+    ]
+}
+
+fn history(count: Option<u32>, document: &document::Document) -> Table {
+    let kept = document.history.len();
+    let count = count.map_or(kept, |count| usize::try_from(count).unwrap_or(kept));
+    let rows = document.history.iter().skip(kept.saturating_sub(count)).map(entry).collect();
+    Table { columns: CHANGE_COLUMNS.to_vec(), rows }
+}
+
+fn diff(from: u64, to: Option<u64>, document: &document::Document) -> Result<Table, QueryError> {
+    let newest = document.revision;
+    let to = to.unwrap_or(newest);
+    let oldest = document.history.front().map_or(newest, |entry| entry.revision - 1);
+    if from > to || from < oldest || to > newest {
+        return RevisionsSnafu { from, to, oldest, newest }.fail();
+    }
+    let between = document.history.iter().filter(|e| e.revision > from && e.revision <= to);
+    Ok(Table { columns: CHANGE_COLUMNS.to_vec(), rows: between.map(entry).collect() })
+}
+
+/// Returns a time since the Unix epoch as UTC date and time.
+fn utc(at: time::Millis) -> String {
+    const DAY: u64 = 86_400;
+    let secs = at.0 / 1_000;
+    let (year, month, day) = date(secs / DAY);
+    let (hour, minute, second) = (secs % DAY / 3_600, secs % 3_600 / 60, secs % 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}Z")
+}
+
+/// Returns the Gregorian date of a day since 1970-01-01. Years start in March here, so that the leap day comes last;
+/// 719,468 days lie between 0000-03-01 and 1970-01-01 and 146,097 days are 400 years.
+fn date(day: u64) -> (u64, u64, u64) {
+    let day = day + 719_468;
+    let (era, rest) = (day / 146_097, day % 146_097);
+    let year = (rest - rest / 1_460 + rest / 36_524 - rest / 146_096) / 365;
+    let of_year = rest - (365 * year + year / 4 - year / 100);
+    let month = (5 * of_year + 2) / 153;
+    let of_month = of_year - (153 * month + 2) / 5 + 1;
+    let shifted = if month < 10 { month + 3 } else { month - 9 };
+    (era * 400 + year + u64::from(shifted <= 2), shifted, of_month)
+}
