Add the transfer of weights to the agent and crash records to the control protocol

Cause: agents fetch, verify, serve and load chunks; crash suspects carry host and generation so that merging is idempotent.

Change: chunks and transfer in the agent; records of the routing library on the wire; host roles engine and service, since hosts of plain services hold no chunks.

--- /dev/null
+++ b/crates/chestnutpick_agent/src/chunks.rs
@@ -0,0 +1,298 @@
+//! Chunks in memory and their uploads to other agents.
+
+use std::collections;
+use std::rc;
+
+use actix_http as http;
+use actix_http::body;
+use bytes::Bytes;
+use chestnutpick_http::{request, respond};
+use chestnutpick_types::{digest, error, id, rate, size, time};
+use chestnutpick_weights::{assignment, manifest, memory, uploads};
+use serde_json::json;
+
+use crate::node;
+use crate::settings;
+
+/// Wait suggested to a peer that asks for a chunk while requests come first.
+const RETRY: time::Millis = time::Millis(50);
+
+/// Share of a region link's delay that uploads may fill ahead, in bytes.
+const REGION_DELAY: size::Bytes = size::Bytes::from_mib(1);
+
+struct Version {
+    manifest: rc::Rc<manifest::Manifest>,
+    document: Bytes,
+    data: Vec<Option<Bytes>>,
+    dependents: Vec<id::HostId>,
+}
+
+/// The chunks that this agent holds.
+pub struct Chunks {
+    own: Option<assignment::Member>,
+    memory: memory::Memory,
+    uploads: Option<uploads::Uploads>,
+    versions: collections::HashMap<digest::Digest, Version>,
+    current: Option<digest::Digest>,
+    origin_bytes: u64,
+    peer_bytes: u64,
+    sent_bytes: u64,
+    corrupt: u64,
+}
+
+impl Chunks {
+    /// Returns an empty store.
+    pub fn new(settings: &settings::Weights) -> Self {
+        let limit = size::Bytes(settings.memory_bytes);
+        Self {
+            own: None,
+            memory: memory::Memory::new(limit, time::Millis(settings.keep_ms)),
+            uploads: None,
+            versions: collections::HashMap::new(),
+            current: None,
+            origin_bytes: 0,
+            peer_bytes: 0,
+            sent_bytes: 0,
+            corrupt: 0,
+        }
+    }
+
+    /// Sets the limits of uploads from `own`.
+    pub fn start_uploads(&mut self, now: time::Millis, settings: &settings::Weights, own: assignment::Member) {
+        let limits = uploads::Limits {
+            total: settings.uploads,
+            pace: rate::BytesPerSec(settings.upload_rate),
+            retry: RETRY,
+            ..uploads::Limits::default()
+        };
+        self.uploads = Some(uploads::Uploads::new(now, limits, &own));
+        self.own = Some(own);
+    }
+
+    /// Makes room for a version.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message when the version does not fit into the memory for chunks.
+    pub fn open(
+        &mut self,
+        version: digest::Digest,
+        manifest: rc::Rc<manifest::Manifest>,
+        document: Bytes,
+    ) -> Result<(), String> {
+        self.current = Some(version);
+        if self.versions.contains_key(&version) {
+            return Ok(());
+        }
+        if !self.memory.fits(manifest.total()) {
+            return Err(format!("{} do not fit into the memory for chunks", manifest.total()));
+        }
+        self.memory.open(version, manifest.len());
+        let data = vec![None; manifest.len()];
+        self.versions.insert(version, Version { manifest, document, data, dependents: Vec::new() });
+        Ok(())
+    }
+
+    /// Takes in a chunk if it is what the manifest names.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message when the chunk is corrupt or does not fit.
+    pub fn take(
+        &mut self,
+        version: digest::Digest,
+        index: usize,
+        data: Bytes,
+        from_origin: bool,
+    ) -> Result<(), String> {
+        let Some(entry) = self.versions.get_mut(&version) else { return Err("the version is closed".to_owned()) };
+        let len = size::Bytes::of_len(data.len());
+        if from_origin {
+            self.origin_bytes += len.0;
+        } else {
+            self.peer_bytes += len.0;
+        }
+        if let Err(reason) = entry.manifest.verify(index, &data) {
+            self.corrupt += 1;
+            return Err(reason.to_string());
+        }
+        self.memory.hold(version, index, len).map_err(|reason| reason.to_string())?;
+        entry.data[index] = Some(data);
+        Ok(())
+    }
+
+    /// Returns all chunks of a version in order, or `None` if one is missing.
+    pub fn all(&self, version: digest::Digest) -> Option<Vec<Bytes>> {
+        self.versions.get(&version).and_then(|entry| entry.data.iter().cloned().collect())
+    }
+
+    /// Notes the peers that rank this host as a source of the version.
+    pub fn set_dependents(&mut self, version: digest::Digest, dependents: Vec<id::HostId>) {
+        if let Some(entry) = self.versions.get_mut(&version) {
+            entry.dependents = dependents;
+        }
+    }
+
+    /// Notes that the engine serves the version, after which its chunks are kept for peers only.
+    pub fn on_loaded(&mut self, now: time::Millis, version: digest::Digest) {
+        let dependents = self.versions.get(&version).map(|entry| entry.dependents.clone()).unwrap_or_default();
+        // Peers in the zone may still fetch from any holder, so an empty list of dependents does not free at once.
+        let dependents = if dependents.is_empty() { self.own_host() } else { dependents };
+        let actions = self.memory.on_loaded(now, version, dependents);
+        self.apply(&actions);
+    }
+
+    fn own_host(&self) -> Vec<id::HostId> {
+        self.own.iter().map(|member| member.host.clone()).collect()
+    }
+
+    /// Frees what is due.
+    pub fn on_tick(&mut self, now: time::Millis, in_flight: u64) {
+        let actions = self.memory.on_tick(now);
+        self.apply(&actions);
+        if let Some(uploads) = &mut self.uploads {
+            uploads.on_live(now, in_flight);
+        }
+    }
+
+    /// Gives up a version and its chunks.
+    pub fn abandon(&mut self, version: digest::Digest) {
+        let actions = self.memory.abandon(version);
+        self.apply(&actions);
+    }
+
+    fn apply(&mut self, actions: &[memory::Action]) {
+        for memory::Action::Free { version } in actions {
+            self.versions.remove(version);
+        }
+    }
+
+    /// Returns chunks held and chunks in all of the version in transfer.
+    pub fn progress(&self) -> (u32, u32) {
+        let Some(entry) = self.current.and_then(|version| self.versions.get(&version)) else { return (0, 0) };
+        let held = entry.data.iter().flatten().count();
+        (count(held), count(entry.data.len()))
+    }
+
+    /// Returns the bytes drawn from the origin since the start of the process.
+    pub fn origin_bytes(&self) -> u64 {
+        self.origin_bytes
+    }
+
+    /// Returns the state for the state dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let (held, total) = self.progress();
+        json!({
+            "memory": self.memory.dump(),
+            "uploads": self.uploads.as_ref().map(uploads::Uploads::dump),
+            "current": self.current,
+            "chunks_held": held,
+            "chunks_total": total,
+            "origin_bytes": self.origin_bytes,
+            "peer_bytes": self.peer_bytes,
+            "sent_bytes": self.sent_bytes,
+            "corrupt_chunks": self.corrupt,
+        })
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+/// Answers `GET /v1/versions/<digest>/manifest`, `.../chunks` and `.../chunks/<index>`.
+pub fn handle(node: &rc::Rc<node::Node>, request: &http::Request) -> respond::Response {
+    let path = request.path().strip_prefix("/v1/versions/").unwrap_or_default();
+    let mut parts = path.split('/');
+    let version = parts.next().and_then(|text| text.parse().ok());
+    let (part, index) = (parts.next(), parts.next());
+    let Some(version) = version else { return not_held() };
+    match (part, index.map(str::parse::<usize>)) {
+        (Some("manifest"), None) => send_manifest(node, version),
+        (Some("chunks"), None) => send_holdings(node, version),
+        (Some("chunks"), Some(Ok(index))) => send_chunk(node, request, version, index),
+        _ => not_held(),
+    }
+}
+
+fn not_held() -> respond::Response {
+    respond::refusal(&error::Refusal::new(error::ErrorKind::NotFound, "not held here"))
+}
+
+fn send_manifest(node: &node::Node, version: digest::Digest) -> respond::Response {
+    match node.chunks.borrow().versions.get(&version) {
+        Some(entry) => respond::bytes(200, "application/json", entry.document.clone()),
+        None => not_held(),
+    }
+}
+
+fn send_holdings(node: &node::Node, version: digest::Digest) -> respond::Response {
+    match node.chunks.borrow().memory.chunks(version) {
+        Some(bitmap) => respond::bytes(200, "application/octet-stream", bitmap.to_bytes()),
+        None => not_held(),
+    }
+}
+
+fn send_chunk(
+    node: &rc::Rc<node::Node>,
+    request: &http::Request,
+    version: digest::Digest,
+    index: usize,
+) -> respond::Response {
+    let Some(peer) = peer(request) else {
+        let message = "headers x-host, x-zone and x-region are required";
+        return respond::refusal(&error::Refusal::new(error::ErrorKind::HeaderMissing, message));
+    };
+    let mut chunks = node.chunks.borrow_mut();
+    let data = chunks.versions.get(&version).and_then(|entry| entry.data.get(index).cloned().flatten());
+    let Some(data) = data else { return not_held() };
+    let len = size::Bytes::of_len(data.len());
+    let region_rate = rate::BytesPerSec(node.settings.weights.region_rate);
+    let now = node.now();
+    let Some(uploads) = &mut chunks.uploads else { return not_held() };
+    if peer.region != node.settings.region {
+        uploads.set_share(now, &peer.region, region_rate, REGION_DELAY);
+    }
+    match uploads.request(now, &peer, len) {
+        uploads::Decision::Refuse(wait) => {
+            let mut response = respond::bytes(503, "text/plain", "no upload slot is free\n");
+            respond::set_header(&mut response, "x-retry-ms", &wait.0.to_string());
+            response
+        }
+        uploads::Decision::Grant => {
+            chunks.sent_bytes += len.0;
+            let slot = Slot { node: rc::Rc::clone(node), peer };
+            respond::bytes(200, "application/octet-stream", upload(slot, data))
+        }
+    }
+}
+
+fn peer(request: &http::Request) -> Option<assignment::Member> {
+    Some(assignment::Member {
+        host: request::header(request, "x-host")?.parse().ok()?,
+        zone: request::header(request, "x-zone")?.parse().ok()?,
+        region: request::header(request, "x-region")?.parse().ok()?,
+    })
+}
+
+/// An upload slot, held until the body has been sent or the connection has broken.
+struct Slot {
+    node: rc::Rc<node::Node>,
+    peer: assignment::Member,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if let Some(uploads) = &mut self.node.chunks.borrow_mut().uploads {
+            uploads.finish(&self.peer);
+        }
+    }
+}
+
+fn upload(slot: Slot, data: Bytes) -> impl body::MessageBody + 'static {
+    let len = size::Bytes::of_len(data.len()).0;
+    let pieces = futures::stream::unfold((Some(data), slot), |(data, slot)| async move {
+        data.map(|data| (Ok::<_, std::convert::Infallible>(data), (None, slot)))
+    });
+    body::SizedStream::new(len, Box::pin(pieces))
+}
--- a/crates/chestnutpick_agent/src/control.rs
+++ b/crates/chestnutpick_agent/src/control.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use chestnutpick_admission::{attempt, ramp};
 use chestnutpick_config::{replica, update};
+use chestnutpick_routing::suspects;
 use chestnutpick_rpc::{message, server};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
@@ -10,12 +11,10 @@
 use crate::node;
 
 impl server::Handler for node::Node {
-    fn heartbeat(&self, sender: id::HostId, _revision: u64, suspects: Vec<message::Suspect>) -> message::Report {
+    fn heartbeat(&self, sender: id::HostId, _revision: u64, suspects: Vec<suspects::Record>) -> message::Report {
         let now = self.now();
         self.entries.borrow_mut().insert(sender, now);
-        for suspect in suspects {
-            self.suspects.borrow_mut().merge(now, suspect.fingerprint, suspect.crashes, suspect.age);
-        }
+        self.suspects.borrow_mut().merge(time::unix_now(), suspects);
         self.report()
     }
 
@@ -97,19 +96,10 @@
             services: self.settings.endpoint.services.clone(),
             chunks_held,
             chunks_total,
-            suspects: self.local_suspects(),
+            suspects: self.suspects.borrow().list(time::unix_now()),
             origin_bytes: self.chunks.borrow().origin_bytes(),
             suspect_running: report.suspect,
         }
     }
 
-    fn local_suspects(&self) -> Vec<message::Suspect> {
-        let listed = self.suspects.borrow_mut().list(self.now());
-        let convert = |item: chestnutpick_routing::suspects::Item| message::Suspect {
-            fingerprint: item.fingerprint,
-            crashes: item.crashes,
-            age: item.age,
-        };
-        listed.into_iter().map(convert).collect()
-    }
 }
--- a/crates/chestnutpick_agent/src/engine.rs
+++ b/crates/chestnutpick_agent/src/engine.rs
@@ -1,19 +1,19 @@
 //! Watching the engine: what it has loaded, whether it crashed, how much it bears.
 
 use std::rc;
-use std::time;
+use std::time as std_time;
 
 use chestnutpick_admission::{limits, status};
 use chestnutpick_platform::engine::Engine;
 use chestnutpick_platform::fault;
 use chestnutpick_telemetry::event;
-use chestnutpick_types::size;
+use chestnutpick_types::{size, time};
 use tokio_util::sync;
 
 use crate::node;
 
 /// Interval between two reads of the engine's status.
-const POLL: time::Duration = time::Duration::from_millis(100);
+const POLL: std_time::Duration = std_time::Duration::from_millis(100);
 
 /// Reads the engine's status until `stop` is cancelled.
 pub async fn watch(node: rc::Rc<node::Node>, stop: sync::CancellationToken) {
@@ -59,6 +59,7 @@
         event.with("lost", crash.lost.len()).warn();
         metrics::counter!("agent_engine_crashes_total").increment(1);
         let fingerprints: Vec<_> = crash.lost.iter().map(|lost| lost.fingerprint).collect();
-        node.suspects.borrow_mut().on_crash(node.now(), &fingerprints);
+        let mut suspects = node.suspects.borrow_mut();
+        suspects.on_crash(time::unix_now(), &node.settings.host, crash.generation, &fingerprints);
     }
 }
--- a/crates/chestnutpick_agent/src/node.rs
+++ b/crates/chestnutpick_agent/src/node.rs
@@ -126,7 +126,7 @@
 
     /// Returns how a fingerprint may run here.
     pub fn standing(&self, fingerprint: &digest::Digest) -> attempt::Standing {
-        match self.suspects.borrow_mut().standing(self.now(), fingerprint) {
+        match self.suspects.borrow().standing(time::unix_now(), fingerprint) {
             suspects::Standing::Clear => attempt::Standing::Clear,
             suspects::Standing::Suspect => attempt::Standing::Suspect,
             suspects::Standing::Quarantined => attempt::Standing::Quarantined,
--- a/crates/chestnutpick_agent/src/run.rs
+++ b/crates/chestnutpick_agent/src/run.rs
@@ -106,8 +106,7 @@
     let path = request.path();
     match request.method().as_str() {
         "POST" if path == "/v1/attempts" => attempts::handle(node, request).await,
-        "GET" if path.starts_with("/v1/chunks/") => chunks::send(&node, &request),
-        "GET" if path.starts_with("/v1/versions/") => chunks::describe(&node, &request),
+        "GET" if path.starts_with("/v1/versions/") => chunks::handle(&node, &request),
         _ if path.starts_with("/v1/calls/") => calls::handle(node, request).await,
         _ => {
             let message = format!("nothing is served at {} {path}", request.method());
--- /dev/null
+++ b/crates/chestnutpick_agent/src/transfer.rs
@@ -0,0 +1,434 @@
+//! Bringing the versions that the configuration asks for onto the engine.
+
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use actix_rt::task;
+use bytes::Bytes;
+use chestnutpick_config::document;
+use chestnutpick_platform::client;
+use chestnutpick_platform::engine::Engine;
+use chestnutpick_platform::hosts;
+use chestnutpick_platform::origin::Origin;
+use chestnutpick_telemetry::event;
+use chestnutpick_types::{digest, id, size, time as instant};
+use chestnutpick_weights::transfer::{self, Action, Failure, Source};
+use chestnutpick_weights::{assignment, bitmap, manifest};
+use rand_core::SeedableRng;
+use tokio::sync::mpsc;
+use tokio_util::sync;
+
+use crate::node;
+
+/// Interval at which the wanted versions are compared with the loaded ones.
+const POLL: time::Duration = time::Duration::from_millis(100);
+
+/// Interval at which the set of live hosts is refreshed during a transfer.
+const REFRESH: instant::Millis = instant::Millis(500);
+
+/// Deadline of a small question to a peer.
+const ASK_TIMEOUT: instant::Millis = instant::Millis(1_000);
+
+/// Deadline for each piece of a chunk; the transfer policy bounds the whole chunk.
+const PIECE_TIMEOUT: instant::Millis = instant::Millis(10_000);
+
+/// Largest manifest, in bytes.
+const MANIFEST_LIMIT: size::Bytes = size::Bytes::from_mib(8);
+
+/// Peers that are asked for the manifest before the origin is.
+const MANIFEST_PEERS: usize = 3;
+
+/// A version that the configuration asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Want {
+    digest: digest::Digest,
+    model: id::ModelId,
+    version: id::VersionId,
+}
+
+/// What a task of a transfer reports.
+enum Event {
+    Chunk(usize, Source, Bytes),
+    Failed(usize, Source, Failure),
+    Holdings(id::HostId, Option<bitmap::Bitmap>),
+}
+
+/// Keeps the engine's weights as the configuration wants them until `stop` is cancelled.
+pub async fn run(node: rc::Rc<node::Node>, stop: sync::CancellationToken) {
+    let member = own_member(&node);
+    node.chunks.borrow_mut().start_uploads(node.now(), &node.settings.weights, member);
+    while !stop.is_cancelled() {
+        let in_flight = u64::from(node.table.borrow_mut().report().load.slots);
+        node.chunks.borrow_mut().on_tick(node.now(), in_flight);
+        if let Some(want) = next_want(&node) {
+            bring(&node, &want, &stop).await;
+        }
+        unload_unwanted(&node).await;
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = actix_rt::time::sleep(POLL) => {}
+        }
+    }
+}
+
+fn own_member(node: &node::Node) -> assignment::Member {
+    let settings = &node.settings;
+    assignment::Member {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+    }
+}
+
+/// Returns the first version that is declared and not loaded.
+fn next_want(node: &node::Node) -> Option<Want> {
+    let config = node.config.borrow();
+    let loaded = node.table.borrow_mut().report().loaded;
+    let missing = config.index().holds().keys().find(|digest| !loaded.contains(digest)).copied()?;
+    find(config.document(), missing)
+}
+
+fn find(document: &document::Document, digest: digest::Digest) -> Option<Want> {
+    document.models.iter().find_map(|(model, entry)| {
+        let found = entry.versions.iter().find(|(_, pinned)| **pinned == digest);
+        found.map(|(version, _)| Want { digest, model: model.clone(), version: version.clone() })
+    })
+}
+
+async fn bring(node: &rc::Rc<node::Node>, want: &Want, stop: &sync::CancellationToken) {
+    let start = node.now();
+    let result = match node.chunks.borrow().all(want.digest) {
+        Some(_) => Ok(()),
+        None => Err(()),
+    };
+    if result.is_err() {
+        if let Err(reason) = download(node, want, stop).await {
+            let event = event::Event::new("transfer_failed").with("digest", want.digest);
+            event.with("reason", reason).warn();
+            return;
+        }
+        event::Event::new("transfer_complete")
+            .with("digest", want.digest)
+            .with("took", node.now().since(start))
+            .info();
+    }
+    load(node, want).await;
+}
+
+async fn load(node: &rc::Rc<node::Node>, want: &Want) {
+    let Some(epoch) = node.epoch.get() else { return };
+    let Some(pieces) = node.chunks.borrow().all(want.digest) else { return };
+    match node.engine.load(want.digest, epoch, pieces).await {
+        Ok(()) => event::Event::new("load_ordered").with("digest", want.digest).with("epoch", epoch).info(),
+        // The status of the engine settles what became of the order.
+        Err(reason) => event::Event::new("load_failed").with("digest", want.digest).with("reason", reason).warn(),
+    }
+    wait_for_gate(node, want.digest).await;
+}
+
+/// Waits until the status shows the version, so that the order is not given twice while the status lags.
+async fn wait_for_gate(node: &node::Node, digest: digest::Digest) {
+    const TRIES: u32 = 20;
+    for _ in 0..TRIES {
+        if node.table.borrow_mut().report().loaded.contains(&digest) {
+            return;
+        }
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
+/// Unloads versions that no workspace sees any more, once nothing runs here.
+async fn unload_unwanted(node: &node::Node) {
+    let Some(epoch) = node.epoch.get() else { return };
+    let report = node.table.borrow_mut().report();
+    let unwanted = {
+        let config = node.config.borrow();
+        if config.revision() == 0 || report.load.slots > 0 {
+            return;
+        }
+        let wanted = config.index().holds();
+        let served = wanted.keys().all(|digest| report.loaded.contains(digest));
+        if !served {
+            return;
+        }
+        report.loaded.into_iter().find(|digest| !wanted.contains_key(digest))
+    };
+    if let Some(digest) = unwanted {
+        match node.engine.unload(digest, epoch).await {
+            Ok(()) => event::Event::new("unload_ordered").with("digest", digest).info(),
+            Err(reason) => event::Event::new("unload_failed").with("digest", digest).with("reason", reason).warn(),
+        }
+    }
+}
+
+async fn download(
+    node: &rc::Rc<node::Node>,
+    want: &Want,
+    stop: &sync::CancellationToken,
+) -> Result<(), String> {
+    let (manifest, document) = fetch_manifest(node, want).await?;
+    let manifest = rc::Rc::new(manifest);
+    node.chunks.borrow_mut().open(want.digest, rc::Rc::clone(&manifest), document)?;
+    let mut driver = Driver::new(node, want, &manifest)?;
+    let outcome = driver.run(stop).await;
+    driver.abort();
+    outcome
+}
+
+async fn fetch_manifest(node: &rc::Rc<node::Node>, want: &Want) -> Result<(manifest::Manifest, Bytes), String> {
+    let path = format!("/v1/versions/{}/manifest", want.digest);
+    for peer in manifest_peers(node) {
+        let request = client::Request::new("GET", path.as_str());
+        let Ok(mut response) = node.client.call(peer, request, ASK_TIMEOUT).await else { continue };
+        if response.status != 200 {
+            continue;
+        }
+        let Ok(document) = response.read(MANIFEST_LIMIT).await else { continue };
+        if let Ok(manifest) = parse_manifest(&document, want) {
+            return Ok((manifest, document));
+        }
+    }
+    let document = node.origin.manifest(want.model.clone(), want.version.clone()).await;
+    let document = document.map_err(|reason| reason.to_string())?;
+    parse_manifest(&document, want).map(|manifest| (manifest, document))
+}
+
+fn parse_manifest(document: &[u8], want: &Want) -> Result<manifest::Manifest, String> {
+    let manifest: manifest::Manifest = serde_json::from_slice(document).map_err(|reason| reason.to_string())?;
+    manifest.check(want.digest).map_err(|reason| reason.to_string())?;
+    Ok(manifest)
+}
+
+/// Returns a few peers in an order of this host's own, those of its zone first.
+fn manifest_peers(node: &node::Node) -> Vec<net::SocketAddr> {
+    let own = &node.settings;
+    let hosts = node.hosts.borrow();
+    let mut peers: Vec<_> = hosts.iter().filter(|record| is_peer(record) && record.host != own.host).collect();
+    let mixed = |record: &hosts::HostRecord| {
+        let text = format!("{}/{}", own.host, record.host);
+        (record.zone != own.zone, digest::Digest::of(text.as_bytes()).prefix())
+    };
+    peers.sort_by_key(|record| mixed(record));
+    peers.into_iter().take(MANIFEST_PEERS).map(|record| record.http).collect()
+}
+
+fn is_peer(record: &hosts::HostRecord) -> bool {
+    record.role == hosts::Role::Engine && record.state == hosts::State::Live
+}
+
+struct Driver<'a> {
+    node: &'a rc::Rc<node::Node>,
+    want: &'a Want,
+    manifest: &'a rc::Rc<manifest::Manifest>,
+    transfer: transfer::Transfer,
+    tasks: collections::BTreeMap<(usize, Source), task::JoinHandle<()>>,
+    sender: mpsc::UnboundedSender<Event>,
+    events: mpsc::UnboundedReceiver<Event>,
+    refreshed: instant::Millis,
+}
+
+impl<'a> Driver<'a> {
+    fn new(
+        node: &'a rc::Rc<node::Node>,
+        want: &'a Want,
+        manifest: &'a rc::Rc<manifest::Manifest>,
+    ) -> Result<Self, String> {
+        let own = own_member(node);
+        let view = view(node, want, manifest);
+        node.chunks.borrow_mut().set_dependents(want.digest, view.dependents(&own.host));
+        let config = transfer::Config { fetches: node.settings.weights.fetches, ..transfer::Config::default() };
+        let seed = digest::Digest::of(own.host.as_str().as_bytes()).prefix() ^ node.incarnation;
+        let rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(seed);
+        let transfer =
+            transfer::Transfer::new(node.now(), config, own, want.digest, manifest, rc::Rc::new(view), rng)
+                .map_err(|reason| reason.to_string())?;
+        let (sender, events) = mpsc::unbounded_channel();
+        let tasks = collections::BTreeMap::new();
+        Ok(Self { node, want, manifest, transfer, tasks, sender, events, refreshed: node.now() })
+    }
+
+    async fn run(&mut self, stop: &sync::CancellationToken) -> Result<(), String> {
+        let mut actions = self.transfer.on_tick(self.node.now());
+        loop {
+            for action in actions {
+                match action {
+                    Action::Fetch { chunk, source } => self.fetch(chunk, source),
+                    Action::Cancel { chunk, source } => self.cancel(chunk, source),
+                    Action::Ask { peer } => self.ask(peer),
+                    Action::Done => return Ok(()),
+                    Action::Refuse => return Err("the version changed at its source".to_owned()),
+                }
+            }
+            let wait = self.wait();
+            tokio::select! {
+                () = stop.cancelled() => return Err("the agent is stopping".to_owned()),
+                event = self.events.recv() => {
+                    actions = event.map_or_else(Vec::new, |event| self.on_event(event));
+                }
+                () = actix_rt::time::sleep(wait) => actions = self.on_tick(),
+            }
+        }
+    }
+
+    fn wait(&self) -> time::Duration {
+        let now = self.node.now();
+        let refresh = self.refreshed + REFRESH;
+        let deadline = self.transfer.next_deadline().map_or(refresh, |at| at.min(refresh));
+        deadline.since(now).to_duration().max(time::Duration::from_millis(1))
+    }
+
+    fn on_tick(&mut self) -> Vec<Action> {
+        let now = self.node.now();
+        let mut actions = self.transfer.on_tick(now);
+        if now >= self.refreshed + REFRESH {
+            self.refreshed = now;
+            let view = rc::Rc::new(view(self.node, self.want, self.manifest));
+            actions.extend(self.transfer.on_hosts(now, view));
+        }
+        actions
+    }
+
+    fn on_event(&mut self, event: Event) -> Vec<Action> {
+        let now = self.node.now();
+        match event {
+            Event::Chunk(index, source, data) => {
+                self.tasks.remove(&(index, source.clone()));
+                let from_origin = source == Source::Origin;
+                let taken = self.node.chunks.borrow_mut().take(self.want.digest, index, data, from_origin);
+                match taken {
+                    Ok(()) => self.transfer.on_chunk(now, index, &source),
+                    Err(reason) => {
+                        event::Event::new("chunk_rejected")
+                            .with("chunk", index)
+                            .with("source", name(&source))
+                            .with("reason", reason)
+                            .warn();
+                        self.transfer.on_failed(now, index, &source, Failure::Corrupt)
+                    }
+                }
+            }
+            Event::Failed(index, source, failure) => {
+                self.tasks.remove(&(index, source.clone()));
+                self.transfer.on_failed(now, index, &source, failure)
+            }
+            Event::Holdings(peer, bitmap) => self.transfer.on_holdings(now, &peer, bitmap.as_ref()),
+        }
+    }
+
+    fn fetch(&mut self, chunk: usize, source: Source) {
+        let sender = self.sender.clone();
+        let limit = self.manifest.chunk_size();
+        let (node, want) = (rc::Rc::clone(self.node), self.want.clone());
+        let key = (chunk, source.clone());
+        let task = actix_rt::spawn(async move {
+            let fetched = match &source {
+                Source::Origin => from_origin(&node, &want, chunk, limit).await,
+                Source::Peer(host) => from_peer(&node, &want, chunk, limit, host).await,
+            };
+            let event = match fetched {
+                Ok(data) => Event::Chunk(chunk, source, data),
+                Err(failure) => Event::Failed(chunk, source, failure),
+            };
+            // The receiver is gone once the transfer has ended.
+            let _ = sender.send(event);
+        });
+        self.tasks.insert(key, task);
+    }
+
+    fn cancel(&mut self, chunk: usize, source: Source) {
+        if let Some(task) = self.tasks.remove(&(chunk, source)) {
+            task.abort();
+        }
+    }
+
+    fn ask(&mut self, peer: id::HostId) {
+        let sender = self.sender.clone();
+        let (node, digest, chunks) = (rc::Rc::clone(self.node), self.want.digest, self.manifest.len());
+        actix_rt::spawn(async move {
+            let bitmap = holdings(&node, digest, chunks, &peer).await;
+            let _ = sender.send(Event::Holdings(peer, bitmap));
+        });
+    }
+
+    fn abort(&mut self) {
+        for task in self.tasks.values() {
+            task.abort();
+        }
+    }
+}
+
+fn name(source: &Source) -> String {
+    match source {
+        Source::Origin => "origin".to_owned(),
+        Source::Peer(host) => host.to_string(),
+    }
+}
+
+fn view(node: &node::Node, want: &Want, manifest: &manifest::Manifest) -> assignment::Assignment {
+    let hosts = node.hosts.borrow();
+    let mut members: Vec<_> = hosts
+        .iter()
+        .filter(|record| is_peer(record))
+        .map(|record| assignment::Member {
+            host: record.host.clone(),
+            zone: record.zone.clone(),
+            region: record.region.clone(),
+        })
+        .collect();
+    members.push(own_member(node));
+    assignment::Assignment::new(want.digest, manifest.len(), &node.settings.platform.origin_region, members)
+}
+
+async fn from_origin(node: &node::Node, want: &Want, chunk: usize, limit: size::Bytes) -> Result<Bytes, Failure> {
+    let index = u32::try_from(chunk).unwrap_or(u32::MAX);
+    let fetched = node.origin.chunk(want.model.clone(), want.version.clone(), index, limit).await;
+    fetched.map_err(|_| Failure::Timeout)
+}
+
+async fn from_peer(
+    node: &node::Node,
+    want: &Want,
+    chunk: usize,
+    limit: size::Bytes,
+    host: &id::HostId,
+) -> Result<Bytes, Failure> {
+    let address = address_of(node, host).ok_or(Failure::NotHeld)?;
+    let mut request = client::Request::new("GET", format!("/v1/versions/{}/chunks/{chunk}", want.digest));
+    let settings = &node.settings;
+    request.headers = vec![
+        ("x-host".into(), settings.host.as_str().into()),
+        ("x-zone".into(), settings.zone.as_str().into()),
+        ("x-region".into(), settings.region.as_str().into()),
+    ];
+    let mut response = node.client.call(address, request, PIECE_TIMEOUT).await.map_err(|_| Failure::Timeout)?;
+    match response.status {
+        200 => response.read(limit).await.map_err(|_| Failure::Timeout),
+        503 => {
+            let wait = response.header("x-retry-ms").and_then(|text| text.parse().ok()).unwrap_or(100);
+            Err(Failure::Refused(instant::Millis(wait)))
+        }
+        _ => Err(Failure::NotHeld),
+    }
+}
+
+async fn holdings(
+    node: &node::Node,
+    digest: digest::Digest,
+    chunks: usize,
+    host: &id::HostId,
+) -> Option<bitmap::Bitmap> {
+    let address = address_of(node, host)?;
+    let request = client::Request::new("GET", format!("/v1/versions/{digest}/chunks"));
+    let mut response = node.client.call(address, request, ASK_TIMEOUT).await.ok()?;
+    if response.status != 200 {
+        return None;
+    }
+    let body = response.read(MANIFEST_LIMIT).await.ok()?;
+    bitmap::Bitmap::from_bytes(chunks, &body)
+}
+
+fn address_of(node: &node::Node, host: &id::HostId) -> Option<net::SocketAddr> {
+    node.hosts.borrow().iter().find(|record| record.host == *host).map(|record| record.http)
+}
--- a/crates/chestnutpick_platform/src/hosts.rs
+++ b/crates/chestnutpick_platform/src/hosts.rs
@@ -34,8 +34,10 @@
 pub enum Role {
     /// An entry.
     Entry,
-    /// An endpoint with its agent.
-    Agent,
+    /// A model engine with its agent.
+    Engine,
+    /// A plain service with its agent.
+    Service,
 }
 
 /// Whether a host stays.
--- a/crates/chestnutpick_rpc/schema/node.capnp
+++ b/crates/chestnutpick_rpc/schema/node.capnp
@@ -5,9 +5,11 @@
 
 struct Suspect {
   fingerprint @0 :Data;
-  crashes @1 :UInt8;
-  # Time since the last crash, in milliseconds.
-  age @2 :UInt64;
+  # Host whose endpoint crashed, and the generation of the engine that did.
+  host @1 :Text;
+  generation @2 :UInt64;
+  # Unix time of the crash, in milliseconds.
+  at @3 :UInt64;
 }
 
 struct Report {
--- a/crates/chestnutpick_rpc/src/client.rs
+++ b/crates/chestnutpick_rpc/src/client.rs
@@ -7,6 +7,7 @@
 use actix_rt::task;
 use bytes::Bytes;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use chestnutpick_routing::suspects;
 use chestnutpick_types::id;
 use chestnutpick_types::time as instant;
 use futures::AsyncReadExt;
@@ -99,7 +100,7 @@
         &self,
         sender: &id::HostId,
         revision: u64,
-        suspects: &[message::Suspect],
+        suspects: &[suspects::Record],
     ) -> Result<message::Report, CallError> {
         let mut request = self.node.heartbeat_request();
         request.get().set_sender(sender.as_str());
--- a/crates/chestnutpick_rpc/src/message.rs
+++ b/crates/chestnutpick_rpc/src/message.rs
@@ -2,23 +2,13 @@
 
 use bytes::Bytes;
 use capnp::text;
+use chestnutpick_routing::suspects;
 use chestnutpick_types::digest;
 use chestnutpick_types::id;
 use chestnutpick_types::time;
 
 use crate::node_capnp;
 
-/// A request fingerprint that was in flight at a crash.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Suspect {
-    /// Digest that identifies the request.
-    pub fingerprint: digest::Digest,
-    /// Number of crashes seen.
-    pub crashes: u8,
-    /// Time since the last crash.
-    pub age: time::Millis,
-}
-
 /// State that a process reports in answer to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -53,7 +43,7 @@
     /// Chunks in all of the version in transfer; 0 when there is none.
     pub chunks_total: u32,
     /// Fingerprints that the endpoint's crashes made suspect.
-    pub suspects: Vec<Suspect>,
+    pub suspects: Vec<suspects::Record>,
     /// Bytes drawn from the origin since the start of the process.
     pub origin_bytes: u64,
     /// A request that is suspected of crashing endpoints is running.
@@ -99,24 +89,26 @@
 
 pub(crate) fn write_suspects(
     mut list: capnp::struct_list::Builder<'_, node_capnp::suspect::Owned>,
-    suspects: &[Suspect],
+    suspects: &[suspects::Record],
 ) {
     for (position, suspect) in suspects.iter().enumerate() {
         let mut item = list.reborrow().get(index(position));
         item.set_fingerprint(suspect.fingerprint.as_bytes());
-        item.set_crashes(suspect.crashes);
-        item.set_age(suspect.age.0);
+        item.set_host(suspect.host.as_str());
+        item.set_generation(suspect.generation);
+        item.set_at(suspect.at.0);
     }
 }
 
 pub(crate) fn read_suspects(
     list: capnp::struct_list::Reader<'_, node_capnp::suspect::Owned>,
-) -> Result<Vec<Suspect>> {
+) -> Result<Vec<suspects::Record>> {
     let read = |item: node_capnp::suspect::Reader<'_>| {
-        Ok(Suspect {
+        Ok(suspects::Record {
             fingerprint: read_digest(item.get_fingerprint()?)?,
-            crashes: item.get_crashes(),
-            age: time::Millis(item.get_age()),
+            host: parse(item.get_host()?)?,
+            generation: item.get_generation(),
+            at: time::Millis(item.get_at()),
         })
     };
     list.iter().map(read).collect()
--- a/crates/chestnutpick_rpc/src/server.rs
+++ b/crates/chestnutpick_rpc/src/server.rs
@@ -5,6 +5,7 @@
 use actix_rt::net;
 use bytes::Bytes;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use chestnutpick_routing::suspects;
 use chestnutpick_types::id;
 use chestnutpick_types::time;
 use futures::AsyncReadExt;
@@ -21,7 +22,7 @@
         &self,
         sender: id::HostId,
         revision: u64,
-        suspects: Vec<message::Suspect>,
+        suspects: Vec<suspects::Record>,
     ) -> message::Report;
 
     /// Takes in a configuration document and returns the revision in force afterwards.
--- a/crates/chestnutpick_rpc/tests/calls.rs
+++ b/crates/chestnutpick_rpc/tests/calls.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use chestnutpick_rpc::{client, message, server};
+use chestnutpick_routing::suspects;
 use chestnutpick_types::{digest, id};
 use tokio_util::sync;
 
@@ -26,10 +27,11 @@
         services: vec!["ledger".parse().unwrap()],
         chunks_held: 4,
         chunks_total: 9,
-        suspects: vec![message::Suspect {
+        suspects: vec![suspects::Record {
+            at: chestnutpick_types::time::Millis(12),
             fingerprint: digest::Digest::of(b"crash"),
-            crashes: 1,
-            age: chestnutpick_types::time::Millis(12),
+            host: "runner-2".parse().unwrap(),
+            generation: 4,
         }],
         origin_bytes: 77,
         suspect_running: true,
@@ -46,7 +48,7 @@
         &self,
         sender: id::HostId,
         revision: u64,
-        suspects: Vec<message::Suspect>,
+        suspects: Vec<suspects::Record>,
     ) -> message::Report {
         self.heard.borrow_mut().push((sender, revision, suspects.len()));
         report()
