Add the entry's routing library

Cause: several entries choose endpoints independently on reports that are up to a heartbeat old, and must neither overload an endpoint nor leave capacity unused.

Ruled out: expiring old reports inside choose (the index of open endpoints would depend on time and every choice would scan); relative expiry times in the suspects list (each exchange would extend them by its delay).

Conclusion: the public interface is complete and can be integrated against; the limits on stale data are not yet measured.

--- /dev/null
+++ b/crates/chestnutpick_routing/src/queue.rs
@@ -0,0 +1,478 @@
+//! Weighted fair queue over workspaces, with priorities inside each workspace.
+//!
+//! Workspaces share service in proportion to their weights, measured in memory units: each has a pass that advances by
+//! cost / weight when a request of it is taken, and the one with the lowest pass is next. A workspace that was idle joins
+//! at the current pass and cannot save up service. Priorities are strict inside a workspace and have no effect outside it,
+//! so that no workspace gains by declaring everything urgent.
+
+use std::collections;
+
+use chestnutpick_types::error;
+use chestnutpick_types::id;
+use chestnutpick_types::size;
+use chestnutpick_types::time;
+
+use crate::rate;
+
+/// Weight of a workspace for which none is set.
+pub const DEFAULT_WEIGHT: u32 = 100;
+
+/// Scale of a pass, so that small costs at large weights still advance it.
+const PASS_SCALE: u64 = 1 << 16;
+
+const LEVELS: usize = 3;
+
+/// Priority of a request in its workspace.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Default,
+    strum::Display,
+    strum::EnumString,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Before all others.
+    High,
+    /// The default.
+    #[default]
+    Normal,
+    /// After all others.
+    Low,
+}
+
+/// Bounds of a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Requests that may wait in one workspace.
+    pub max_len: usize,
+    /// Requests that may wait in all workspaces together, which bounds the memory of the process.
+    pub max_total: usize,
+}
+
+/// Identity of a waiting request; never used twice in one queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(u64);
+
+/// A request that is to wait.
+#[derive(Debug, Clone)]
+pub struct Request<T> {
+    /// The workspace that it counts towards.
+    pub workspace: id::WorkspaceId,
+    /// Its priority in the workspace.
+    pub priority: Priority,
+    /// Prompt plus expected output; a request of a plain service counts as one.
+    pub cost: size::Tokens,
+    /// Time by which it must be taken from the queue.
+    pub deadline: Option<time::Millis>,
+    /// The request itself.
+    pub item: T,
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    ticket: Ticket,
+    since: time::Millis,
+    cost: size::Tokens,
+    deadline: Option<time::Millis>,
+    item: T,
+}
+
+#[derive(Debug)]
+struct Lane<T> {
+    weight: u32,
+    pass: u64,
+    levels: [collections::VecDeque<Waiting<T>>; LEVELS],
+    costs: [u64; LEVELS],
+    rate: rate::Rate,
+}
+
+impl<T> Lane<T> {
+    fn new() -> Self {
+        Self {
+            weight: DEFAULT_WEIGHT,
+            pass: 0,
+            levels: Default::default(),
+            costs: [0; LEVELS],
+            rate: rate::Rate::default(),
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.levels.iter().map(collections::VecDeque::len).sum()
+    }
+
+    fn head(&self) -> Option<(usize, &Waiting<T>)> {
+        self.levels.iter().enumerate().find_map(|(level, list)| Some((level, list.front()?)))
+    }
+
+    fn ahead(&self, priority: Priority) -> size::Tokens {
+        size::Tokens(self.costs[..=priority as usize].iter().sum())
+    }
+
+    fn push(&mut self, now: time::Millis, level: usize, waiting: Waiting<T>) {
+        self.costs[level] += waiting.cost.0;
+        self.levels[level].push_back(waiting);
+        self.rate.on_backlog(now, true);
+    }
+
+    fn take(&mut self, now: time::Millis, level: usize, at: usize) -> Option<Waiting<T>> {
+        let waiting = self.levels[level].remove(at)?;
+        self.costs[level] -= waiting.cost.0;
+        let is_waiting = self.head().is_some();
+        self.rate.on_backlog(now, is_waiting);
+        Some(waiting)
+    }
+
+    fn on_served(&mut self, now: time::Millis, waiting: &Waiting<T>) {
+        if now > waiting.since {
+            self.rate.on_served(waiting.cost);
+        }
+        let step = waiting.cost.0.max(1).saturating_mul(PASS_SCALE);
+        self.pass = self.pass.saturating_add(step / u64::from(self.weight));
+    }
+}
+
+/// The queue of one entry.
+#[derive(Debug)]
+pub struct Queue<T> {
+    settings: Settings,
+    lanes: collections::BTreeMap<id::WorkspaceId, Lane<T>>,
+    tickets: collections::HashMap<Ticket, (id::WorkspaceId, usize)>,
+    deadlines: collections::BTreeSet<(time::Millis, Ticket)>,
+    last: u64,
+    pass: u64,
+}
+
+impl<T> Queue<T> {
+    /// Returns an empty queue.
+    ///
+    /// ```
+    /// use chestnutpick_routing::queue;
+    /// let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// assert!(queue::Queue::<()>::new(settings).is_empty());
+    /// ```
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            lanes: collections::BTreeMap::new(),
+            tickets: collections::HashMap::new(),
+            deadlines: collections::BTreeSet::new(),
+            last: 0,
+            pass: 0,
+        }
+    }
+
+    /// Sets the weight of a workspace; zero counts as one.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// let mut queue = queue::Queue::<()>::new(settings);
+    /// queue.set_weight(&"studio".parse().unwrap(), 300);
+    /// assert_eq!(queue.dump()["workspaces"]["studio"]["weight"], 300);
+    /// ```
+    pub fn set_weight(&mut self, workspace: &id::WorkspaceId, weight: u32) {
+        self.lane(workspace).weight = weight.max(1);
+    }
+
+    fn lane(&mut self, workspace: &id::WorkspaceId) -> &mut Lane<T> {
+        self.lanes.entry(workspace.clone()).or_insert_with(Lane::new)
+    }
+
+    /// Forgets idle workspaces for which `keep` is false, after a change of the configuration.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// let mut queue = queue::Queue::<()>::new(settings);
+    /// queue.set_weight(&"studio".parse().unwrap(), 300);
+    /// queue.retain(|workspace| workspace.as_str() != "studio");
+    /// assert_eq!(queue.dump()["workspaces"], serde_json::json!({}));
+    /// ```
+    pub fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(&id::WorkspaceId) -> bool,
+    {
+        self.lanes.retain(|workspace, lane| lane.head().is_some() || keep(workspace));
+    }
+
+    /// Adds a request.
+    ///
+    /// # Errors
+    /// `DeadlinePassed`, `QueueFull`, and `DeadlineTooShort` if the wait that is expected for the workspace's requests of
+    /// the same or a higher priority ends after the deadline. The item is returned with the kind.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # use chestnutpick_types::{error::ErrorKind, size::Tokens, time::Millis};
+    /// # let settings = queue::Settings { max_len: 1, max_total: 100 };
+    /// let mut queue = queue::Queue::new(settings);
+    /// let request = |item| queue::Request {
+    ///     workspace: "studio".parse().unwrap(),
+    ///     priority: queue::Priority::Normal,
+    ///     cost: Tokens(500),
+    ///     deadline: Some(Millis(1_000)),
+    ///     item,
+    /// };
+    /// assert!(queue.push(Millis(0), request("a")).is_ok());
+    /// assert_eq!(queue.push(Millis(0), request("b")), Err((ErrorKind::QueueFull, "b")));
+    /// assert_eq!(queue.push(Millis(1_000), request("c")), Err((ErrorKind::DeadlinePassed, "c")));
+    /// ```
+    pub fn push(
+        &mut self,
+        now: time::Millis,
+        request: Request<T>,
+    ) -> Result<Ticket, (error::ErrorKind, T)> {
+        match self.check(now, &request) {
+            Err(kind) => Err((kind, request.item)),
+            Ok(()) => Ok(self.insert(now, request)),
+        }
+    }
+
+    fn check(&self, now: time::Millis, request: &Request<T>) -> Result<(), error::ErrorKind> {
+        if request.deadline.is_some_and(|deadline| deadline <= now) {
+            return Err(error::ErrorKind::DeadlinePassed);
+        }
+        let len = self.lanes.get(&request.workspace).map_or(0, Lane::len);
+        if len >= self.settings.max_len || self.len() >= self.settings.max_total {
+            return Err(error::ErrorKind::QueueFull);
+        }
+        let ready = now + self.expected_wait(now, &request.workspace, request.priority);
+        if request.deadline.is_some_and(|deadline| deadline < ready) {
+            return Err(error::ErrorKind::DeadlineTooShort);
+        }
+        Ok(())
+    }
+
+    fn insert(&mut self, now: time::Millis, request: Request<T>) -> Ticket {
+        self.last += 1;
+        let ticket = Ticket(self.last);
+        let level = request.priority as usize;
+        let pass = self.pass;
+        let lane = self.lane(&request.workspace);
+        if lane.head().is_none() {
+            lane.pass = lane.pass.max(pass);
+        }
+        let Request { workspace, cost, deadline, item, .. } = request;
+        lane.push(now, level, Waiting { ticket, since: now, cost, deadline, item });
+        self.tickets.insert(ticket, (workspace, level));
+        self.deadlines.extend(deadline.map(|deadline| (deadline, ticket)));
+        ticket
+    }
+
+    /// Returns how long a new request of this priority is expected to wait, zero while no rate has been measured.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # use chestnutpick_types::time::Millis;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// let queue = queue::Queue::<()>::new(settings);
+    /// let workspace = "studio".parse().unwrap();
+    /// let wait = queue.expected_wait(Millis(0), &workspace, queue::Priority::Normal);
+    /// assert_eq!(wait, Millis::ZERO);
+    /// ```
+    pub fn expected_wait(
+        &self,
+        now: time::Millis,
+        workspace: &id::WorkspaceId,
+        priority: Priority,
+    ) -> time::Millis {
+        let lane = self.lanes.get(workspace);
+        lane.map_or(time::Millis::ZERO, |lane| lane.rate.time_for(now, lane.ahead(priority)))
+    }
+
+    /// Takes the next request.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # use chestnutpick_types::time::Millis;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// assert_eq!(queue::Queue::<()>::new(settings).pop(Millis(0)), None);
+    /// ```
+    pub fn pop(&mut self, now: time::Millis) -> Option<T> {
+        self.pop_with(now, |_| Some(())).map(|(item, ())| item)
+    }
+
+    /// Takes the next request for which `place` finds an endpoint, with what `place` returned. Only the first request of
+    /// each workspace is tried, so that a workspace whose endpoints are full does not hold up the others.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # use chestnutpick_types::{size::Tokens, time::Millis};
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// let mut queue = queue::Queue::new(settings);
+    /// for workspace in ["full", "free"] {
+    ///     let request = queue::Request {
+    ///         workspace: workspace.parse().unwrap(),
+    ///         priority: queue::Priority::Normal,
+    ///         cost: Tokens(500),
+    ///         deadline: None,
+    ///         item: workspace,
+    ///     };
+    ///     queue.push(Millis(0), request).unwrap();
+    /// }
+    /// let placed = queue.pop_with(Millis(0), |item| (*item == "free").then_some("gpu-1"));
+    /// assert_eq!(placed, Some(("free", "gpu-1")));
+    /// ```
+    pub fn pop_with<F, P>(&mut self, now: time::Millis, mut place: F) -> Option<(T, P)>
+    where
+        F: FnMut(&T) -> Option<P>,
+    {
+        let mut after = None;
+        while let Some((pass, workspace)) = self.next_lane(after.as_ref()) {
+            let (level, head) = self.lanes.get(&workspace)?.head()?;
+            if let Some(placed) = place(&head.item) {
+                let waiting = self.serve(now, &workspace, level, pass)?;
+                return Some((waiting.item, placed));
+            }
+            after = Some((pass, workspace));
+        }
+        None
+    }
+
+    /// Returns the backlogged workspace that follows `after` in the order of passes.
+    fn next_lane(&self, after: Option<&(u64, id::WorkspaceId)>) -> Option<(u64, id::WorkspaceId)> {
+        let waiting = self.lanes.iter().filter(|(_, lane)| lane.head().is_some());
+        let order = waiting.map(|(workspace, lane)| (lane.pass, workspace));
+        let rest = order.filter(|(pass, workspace)| {
+            after.is_none_or(|(last, name)| (*pass, *workspace) > (*last, name))
+        });
+        rest.min().map(|(pass, workspace)| (pass, workspace.clone()))
+    }
+
+    fn serve(
+        &mut self,
+        now: time::Millis,
+        workspace: &id::WorkspaceId,
+        level: usize,
+        pass: u64,
+    ) -> Option<Waiting<T>> {
+        let lane = self.lanes.get_mut(workspace)?;
+        let waiting = lane.take(now, level, 0)?;
+        lane.on_served(now, &waiting);
+        self.pass = self.pass.max(pass);
+        self.unlist(&waiting);
+        Some(waiting)
+    }
+
+    fn unlist(&mut self, waiting: &Waiting<T>) {
+        self.tickets.remove(&waiting.ticket);
+        if let Some(deadline) = waiting.deadline {
+            self.deadlines.remove(&(deadline, waiting.ticket));
+        }
+    }
+
+    /// Removes a waiting request, for example because its client has left.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # use chestnutpick_types::{size::Tokens, time::Millis};
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// # let mut queue = queue::Queue::new(settings);
+    /// # let request = queue::Request { workspace: "studio".parse().unwrap(),
+    /// #     priority: queue::Priority::Normal, cost: Tokens(500), deadline: None, item: "a" };
+    /// let ticket = queue.push(Millis(0), request).unwrap();
+    /// assert_eq!(queue.cancel(Millis(1), ticket), Some("a"));
+    /// assert_eq!(queue.cancel(Millis(1), ticket), None);
+    /// ```
+    pub fn cancel(&mut self, now: time::Millis, ticket: Ticket) -> Option<T> {
+        let (workspace, level) = self.tickets.get(&ticket)?.clone();
+        let lane = self.lanes.get_mut(&workspace)?;
+        let at = lane.levels[level].binary_search_by_key(&ticket, |waiting| waiting.ticket);
+        let waiting = lane.take(now, level, at.ok()?)?;
+        self.unlist(&waiting);
+        Some(waiting.item)
+    }
+
+    /// Removes and returns the requests whose deadline has passed, in the order of their deadlines.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # use chestnutpick_types::{size::Tokens, time::Millis};
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// # let mut queue = queue::Queue::new(settings);
+    /// # let request = queue::Request { workspace: "studio".parse().unwrap(), cost: Tokens(500),
+    /// #     priority: queue::Priority::Normal, deadline: Some(Millis(30)), item: "a" };
+    /// queue.push(Millis(0), request).unwrap();
+    /// assert_eq!(queue.next_deadline(), Some(Millis(30)));
+    /// assert_eq!(queue.expire(Millis(30)), ["a"]);
+    /// ```
+    pub fn expire(&mut self, now: time::Millis) -> Vec<T> {
+        let mut expired = Vec::new();
+        while let Some((deadline, ticket)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            expired.extend(self.cancel(now, ticket));
+        }
+        expired
+    }
+
+    /// Returns the earliest deadline.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// assert_eq!(queue::Queue::<()>::new(settings).next_deadline(), None);
+    /// ```
+    pub fn next_deadline(&self) -> Option<time::Millis> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Returns the number of waiting requests.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// assert_eq!(queue::Queue::<()>::new(settings).len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Returns whether no request is waiting.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// assert!(queue::Queue::<()>::new(settings).is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    /// Returns the state for the state dump.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::queue;
+    /// # let settings = queue::Settings { max_len: 10, max_total: 100 };
+    /// assert_eq!(queue::Queue::<()>::new(settings).dump()["waiting"], 0);
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        let lanes = self.lanes.iter().map(|(workspace, lane)| {
+            let state = serde_json::json!({
+                "weight": lane.weight,
+                "pass": lane.pass,
+                "waiting": lane.levels.each_ref().map(collections::VecDeque::len),
+                "memory": lane.costs,
+            });
+            (workspace.to_string(), state)
+        });
+        serde_json::json!({
+            "waiting": self.len(),
+            "max_len": self.settings.max_len,
+            "max_total": self.settings.max_total,
+            "workspaces": lanes.collect::<serde_json::Map<_, _>>(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_routing/src/suspects.rs
@@ -0,0 +1,232 @@
+//! Crash suspects: fingerprints of requests that were in flight when an endpoint crashed.
+//!
+//! Entries and agents exchange their lists by heartbeat. A list is a set of crash records that only grows, but for expiry
+//! and a bound on its size that keep the same records everywhere, so that merging is idempotent and commutative. Times are
+//! Unix times, because records outlive a process and travel between hosts.
+
+use std::collections;
+
+use chestnutpick_types::digest;
+use chestnutpick_types::id;
+use chestnutpick_types::time;
+
+/// Time after a crash at which it no longer counts: long enough to outlast the retries of a caller that backs off by
+/// minutes, short enough that an innocent request is not kept apart for long.
+pub const RETENTION: time::Millis = time::Millis::from_secs(600);
+
+/// Records that are kept at most, the newest; at about 150 B each the list stays below 1 MB.
+pub const MAX_RECORDS: usize = 4_096;
+
+/// Crashes that quarantine a fingerprint.
+const QUARANTINE: usize = 2;
+
+/// One request that was in flight at one crash. Records are ordered by time first.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct Record {
+    /// Unix time of the crash, as the host that noticed it saw it.
+    pub at: time::Millis,
+    /// The request's fingerprint.
+    pub fingerprint: digest::Digest,
+    /// The endpoint that crashed.
+    pub host: id::HostId,
+    /// The generation of the engine that crashed; two attempts lost in one crash count once.
+    pub generation: u64,
+}
+
+/// What is known of a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// It was in flight at no known crash.
+    Clear,
+    /// It was in flight at one crash: it may run only where no other suspect runs.
+    Suspect,
+    /// It was in flight at two crashes: it must not run.
+    Quarantined,
+}
+
+type Crashes = collections::BTreeMap<(id::HostId, u64), time::Millis>;
+
+/// The list of suspects of one process.
+#[derive(Debug, Clone, Default)]
+pub struct Suspects {
+    fingerprints: collections::BTreeMap<digest::Digest, Crashes>,
+    records: usize,
+}
+
+impl Suspects {
+    /// Records that `fingerprints` were in flight when `generation` of the engine on `host` crashed.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::Suspects::default();
+    /// let prompt = Digest::of(b"prompt");
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[prompt]);
+    /// assert_eq!(suspects.standing(Millis(1), &prompt), suspects::Standing::Suspect);
+    /// suspects.on_crash(Millis(2), &"gpu-2".parse().unwrap(), 4, &[prompt]);
+    /// assert_eq!(suspects.standing(Millis(3), &prompt), suspects::Standing::Quarantined);
+    /// ```
+    pub fn on_crash(
+        &mut self,
+        now: time::Millis,
+        host: &id::HostId,
+        generation: u64,
+        fingerprints: &[digest::Digest],
+    ) {
+        let records = fingerprints.iter().map(|fingerprint| Record {
+            at: now,
+            fingerprint: *fingerprint,
+            host: host.clone(),
+            generation,
+        });
+        self.merge(now, records);
+    }
+
+    /// Adds the records of another list. Records may come in any order, in parts and repeatedly.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut first = suspects::Suspects::default();
+    /// first.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[Digest::of(b"prompt")]);
+    /// let mut second = suspects::Suspects::default();
+    /// second.merge(Millis(1), first.list(Millis(1)));
+    /// second.merge(Millis(2), first.list(Millis(2)));
+    /// assert_eq!(second.list(Millis(2)), first.list(Millis(2)));
+    /// ```
+    pub fn merge<I>(&mut self, now: time::Millis, records: I)
+    where
+        I: IntoIterator<Item = Record>,
+    {
+        for record in records {
+            self.insert(record);
+        }
+        self.expire(now);
+        self.shrink();
+    }
+
+    fn insert(&mut self, record: Record) {
+        let crashes = self.fingerprints.entry(record.fingerprint).or_default();
+        match crashes.entry((record.host, record.generation)) {
+            collections::btree_map::Entry::Vacant(entry) => {
+                entry.insert(record.at);
+                self.records += 1;
+            }
+            collections::btree_map::Entry::Occupied(mut entry) => {
+                let at = record.at.max(*entry.get());
+                entry.insert(at);
+            }
+        }
+    }
+
+    /// Drops records that no longer count.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::Suspects::default();
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[Digest::of(b"prompt")]);
+    /// suspects.expire(suspects::RETENTION);
+    /// assert_eq!(suspects.len(), 0);
+    /// ```
+    pub fn expire(&mut self, now: time::Millis) {
+        self.retain(|at, _, _| is_valid(now, at));
+    }
+
+    fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(time::Millis, &digest::Digest, &(id::HostId, u64)) -> bool,
+    {
+        self.fingerprints.retain(|fingerprint, crashes| {
+            crashes.retain(|crash, at| keep(*at, fingerprint, crash));
+            !crashes.is_empty()
+        });
+        self.records = self.fingerprints.values().map(Crashes::len).sum();
+    }
+
+    fn shrink(&mut self) {
+        if self.records <= MAX_RECORDS {
+            return;
+        }
+        let mut records = self.records();
+        records.sort();
+        let Some(oldest) = records.get(records.len() - MAX_RECORDS).cloned() else { return };
+        let least = (oldest.at, oldest.fingerprint, (oldest.host, oldest.generation));
+        self.retain(|at, fingerprint, crash| (at, *fingerprint, crash.clone()) >= least);
+    }
+
+    /// Returns what is known of `fingerprint`.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let suspects = suspects::Suspects::default();
+    /// assert_eq!(suspects.standing(Millis(0), &Digest::of(b"a")), suspects::Standing::Clear);
+    /// ```
+    pub fn standing(&self, now: time::Millis, fingerprint: &digest::Digest) -> Standing {
+        let crashes = self.fingerprints.get(fingerprint).into_iter().flatten();
+        match crashes.filter(|(_, at)| is_valid(now, **at)).take(QUARANTINE).count() {
+            0 => Standing::Clear,
+            1 => Standing::Suspect,
+            _ => Standing::Quarantined,
+        }
+    }
+
+    /// Returns the records that count, for another process, in ascending order of fingerprint.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::time::Millis;
+    /// assert!(suspects::Suspects::default().list(Millis(0)).is_empty());
+    /// ```
+    pub fn list(&self, now: time::Millis) -> Vec<Record> {
+        let mut records = self.records();
+        records.retain(|record| is_valid(now, record.at));
+        records
+    }
+
+    fn records(&self) -> Vec<Record> {
+        let all = self.fingerprints.iter().flat_map(|(fingerprint, crashes)| {
+            crashes.iter().map(|((host, generation), at)| Record {
+                at: *at,
+                fingerprint: *fingerprint,
+                host: host.clone(),
+                generation: *generation,
+            })
+        });
+        all.collect()
+    }
+
+    /// Returns the number of records.
+    ///
+    /// ```
+    /// assert_eq!(chestnutpick_routing::suspects::Suspects::default().len(), 0);
+    /// ```
+    pub const fn len(&self) -> usize {
+        self.records
+    }
+
+    /// Returns whether there are no records.
+    ///
+    /// ```
+    /// assert!(chestnutpick_routing::suspects::Suspects::default().is_empty());
+    /// ```
+    pub const fn is_empty(&self) -> bool {
+        self.records == 0
+    }
+
+    /// Returns the state for the state dump.
+    ///
+    /// ```
+    /// let dump = chestnutpick_routing::suspects::Suspects::default().dump();
+    /// assert_eq!(dump["records"], serde_json::json!([]));
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({ "records": self.records() })
+    }
+}
+
+const fn is_valid(now: time::Millis, at: time::Millis) -> bool {
+    now.since(at).0 < RETENTION.0
+}
--- /dev/null
+++ b/crates/chestnutpick_routing/src/table.rs
@@ -0,0 +1,308 @@
+//! The endpoint table of an entry.
+
+use std::collections;
+
+use chestnutpick_types::error;
+use chestnutpick_types::id;
+use chestnutpick_types::size;
+use chestnutpick_types::time;
+use rand_core::Rng;
+
+use crate::choice;
+use crate::endpoint;
+use crate::index;
+use crate::report;
+
+/// What an entry knows of its endpoints.
+#[derive(Debug)]
+pub struct Table {
+    pub(crate) endpoints: Vec<Option<endpoint::Endpoint>>,
+    pub(crate) index: index::Index,
+    free: Vec<usize>,
+    hosts: collections::HashMap<id::HostId, usize>,
+    entries: u32,
+}
+
+impl Table {
+    /// Returns an empty table for one of `entries` entries that send to the same endpoints.
+    ///
+    /// ```
+    /// use chestnutpick_routing::table;
+    /// assert_eq!(table::Table::new(7).len(), 0);
+    /// ```
+    pub fn new(entries: u32) -> Self {
+        Self {
+            endpoints: Vec::new(),
+            index: index::Index::default(),
+            free: Vec::new(),
+            hosts: collections::HashMap::new(),
+            entries: entries.max(1),
+        }
+    }
+
+    /// Sets the number of entries, this one included, that send to the same endpoints; it applies to later reports.
+    ///
+    /// ```
+    /// use chestnutpick_routing::table;
+    /// let mut table = table::Table::new(7);
+    /// table.set_entries(8);
+    /// assert_eq!(table.dump()["entries"], 8);
+    /// ```
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Takes a report, which adds the endpoint if it is not in the table. Returns false if the report is older than the
+    /// last one from this host and was ignored.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::{report, table};
+    /// # use chestnutpick_types::{digest::Digest, size::Tokens, time::Millis};
+    /// let report = report::Report {
+    ///     host: "gpu-1".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     incarnation: 1,
+    ///     seq: 1,
+    ///     targets: vec![report::Target::Weights(Digest::of(b"v1"))],
+    ///     limits: report::Amount { slots: 16, memory: Tokens(64_000) },
+    ///     load: report::Amount::default(),
+    ///     temperature: report::Temperature::Warm,
+    ///     leaving: false,
+    ///     suspect: false,
+    /// };
+    /// let mut table = table::Table::new(1);
+    /// assert!(table.on_report(Millis(5), &report));
+    /// assert!(!table.on_report(Millis(6), &report));
+    /// ```
+    pub fn on_report(&mut self, now: time::Millis, report: &report::Report) -> bool {
+        let number = self.number_of(report);
+        let Some(endpoint) = &mut self.endpoints[number] else { return false };
+        if endpoint.is_stale(report) {
+            return false;
+        }
+        endpoint.on_report(now, report, self.entries);
+        if endpoint.targets != report.targets || endpoint.zone != report.zone {
+            endpoint.targets.clone_from(&report.targets);
+            endpoint.zone = report.zone.clone();
+            self.place(number);
+        }
+        self.refresh(number);
+        true
+    }
+
+    fn number_of(&mut self, report: &report::Report) -> usize {
+        if let Some(number) = self.hosts.get(&report.host) {
+            return *number;
+        }
+        let endpoint = Some(endpoint::Endpoint::new(report));
+        let number = self.free.pop().unwrap_or(self.endpoints.len());
+        match self.endpoints.get_mut(number) {
+            Some(slot) => *slot = endpoint,
+            None => self.endpoints.push(endpoint),
+        }
+        self.hosts.insert(report.host.clone(), number);
+        number
+    }
+
+    fn place(&mut self, number: usize) {
+        self.index.remove(number);
+        let Some(endpoint) = &self.endpoints[number] else { return };
+        for target in &endpoint.targets {
+            self.index.insert(number, endpoint.seed, target, &endpoint.zone);
+        }
+    }
+
+    fn refresh(&mut self, number: usize) {
+        let is_open = self.endpoints[number].as_ref().is_some_and(endpoint::Endpoint::is_open);
+        self.index.set_open(number, is_open);
+    }
+
+    fn change<F>(&mut self, host: &id::HostId, change: F)
+    where
+        F: FnOnce(&mut endpoint::Endpoint),
+    {
+        let Some(number) = self.hosts.get(host).copied() else { return };
+        let Some(endpoint) = &mut self.endpoints[number] else { return };
+        change(endpoint);
+        if endpoint.removed && endpoint.own.slots == 0 {
+            self.forget(number);
+        } else {
+            self.refresh(number);
+        }
+    }
+
+    fn forget(&mut self, number: usize) {
+        self.index.remove(number);
+        if let Some(endpoint) = self.endpoints[number].take() {
+            self.hosts.remove(&endpoint.host);
+            self.free.push(number);
+        }
+    }
+
+    /// Counts an attempt that is sent to `host`.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::table;
+    /// # use chestnutpick_types::size::Tokens;
+    /// let mut table = table::Table::new(1);
+    /// table.on_sent(&"gone".parse().unwrap(), Tokens(100));
+    /// assert!(table.is_empty());
+    /// ```
+    pub fn on_sent(&mut self, host: &id::HostId, cost: size::Tokens) {
+        self.change(host, |endpoint| endpoint.own.add(cost));
+    }
+
+    /// Counts the end of an attempt that was sent to `host`; called exactly once for each call of `on_sent`. What a
+    /// failure says about the endpoint is believed until its next report.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::{report, table};
+    /// # use chestnutpick_types::size::Tokens;
+    /// let mut table = table::Table::new(1);
+    /// table.on_done(&"gone".parse().unwrap(), Tokens(100), report::Outcome::Done);
+    /// assert!(table.is_empty());
+    /// ```
+    pub fn on_done(&mut self, host: &id::HostId, cost: size::Tokens, outcome: report::Outcome) {
+        self.change(host, |endpoint| {
+            endpoint.own.remove(cost);
+            if let report::Outcome::Failed(kind) = outcome {
+                endpoint.on_failed(kind);
+            }
+        });
+    }
+
+    /// Stops sending to `host` until its next report.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::table;
+    /// let mut table = table::Table::new(1);
+    /// table.on_unreachable(&"gone".parse().unwrap());
+    /// assert!(table.is_empty());
+    /// ```
+    pub fn on_unreachable(&mut self, host: &id::HostId) {
+        self.change(host, |endpoint| endpoint.reachable = false);
+    }
+
+    /// Stops sending to `host`, which is leaving, until an incarnation of it that is not leaving reports.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::table;
+    /// let mut table = table::Table::new(1);
+    /// table.on_leaving(&"gone".parse().unwrap());
+    /// assert!(table.is_empty());
+    /// ```
+    pub fn on_leaving(&mut self, host: &id::HostId) {
+        self.change(host, |endpoint| endpoint.leaving = true);
+    }
+
+    /// Sets the availability zones that operators have taken out of service; it replaces the previous set.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::table;
+    /// let mut table = table::Table::new(1);
+    /// table.set_zones_out(["lima".parse().unwrap()].into());
+    /// assert_eq!(table.dump()["zones_out"][0], "lima");
+    /// ```
+    pub fn set_zones_out(&mut self, out: collections::BTreeSet<id::ZoneId>) {
+        self.index.set_out(out);
+    }
+
+    /// Removes `host`. Attempts in flight there are still counted, so that it is forgotten when they have ended; a later
+    /// report adds it again.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::table;
+    /// let mut table = table::Table::new(1);
+    /// table.remove(&"gone".parse().unwrap());
+    /// assert!(table.is_empty());
+    /// ```
+    pub fn remove(&mut self, host: &id::HostId) {
+        self.change(host, |endpoint| endpoint.removed = true);
+    }
+
+    /// Chooses an endpoint for one attempt. It prefers the entry's own zone, takes the less loaded of two random endpoints
+    /// that can take the attempt, and prefers the one that has probably cached the prompt's prefix unless it is too full.
+    /// A suspect has a single endpoint that all entries agree on, so that it cannot crash several at once. Does not
+    /// allocate.
+    ///
+    /// # Errors
+    /// `NoEndpoint` if no endpoint can take the attempt; `SuspectBusy` if a suspect's endpoint is running another suspect.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::{choice, report, table};
+    /// # use chestnutpick_types::{error::ErrorKind, size::Tokens, time::Millis};
+    /// # use rand_xoshiro::rand_core::SeedableRng;
+    /// let mut rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(1);
+    /// let query = choice::Query {
+    ///     target: &report::Target::Service("ledger".parse().unwrap()),
+    ///     zone: &"lima".parse().unwrap(),
+    ///     cost: Tokens(1),
+    ///     prefix: None,
+    ///     exclude: &[],
+    ///     suspect: None,
+    /// };
+    /// let table = table::Table::new(1);
+    /// assert_eq!(table.choose(Millis(0), &query, &mut rng), Err(ErrorKind::NoEndpoint));
+    /// ```
+    pub fn choose<R>(
+        &self,
+        now: time::Millis,
+        query: &choice::Query<'_>,
+        rng: &mut R,
+    ) -> Result<id::HostId, error::ErrorKind>
+    where
+        R: Rng,
+    {
+        let chooser = choice::Chooser { table: self, now, query };
+        match query.suspect {
+            Some(key) => chooser.agreed(key),
+            None => chooser.any(rng).ok_or(error::ErrorKind::NoEndpoint),
+        }
+    }
+
+    /// Returns the number of endpoints, including those that cannot take an attempt.
+    ///
+    /// ```
+    /// assert_eq!(chestnutpick_routing::table::Table::new(1).len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns whether the table has no endpoints.
+    ///
+    /// ```
+    /// assert!(chestnutpick_routing::table::Table::new(1).is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns how many endpoints serve `target`, whether or not they can take an attempt.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::{report, table};
+    /// let ledger = report::Target::Service("ledger".parse().unwrap());
+    /// assert_eq!(table::Table::new(1).serving(&ledger), 0);
+    /// ```
+    pub fn serving(&self, target: &report::Target) -> usize {
+        let groups = self.index.groups(target).iter();
+        groups.map(|number| self.index.group(*number).members().len()).sum()
+    }
+
+    /// Returns the state for the state dump, endpoints in ascending order of host.
+    ///
+    /// ```
+    /// let dump = chestnutpick_routing::table::Table::new(1).dump();
+    /// assert_eq!(dump["endpoints"], serde_json::json!([]));
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        let mut endpoints: Vec<_> = self.endpoints.iter().flatten().collect();
+        endpoints.sort_by(|a, b| a.host.cmp(&b.host));
+        serde_json::json!({
+            "entries": self.entries,
+            "zones_out": self.index.out(),
+            "endpoints": endpoints.iter().map(|endpoint| endpoint.dump()).collect::<Vec<_>>(),
+        })
+    }
+}
