Build the agent on the policy libraries

Cause: the interfaces of admission, routing, weights and config have settled.

Change: adaptations only; pages can be shared without cloning the node.

--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -67,11 +67,17 @@
     }
 }
 
-async fn run(node: rc::Rc<node::Node>, request: &mut http::Request) -> Result<respond::Response, error::Refusal> {
+async fn run(
+    node: rc::Rc<node::Node>,
+    request: &mut http::Request,
+) -> Result<respond::Response, error::Refusal> {
     let head = Head::read(request)?;
     let body = request::read_body(request, size::Bytes(settings::MAX_BODY)).await?;
     let completion: Completion = serde_json::from_slice(&body).map_err(|reason| {
-        error::Refusal::new(error::ErrorKind::InvalidRequest, format!("the body is not a completion: {reason}"))
+        error::Refusal::new(
+            error::ErrorKind::InvalidRequest,
+            format!("the body is not a completion: {reason}"),
+        )
     })?;
     admit(&node, &head, &completion)?;
     let running = node::Running::new(rc::Rc::clone(&node), head.attempt.clone());
@@ -99,7 +105,9 @@
     };
     match node.admit(&ask)? {
         attempt::Admitted::Run => Ok(()),
-        attempt::Admitted::Running | attempt::Admitted::Finished(_) | attempt::Admitted::Unknown => {
+        attempt::Admitted::Running
+        | attempt::Admitted::Finished(_)
+        | attempt::Admitted::Unknown => {
             let message = format!("attempt {} was received before", head.attempt);
             Err(error::Refusal::new(error::ErrorKind::OutcomeUnknown, message))
         }
@@ -112,7 +120,9 @@
             (error::ErrorKind::EndpointUnreachable, attempt::Outcome::NotSent)
         }
         client::CallError::Lost { .. } => (error::ErrorKind::EndpointLost, attempt::Outcome::Lost),
-        client::CallError::Timeout { .. } => (error::ErrorKind::EndpointSilent, attempt::Outcome::Lost),
+        client::CallError::Timeout { .. } => {
+            (error::ErrorKind::EndpointSilent, attempt::Outcome::Lost)
+        }
     };
     running.end(outcome);
     error::Refusal::new(kind, reason.to_string())
--- a/crates/chestnutpick_agent/src/calls.rs
+++ b/crates/chestnutpick_agent/src/calls.rs
@@ -34,7 +34,10 @@
     }
 }
 
-async fn run(node: rc::Rc<node::Node>, request: &mut http::Request) -> Result<respond::Response, error::Refusal> {
+async fn run(
+    node: rc::Rc<node::Node>,
+    request: &mut http::Request,
+) -> Result<respond::Response, error::Refusal> {
     let call = read(request).await?;
     if !node.settings.endpoint.services.contains(&call.service) {
         let message = format!("{} does not offer service {}", node.settings.host, call.service);
@@ -85,12 +88,16 @@
     })
 }
 
-async fn execute(node: rc::Rc<node::Node>, call: Call) -> Result<respond::Response, error::Refusal> {
+async fn execute(
+    node: rc::Rc<node::Node>,
+    call: Call,
+) -> Result<respond::Response, error::Refusal> {
     let attempt = call.attempt.clone();
     // A task of its own: a call that was sent is not cancelled when the entry's connection breaks.
     let task = actix_rt::spawn(async move {
         let running = node::Running::new(rc::Rc::clone(&node), call.attempt.clone());
-        let sent = node.service.call(call.method.into(), call.path.into(), call.headers, call.body).await;
+        let sent =
+            node.service.call(call.method.into(), call.path.into(), call.headers, call.body).await;
         match sent {
             Ok(response) => complete(running, response).await,
             Err(reason) => Err(failed(running, &reason)),
@@ -109,7 +116,8 @@
 ) -> Result<node::Stored, error::Refusal> {
     match response.read(size::Bytes(settings::MAX_BODY)).await {
         Ok(body) => {
-            let content_type = response.header("content-type").unwrap_or("application/octet-stream").into();
+            let content_type =
+                response.header("content-type").unwrap_or("application/octet-stream").into();
             let stored = node::Stored { status: response.status, content_type, body };
             running.end(attempt::Outcome::Done(stored.clone()));
             Ok(stored)
--- a/crates/chestnutpick_agent/src/chunks.rs
+++ b/crates/chestnutpick_agent/src/chunks.rs
@@ -58,7 +58,12 @@
     }
 
     /// Sets the limits of uploads from `own`.
-    pub fn start_uploads(&mut self, now: time::Millis, settings: &settings::Weights, own: assignment::Member) {
+    pub fn start_uploads(
+        &mut self,
+        now: time::Millis,
+        settings: &settings::Weights,
+        own: assignment::Member,
+    ) {
         let limits = uploads::Limits {
             total: settings.uploads,
             pace: rate::BytesPerSec(settings.upload_rate),
@@ -105,7 +110,9 @@
         data: Bytes,
         from_origin: bool,
     ) -> Result<(), String> {
-        let Some(entry) = self.versions.get_mut(&version) else { return Err("the version is closed".to_owned()) };
+        let Some(entry) = self.versions.get_mut(&version) else {
+            return Err("the version is closed".to_owned());
+        };
         let len = size::Bytes::of_len(data.len());
         if from_origin {
             self.origin_bytes += len.0;
@@ -135,7 +142,8 @@
 
     /// Notes that the engine serves the version, after which its chunks are kept for peers only.
     pub fn on_loaded(&mut self, now: time::Millis, version: digest::Digest) {
-        let dependents = self.versions.get(&version).map(|entry| entry.dependents.clone()).unwrap_or_default();
+        let dependents =
+            self.versions.get(&version).map(|entry| entry.dependents.clone()).unwrap_or_default();
         // Peers in the zone may still fetch from any holder, so an empty list of dependents does not free at once.
         let dependents = if dependents.is_empty() { self.own_host() } else { dependents };
         let actions = self.memory.on_loaded(now, version, dependents);
@@ -169,7 +177,9 @@
 
     /// Returns chunks held and chunks in all of the version in transfer.
     pub fn progress(&self) -> (u32, u32) {
-        let Some(entry) = self.current.and_then(|version| self.versions.get(&version)) else { return (0, 0) };
+        let Some(entry) = self.current.and_then(|version| self.versions.get(&version)) else {
+            return (0, 0);
+        };
         let held = entry.data.iter().flatten().count();
         (count(held), count(entry.data.len()))
     }
@@ -244,7 +254,8 @@
         return respond::refusal(&error::Refusal::new(error::ErrorKind::HeaderMissing, message));
     };
     let mut chunks = node.chunks.borrow_mut();
-    let data = chunks.versions.get(&version).and_then(|entry| entry.data.get(index).cloned().flatten());
+    let data =
+        chunks.versions.get(&version).and_then(|entry| entry.data.get(index).cloned().flatten());
     let Some(data) = data else { return not_held() };
     let len = size::Bytes::of_len(data.len());
     let region_rate = rate::BytesPerSec(node.settings.weights.region_rate);
--- a/crates/chestnutpick_agent/src/control.rs
+++ b/crates/chestnutpick_agent/src/control.rs
@@ -11,7 +11,12 @@
 use crate::node;
 
 impl server::Handler for node::Node {
-    fn heartbeat(&self, sender: id::HostId, _revision: u64, suspects: Vec<suspects::Record>) -> message::Report {
+    fn heartbeat(
+        &self,
+        sender: id::HostId,
+        _revision: u64,
+        suspects: Vec<suspects::Record>,
+    ) -> message::Report {
         let now = self.now();
         self.entries.borrow_mut().insert(sender, now);
         self.suspects.borrow_mut().merge(time::unix_now(), suspects);
@@ -46,7 +51,10 @@
                 message::Verdict::Finished { status: stored.status, body: stored.body }
             }
         };
-        event::Event::new("attempt_settled").with("attempt", attempt).with("verdict", name(&verdict)).info();
+        event::Event::new("attempt_settled")
+            .with("attempt", attempt)
+            .with("verdict", name(&verdict))
+            .info();
         verdict
     }
 }
@@ -101,5 +109,4 @@
             suspect_running: report.suspect,
         }
     }
-
 }
--- a/crates/chestnutpick_agent/src/engine.rs
+++ b/crates/chestnutpick_agent/src/engine.rs
@@ -37,7 +37,9 @@
                 apply(&node, &change);
             }
             // A slow status says nothing about the requests in flight; their progress timeouts decide.
-            Err(reason) => event::Event::new("engine_status_missing").with("reason", reason).debug(),
+            Err(reason) => {
+                event::Event::new("engine_status_missing").with("reason", reason).debug()
+            }
         }
         tokio::select! {
             () = stop.cancelled() => {}
--- a/crates/chestnutpick_agent/src/node.rs
+++ b/crates/chestnutpick_agent/src/node.rs
@@ -138,12 +138,19 @@
     /// # Errors
     ///
     /// Returns the kind that the admission table gives, with a message that names the limits.
-    pub fn admit(&self, request: &attempt::Request) -> Result<attempt::Admitted<Stored>, error::Refusal> {
+    pub fn admit(
+        &self,
+        request: &attempt::Request,
+    ) -> Result<attempt::Admitted<Stored>, error::Refusal> {
         let admitted = self.table.borrow_mut().admit(self.now(), request);
         admitted.map_err(|kind| {
             metrics::counter!("agent_refused_total", "kind" => kind.to_string()).increment(1);
-            event::Event::new("attempt_refused").with("attempt", &request.attempt).with("kind", kind).info();
-            let message = format!("{}: refused before anything was sent to the endpoint", self.settings.host);
+            event::Event::new("attempt_refused")
+                .with("attempt", &request.attempt)
+                .with("kind", kind)
+                .info();
+            let message =
+                format!("{}: refused before anything was sent to the endpoint", self.settings.host);
             error::Refusal::new(kind, message)
         })
     }
--- a/crates/chestnutpick_agent/src/run.rs
+++ b/crates/chestnutpick_agent/src/run.rs
@@ -52,7 +52,11 @@
     Ok(())
 }
 
-fn announce(node: &node::Node, http: &net::TcpListener, control: &net::TcpListener) -> io::Result<()> {
+fn announce(
+    node: &node::Node,
+    http: &net::TcpListener,
+    control: &net::TcpListener,
+) -> io::Result<()> {
     event::Event::new("listening")
         .with("http", http.local_addr()?)
         .with("control", control.local_addr()?)
@@ -61,7 +65,11 @@
     Ok(())
 }
 
-fn spawn_tasks(node: &rc::Rc<node::Node>, stop: &sync::CancellationToken, control: net::TcpListener) {
+fn spawn_tasks(
+    node: &rc::Rc<node::Node>,
+    stop: &sync::CancellationToken,
+    control: net::TcpListener,
+) {
     let share = || (rc::Rc::clone(node), stop.clone());
     let (serving, token) = share();
     actix_rt::spawn(chestnutpick_rpc::server::serve(control, token, serving));
@@ -90,7 +98,9 @@
 fn handler(
     node: &rc::Rc<node::Node>,
     pages: page::Pages<node::Node>,
-) -> impl Fn(http::Request) -> futures::future::LocalBoxFuture<'static, respond::Response> + Clone + 'static {
+) -> impl Fn(http::Request) -> futures::future::LocalBoxFuture<'static, respond::Response>
++ Clone
++ 'static {
     let node = rc::Rc::clone(node);
     move |request| Box::pin(dispatch(rc::Rc::clone(&node), pages.clone(), request))
 }
--- a/crates/chestnutpick_agent/src/settings.rs
+++ b/crates/chestnutpick_agent/src/settings.rs
@@ -142,7 +142,11 @@
         check::in_range("endpoint.slots", self.endpoint.slots, 1..=4_096)?;
         check::in_range("endpoint.cold_slots", self.endpoint.cold_slots, 1..=self.endpoint.slots)?;
         check::in_range("endpoint.memory_tokens", self.endpoint.memory_tokens, 1..=1_000_000_000)?;
-        check::in_range("endpoint.progress_timeout_ms", self.endpoint.progress_timeout_ms, 10..=600_000)?;
+        check::in_range(
+            "endpoint.progress_timeout_ms",
+            self.endpoint.progress_timeout_ms,
+            10..=600_000,
+        )?;
         check::in_range("weights.fetches", self.weights.fetches, 1..=64)?;
         check::in_range("weights.uploads", self.weights.uploads, 1..=256)?;
         check::in_range("weights.memory_bytes", self.weights.memory_bytes, 1 << 20..=1 << 42)?;
--- a/crates/chestnutpick_agent/src/transfer.rs
+++ b/crates/chestnutpick_agent/src/transfer.rs
@@ -121,9 +121,15 @@
     let Some(epoch) = node.epoch.get() else { return };
     let Some(pieces) = node.chunks.borrow().all(want.digest) else { return };
     match node.engine.load(want.digest, epoch, pieces).await {
-        Ok(()) => event::Event::new("load_ordered").with("digest", want.digest).with("epoch", epoch).info(),
+        Ok(()) => event::Event::new("load_ordered")
+            .with("digest", want.digest)
+            .with("epoch", epoch)
+            .info(),
         // The status of the engine settles what became of the order.
-        Err(reason) => event::Event::new("load_failed").with("digest", want.digest).with("reason", reason).warn(),
+        Err(reason) => event::Event::new("load_failed")
+            .with("digest", want.digest)
+            .with("reason", reason)
+            .warn(),
     }
     wait_for_gate(node, want.digest).await;
 }
@@ -158,7 +164,10 @@
     if let Some(digest) = unwanted {
         match node.engine.unload(digest, epoch).await {
             Ok(()) => event::Event::new("unload_ordered").with("digest", digest).info(),
-            Err(reason) => event::Event::new("unload_failed").with("digest", digest).with("reason", reason).warn(),
+            Err(reason) => event::Event::new("unload_failed")
+                .with("digest", digest)
+                .with("reason", reason)
+                .warn(),
         }
     }
 }
@@ -177,7 +186,10 @@
     outcome
 }
 
-async fn fetch_manifest(node: &rc::Rc<node::Node>, want: &Want) -> Result<(manifest::Manifest, Bytes), String> {
+async fn fetch_manifest(
+    node: &rc::Rc<node::Node>,
+    want: &Want,
+) -> Result<(manifest::Manifest, Bytes), String> {
     let path = format!("/v1/versions/{}/manifest", want.digest);
     for peer in manifest_peers(node) {
         let request = client::Request::new("GET", path.as_str());
@@ -196,7 +208,8 @@
 }
 
 fn parse_manifest(document: &[u8], want: &Want) -> Result<manifest::Manifest, String> {
-    let manifest: manifest::Manifest = serde_json::from_slice(document).map_err(|reason| reason.to_string())?;
+    let manifest: manifest::Manifest =
+        serde_json::from_slice(document).map_err(|reason| reason.to_string())?;
     manifest.check(want.digest).map_err(|reason| reason.to_string())?;
     Ok(manifest)
 }
@@ -205,7 +218,8 @@
 fn manifest_peers(node: &node::Node) -> Vec<net::SocketAddr> {
     let own = &node.settings;
     let hosts = node.hosts.borrow();
-    let mut peers: Vec<_> = hosts.iter().filter(|record| is_peer(record) && record.host != own.host).collect();
+    let mut peers: Vec<_> =
+        hosts.iter().filter(|record| is_peer(record) && record.host != own.host).collect();
     let mixed = |record: &hosts::HostRecord| {
         let text = format!("{}/{}", own.host, record.host);
         (record.zone != own.zone, digest::Digest::of(text.as_bytes()).prefix())
@@ -238,12 +252,22 @@
         let own = own_member(node);
         let view = view(node, want, manifest);
         node.chunks.borrow_mut().set_dependents(want.digest, view.dependents(&own.host));
-        let config = transfer::Config { fetches: node.settings.weights.fetches, ..transfer::Config::default() };
+        let config = transfer::Config {
+            fetches: node.settings.weights.fetches,
+            ..transfer::Config::default()
+        };
         let seed = digest::Digest::of(own.host.as_str().as_bytes()).prefix() ^ node.incarnation;
         let rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(seed);
-        let transfer =
-            transfer::Transfer::new(node.now(), config, own, want.digest, manifest, rc::Rc::new(view), rng)
-                .map_err(|reason| reason.to_string())?;
+        let transfer = transfer::Transfer::new(
+            node.now(),
+            config,
+            own,
+            want.digest,
+            manifest,
+            rc::Rc::new(view),
+            rng,
+        )
+        .map_err(|reason| reason.to_string())?;
         let (sender, events) = mpsc::unbounded_channel();
         let tasks = collections::BTreeMap::new();
         Ok(Self { node, want, manifest, transfer, tasks, sender, events, refreshed: node.now() })
@@ -296,7 +320,8 @@
             Event::Chunk(index, source, data) => {
                 self.tasks.remove(&(index, source.clone()));
                 let from_origin = source == Source::Origin;
-                let taken = self.node.chunks.borrow_mut().take(self.want.digest, index, data, from_origin);
+                let taken =
+                    self.node.chunks.borrow_mut().take(self.want.digest, index, data, from_origin);
                 match taken {
                     Ok(()) => self.transfer.on_chunk(now, index, &source),
                     Err(reason) => {
@@ -345,7 +370,8 @@
 
     fn ask(&mut self, peer: id::HostId) {
         let sender = self.sender.clone();
-        let (node, digest, chunks) = (rc::Rc::clone(self.node), self.want.digest, self.manifest.len());
+        let (node, digest, chunks) =
+            (rc::Rc::clone(self.node), self.want.digest, self.manifest.len());
         actix_rt::spawn(async move {
             let bitmap = holdings(&node, digest, chunks, &peer).await;
             let _ = sender.send(Event::Holdings(peer, bitmap));
@@ -378,10 +404,20 @@
         })
         .collect();
     members.push(own_member(node));
-    assignment::Assignment::new(want.digest, manifest.len(), &node.settings.platform.origin_region, members)
+    assignment::Assignment::new(
+        want.digest,
+        manifest.len(),
+        &node.settings.platform.origin_region,
+        members,
+    )
 }
 
-async fn from_origin(node: &node::Node, want: &Want, chunk: usize, limit: size::Bytes) -> Result<Bytes, Failure> {
+async fn from_origin(
+    node: &node::Node,
+    want: &Want,
+    chunk: usize,
+    limit: size::Bytes,
+) -> Result<Bytes, Failure> {
     let index = u32::try_from(chunk).unwrap_or(u32::MAX);
     let fetched = node.origin.chunk(want.model.clone(), want.version.clone(), index, limit).await;
     fetched.map_err(|_| Failure::Timeout)
@@ -395,18 +431,21 @@
     host: &id::HostId,
 ) -> Result<Bytes, Failure> {
     let address = address_of(node, host).ok_or(Failure::NotHeld)?;
-    let mut request = client::Request::new("GET", format!("/v1/versions/{}/chunks/{chunk}", want.digest));
+    let mut request =
+        client::Request::new("GET", format!("/v1/versions/{}/chunks/{chunk}", want.digest));
     let settings = &node.settings;
     request.headers = vec![
         ("x-host".into(), settings.host.as_str().into()),
         ("x-zone".into(), settings.zone.as_str().into()),
         ("x-region".into(), settings.region.as_str().into()),
     ];
-    let mut response = node.client.call(address, request, PIECE_TIMEOUT).await.map_err(|_| Failure::Timeout)?;
+    let mut response =
+        node.client.call(address, request, PIECE_TIMEOUT).await.map_err(|_| Failure::Timeout)?;
     match response.status {
         200 => response.read(limit).await.map_err(|_| Failure::Timeout),
         503 => {
-            let wait = response.header("x-retry-ms").and_then(|text| text.parse().ok()).unwrap_or(100);
+            let wait =
+                response.header("x-retry-ms").and_then(|text| text.parse().ok()).unwrap_or(100);
             Err(Failure::Refused(instant::Millis(wait)))
         }
         _ => Err(Failure::NotHeld),
--- a/crates/chestnutpick_process/src/page.rs
+++ b/crates/chestnutpick_process/src/page.rs
@@ -15,13 +15,18 @@
     fn state(&self) -> serde_json::Value;
 }
 
-/// The pages of one process.
-#[derive(Clone)]
+/// The pages of one process; cloning it shares the subject.
 pub struct Pages<S> {
     subject: rc::Rc<S>,
     metrics: metric::Page,
 }
 
+impl<S> Clone for Pages<S> {
+    fn clone(&self) -> Self {
+        Self { subject: rc::Rc::clone(&self.subject), metrics: self.metrics.clone() }
+    }
+}
+
 impl<S> Pages<S>
 where
     S: Subject,
--- a/crates/chestnutpick_rpc/src/node_capnp.rs
+++ b/crates/chestnutpick_rpc/src/node_capnp.rs
@@ -116,11 +116,22 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_crashes(self) -> u8 {
-            self.reader.get_data_field::<u8>(0)
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_age(self) -> u64 {
+        pub fn get_generation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_at(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
     }
@@ -130,7 +141,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -221,19 +232,43 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_crashes(self) -> u8 {
-            self.builder.get_data_field::<u8>(0)
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_crashes(&mut self, value: u8) {
-            self.builder.set_data_field::<u8>(0, value);
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
         }
         #[inline]
-        pub fn get_age(self) -> u64 {
+        pub fn has_host(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_generation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_generation(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_at(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_age(&mut self, value: u64) {
+        pub fn set_at(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
     }
@@ -248,45 +283,52 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(196, 72, 158, 255, 184, 47, 77, 186),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(53, 72, 240, 194, 169, 214, 225, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
             ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
             ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
@@ -296,15 +338,24 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
-            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -316,8 +367,9 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -336,9 +388,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 2, 1];
         pub(crate) const TYPE_ID: u64 = 0xba4d_2fb8_ff9e_48c4;
     }
 }
--- a/crates/chestnutpick_rpc/tests/calls.rs
+++ b/crates/chestnutpick_rpc/tests/calls.rs
@@ -5,8 +5,8 @@
 use std::time;
 
 use bytes::Bytes;
-use chestnutpick_rpc::{client, message, server};
 use chestnutpick_routing::suspects;
+use chestnutpick_rpc::{client, message, server};
 use chestnutpick_types::{digest, id};
 use tokio_util::sync;
 
