Add claims and streams libraries: public interface and first version

Cause: entry, agent and scenarios integrate against both libraries, and none of them existed.

Change: chestnutpick_claims with key, shard, event, config, pacer, breaker and coordinator; chestnutpick_streams with sse, relay and buffer.

--- /dev/null
+++ b/crates/chestnutpick_claims/src/breaker.rs
@@ -0,0 +1,59 @@
+//! Refuses new claims at once while the store is known to be down.
+
+use chestnutpick_types::time;
+
+/// Consecutive failures after which the store counts as down.
+const THRESHOLD: u32 = 3;
+
+/// Time for which new claims are refused after a failure, before the store is tried again.
+const COOL: time::Millis = time::Millis(500);
+
+/// Counts consecutive store failures.
+#[derive(Debug, Clone, Default)]
+pub struct Breaker {
+    failures: u32,
+    until: time::Millis,
+}
+
+impl Breaker {
+    /// Notes that the store answered.
+    ///
+    /// ```
+    /// use chestnutpick_claims::breaker;
+    /// use chestnutpick_types::time;
+    /// let mut breaker = breaker::Breaker::default();
+    /// breaker.succeed();
+    /// assert!(!breaker.is_open(time::Millis(0)));
+    /// ```
+    pub fn succeed(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Notes that an operation was lost or failed.
+    ///
+    /// ```
+    /// use chestnutpick_claims::breaker;
+    /// use chestnutpick_types::time;
+    /// let mut breaker = breaker::Breaker::default();
+    /// (0..3).for_each(|_| breaker.fail(time::Millis(0)));
+    /// assert!(breaker.is_open(time::Millis(499)));
+    /// assert!(!breaker.is_open(time::Millis(500)));
+    /// ```
+    pub fn fail(&mut self, now: time::Millis) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= THRESHOLD {
+            self.until = now + COOL;
+        }
+    }
+
+    /// Returns whether new claims are refused at `now`.
+    ///
+    /// ```
+    /// use chestnutpick_claims::breaker;
+    /// use chestnutpick_types::time;
+    /// assert!(!breaker::Breaker::default().is_open(time::Millis(0)));
+    /// ```
+    pub fn is_open(&self, now: time::Millis) -> bool {
+        now < self.until
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_claims/src/config.rs
@@ -0,0 +1,52 @@
+//! Limits of the coordinator.
+
+use chestnutpick_types::size;
+use chestnutpick_types::time;
+
+/// Limits of the coordinator. All entries must agree on `shards`, `retention` and `skew`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// Number of shard documents; at least 1. It cannot change while records are retained.
+    pub shards: u32,
+    /// Most claims and results in one write; at least 1.
+    pub batch: usize,
+    /// How long records are kept and keys are valid.
+    pub retention: time::Millis,
+    /// Largest permitted difference between the clocks of two processes.
+    pub skew: time::Millis,
+    /// Most records in one shard document.
+    pub records: usize,
+    /// Largest stored result in its encoded form; larger ones are returned but cannot be replayed.
+    pub result: size::Bytes,
+    /// Memory for claims and results that are not yet in the store. New claims are refused beyond it.
+    pub memory: size::Bytes,
+    /// Memory for shard documents kept after use, to save reads.
+    pub cache: size::Bytes,
+    /// Time in which a new claim is decided or refused.
+    pub decide: time::Millis,
+    /// Time after which a store operation without an answer counts as lost.
+    pub store: time::Millis,
+    /// Time after which an agent without an answer counts as unreachable.
+    pub settle: time::Millis,
+    /// Age at which the claim of an unreachable agent is marked as unknown for good.
+    pub unreachable: time::Millis,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            shards: 64,
+            batch: 64,
+            retention: time::Millis::from_secs(24 * 3_600),
+            skew: time::Millis::from_secs(2),
+            records: 2_000,
+            result: size::Bytes(4 << 10),
+            memory: size::Bytes::from_mib(16),
+            cache: size::Bytes::from_mib(16),
+            decide: time::Millis::from_secs(2),
+            store: time::Millis(500),
+            settle: time::Millis(1_000),
+            unreachable: time::Millis::from_secs(600),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_streams/src/buffer/budget.rs
@@ -0,0 +1,316 @@
+//! The buffers of all responses of a process within one budget.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use chestnutpick_types::error;
+use chestnutpick_types::size;
+use chestnutpick_types::time;
+
+use super::Action;
+use super::Buffer;
+use super::Limits;
+use super::Phase;
+use super::Step;
+use super::StreamId;
+
+/// Number of responses parked while the fill rises from `soft` to `hard`. Parking one stops its growth only, so the
+/// effect must be seen before the next is parked.
+const STAGES: u64 = 16;
+
+/// The buffers of all responses of a process.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    limits: Limits,
+    buffers: BTreeMap<StreamId, Buffer>,
+    used: size::Bytes,
+    /// Fill at which the next response is parked.
+    threshold: size::Bytes,
+    peak: size::Bytes,
+}
+
+impl Budget {
+    /// Returns an empty budget.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::size;
+    /// let budget = buffer::Budget::new(buffer::Limits::default());
+    /// assert_eq!(budget.used(), size::Bytes(0));
+    /// ```
+    pub fn new(limits: Limits) -> Self {
+        let threshold = limits.soft;
+        let buffers = BTreeMap::new();
+        Self { limits, buffers, used: size::Bytes(0), threshold, peak: size::Bytes(0) }
+    }
+
+    /// Adds a response. Returns false, and adds nothing, while the fill is at `soft` or above; the request is then to be
+    /// refused with `QueueFull`.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::time;
+    /// let mut budget = buffer::Budget::new(buffer::Limits::default());
+    /// assert!(budget.open(time::Millis(0), buffer::StreamId(1)));
+    /// ```
+    pub fn open(&mut self, now: time::Millis, stream: StreamId) -> bool {
+        let room = self.used < self.limits.soft;
+        if room {
+            self.buffers.entry(stream).or_insert_with(|| Buffer::new(now));
+        }
+        room
+    }
+
+    /// Takes the frame of token `index` of a response; see [`Buffer::push`].
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::time;
+    /// let mut budget = buffer::Budget::new(buffer::Limits::default());
+    /// budget.open(time::Millis(0), buffer::StreamId(1));
+    /// assert!(budget.push(time::Millis(0), buffer::StreamId(1), 0, "data".into()).is_empty());
+    /// assert_eq!(budget.used().0, 4);
+    /// ```
+    pub fn push(
+        &mut self,
+        now: time::Millis,
+        stream: StreamId,
+        index: u64,
+        frame: Bytes,
+    ) -> Vec<Action> {
+        let beyond = self.used + size::Bytes::of_len(frame.len()) > self.limits.hard;
+        let Some(buffer) = self.buffers.get_mut(&stream) else { return Vec::new() };
+        let before = buffer.fill();
+        let step = match beyond {
+            true => buffer.park(now),
+            false => buffer.push(now, &self.limits, index, frame),
+        };
+        let after = buffer.fill();
+        self.account(before, after);
+        let mut out: Vec<_> = step.map(|step| Action { stream, step }).into_iter().collect();
+        self.relieve(now, &mut out);
+        out
+    }
+
+    /// Takes the last frame of a response; see [`Buffer::finish`].
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::time;
+    /// let mut budget = buffer::Budget::new(buffer::Limits::default());
+    /// budget.open(time::Millis(0), buffer::StreamId(1));
+    /// assert!(budget.finish(time::Millis(0), buffer::StreamId(1), "data: [DONE]\n\n".into()));
+    /// ```
+    pub fn finish(&mut self, now: time::Millis, stream: StreamId, frame: Bytes) -> bool {
+        let Some(buffer) = self.buffers.get_mut(&stream) else { return false };
+        let before = buffer.fill();
+        let taken = buffer.finish(now, frame);
+        let after = buffer.fill();
+        self.account(before, after);
+        taken
+    }
+
+    /// Returns up to `max` bytes for the reader of a response; empty if there are none.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::{size, time};
+    /// let mut budget = buffer::Budget::new(buffer::Limits::default());
+    /// budget.open(time::Millis(0), buffer::StreamId(1));
+    /// budget.push(time::Millis(0), buffer::StreamId(1), 0, "data".into());
+    /// let (data, _) = budget.read(time::Millis(1), buffer::StreamId(1), size::Bytes(64));
+    /// assert_eq!(&data[..], b"data");
+    /// ```
+    pub fn read(
+        &mut self,
+        now: time::Millis,
+        stream: StreamId,
+        max: size::Bytes,
+    ) -> (Bytes, Vec<Action>) {
+        let Some(buffer) = self.buffers.get_mut(&stream) else { return (Bytes::new(), Vec::new()) };
+        let before = buffer.fill();
+        let (data, step) = buffer.read(now, &self.limits, max);
+        let after = buffer.fill();
+        self.account(before, after);
+        let mut out: Vec<_> = step.map(|step| Action { stream, step }).into_iter().collect();
+        self.resume(now, &mut out);
+        (data, out)
+    }
+
+    /// Removes a response and what is held for it.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::time;
+    /// let mut budget = buffer::Budget::new(buffer::Limits::default());
+    /// budget.open(time::Millis(0), buffer::StreamId(1));
+    /// assert!(budget.close(time::Millis(1), buffer::StreamId(1)).is_empty());
+    /// ```
+    pub fn close(&mut self, now: time::Millis, stream: StreamId) -> Vec<Action> {
+        let mut out = Vec::new();
+        if let Some(buffer) = self.buffers.remove(&stream) {
+            self.account(buffer.fill(), size::Bytes(0));
+            self.resume(now, &mut out);
+        }
+        out
+    }
+
+    /// Handles deadlines that have passed.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::time;
+    /// let mut budget = buffer::Budget::new(buffer::Limits::default());
+    /// assert!(budget.tick(time::Millis(0)).is_empty());
+    /// ```
+    pub fn tick(&mut self, now: time::Millis) -> Vec<Action> {
+        let mut out = Vec::new();
+        for (stream, buffer) in &mut self.buffers {
+            let step = buffer.tick(now, &self.limits);
+            out.extend(step.map(|step| Action { stream: *stream, step }));
+        }
+        let failed = |action: &Action| matches!(action.step, Step::Fail(_));
+        let closed: Vec<_> =
+            out.iter().filter(|action| failed(action)).map(|action| action.stream).collect();
+        for stream in closed {
+            if let Some(buffer) = self.buffers.remove(&stream) {
+                self.account(buffer.fill(), size::Bytes(0));
+            }
+        }
+        self.resume(now, &mut out);
+        out
+    }
+
+    /// Returns the time at which [`Self::tick`] is to be called, if no event comes before.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// let budget = buffer::Budget::new(buffer::Limits::default());
+    /// assert_eq!(budget.next_deadline(), None);
+    /// ```
+    pub fn next_deadline(&self) -> Option<time::Millis> {
+        let limits = &self.limits;
+        let resumes = self
+            .buffers
+            .values()
+            .filter(|buffer| self.has_room(buffer))
+            .filter_map(|buffer| buffer.resume_at(limits));
+        self.buffers.values().filter_map(|buffer| buffer.next_deadline(limits)).chain(resumes).min()
+    }
+
+    /// Parks the slowest response if the fill has reached the next threshold.
+    fn relieve(&mut self, now: time::Millis, out: &mut Vec<Action>) {
+        if self.used < self.threshold {
+            return;
+        }
+        let slowest = self
+            .buffers
+            .iter_mut()
+            .filter_map(|(stream, buffer)| buffer.slowness(now).map(|key| (key, *stream)))
+            .min();
+        let Some((_, stream)) = slowest else { return };
+        let step = self.buffers.get_mut(&stream).and_then(|buffer| buffer.park(now));
+        out.extend(step.map(|step| Action { stream, step }));
+        let stage = (self.limits.hard.0.saturating_sub(self.limits.soft.0) / STAGES).max(1);
+        self.threshold = self.used + size::Bytes(stage);
+    }
+
+    /// Resumes parked responses that have drained, in the order in which they may do so.
+    fn resume(&mut self, now: time::Millis, out: &mut Vec<Action>) {
+        let mut ready: Vec<_> = self
+            .buffers
+            .iter()
+            .filter(|(_, buffer)| self.has_room(buffer))
+            .filter_map(|(stream, buffer)| Some((buffer.resume_at(&self.limits)?, *stream)))
+            .filter(|(at, _)| *at <= now)
+            .collect();
+        ready.sort_unstable();
+        for (_, stream) in ready {
+            let step = self.buffers.get_mut(&stream).and_then(|buffer| buffer.resume(now));
+            out.extend(step.map(|step| Action { stream, step }));
+        }
+    }
+
+    /// Returns whether a parked response may resume: with an empty buffer below `soft`, otherwise only below three
+    /// quarters of it, so that resumed responses do not fill the budget at once.
+    fn has_room(&self, buffer: &Buffer) -> bool {
+        let soft = self.limits.soft.0;
+        match buffer.fill().0 {
+            0 => self.used.0 < soft,
+            _ => self.used.0 < soft / 4 * 3,
+        }
+    }
+
+    fn account(&mut self, before: size::Bytes, after: size::Bytes) {
+        self.used = size::Bytes((self.used.0 + after.0).saturating_sub(before.0));
+        self.peak = self.peak.max(self.used);
+        if self.used < self.limits.soft {
+            self.threshold = self.limits.soft;
+        }
+    }
+
+    /// Returns the bytes held for all responses.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::size;
+    /// assert_eq!(buffer::Budget::new(buffer::Limits::default()).used(), size::Bytes(0));
+    /// ```
+    pub fn used(&self) -> size::Bytes {
+        self.used
+    }
+
+    /// Returns the largest value that [`Self::used`] had.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::size;
+    /// assert_eq!(buffer::Budget::new(buffer::Limits::default()).peak(), size::Bytes(0));
+    /// ```
+    pub fn peak(&self) -> size::Bytes {
+        self.peak
+    }
+
+    /// Returns the buffer of a response.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// let budget = buffer::Budget::new(buffer::Limits::default());
+    /// assert!(budget.get(buffer::StreamId(1)).is_none());
+    /// ```
+    pub fn get(&self, stream: StreamId) -> Option<&Buffer> {
+        self.buffers.get(&stream)
+    }
+
+    /// Returns the refusal for a response that cannot be opened.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// use chestnutpick_types::error;
+    /// assert_eq!(buffer::Budget::refusal().kind, error::ErrorKind::QueueFull);
+    /// ```
+    pub fn refusal() -> error::Refusal {
+        error::Refusal::new(error::ErrorKind::QueueFull, "the memory for responses is in use")
+    }
+
+    /// Returns the state for the state dump.
+    ///
+    /// ```
+    /// use chestnutpick_streams::buffer;
+    /// assert_eq!(buffer::Budget::new(buffer::Limits::default()).dump()["used"], 0);
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        let streams: serde_json::Map<_, _> = self
+            .buffers
+            .iter()
+            .map(|(stream, buffer)| (stream.0.to_string(), buffer.dump()))
+            .collect();
+        let parked = self.buffers.values().filter(|buffer| buffer.phase() == Phase::Parked).count();
+        serde_json::json!({
+            "used": self.used.0,
+            "peak": self.peak.0,
+            "parked": parked,
+            "streams": streams,
+        })
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_streams/src/relay.rs
@@ -0,0 +1,525 @@
+//! The state of one streamed response at an entry, across the attempts that deliver it.
+
+use std::sync;
+
+use chestnutpick_types::digest;
+use chestnutpick_types::error;
+use chestnutpick_types::id;
+use chestnutpick_types::time;
+
+use crate::sse;
+
+/// Limits of a relay.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// Time in which an attempt must deliver its first event.
+    pub first: time::Millis,
+    /// Time between two events of an attempt.
+    pub between: time::Millis,
+    /// Time in which another endpoint must be found for a continuation.
+    pub find: time::Millis,
+    /// Most continuations after a loss. Resumptions after parking do not count.
+    pub continuations: u32,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            first: time::Millis::from_secs(10),
+            between: time::Millis::from_secs(5),
+            find: time::Millis::from_secs(5),
+            continuations: 3,
+        }
+    }
+}
+
+/// What the entry is asked to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Append a token to the client's response.
+    Deliver {
+        /// Index of the token.
+        index: u64,
+        /// Its text.
+        text: sync::Arc<str>,
+    },
+    /// End the client's response with `[DONE]`.
+    Finish,
+    /// Cancel an attempt at its agent and close its connection.
+    Cancel {
+        /// The attempt.
+        attempt: id::AttemptId,
+    },
+    /// Send a new attempt with the same digest to another endpoint and report it with [`Relay::resume`].
+    Continue {
+        /// Index of the first token wanted.
+        from: u64,
+    },
+    /// End the client's response with an error event, or with an error status if nothing was delivered.
+    Fail(error::Refusal),
+}
+
+/// Why an attempt ended before the response was whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Loss {
+    /// The connection broke or ended without `[DONE]`.
+    Broken,
+    /// The bytes were not a stream of events.
+    Malformed(sse::SseError),
+    /// The agent rejected the attempt before it ran.
+    Rejected(error::Refusal),
+}
+
+/// What the relay waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Phase {
+    /// Events of `attempt`. `next` is the index that it must send next; `None` before its first token.
+    Open { attempt: id::AttemptId, next: Option<u64>, checked: bool },
+    /// Another endpoint.
+    Finding,
+    /// The reader, which is being waited for with no attempt running.
+    Parked,
+    /// Nothing: `[DONE]` was received.
+    Whole,
+    /// Nothing: an error was passed on.
+    Failed,
+}
+
+/// The state of one streamed response.
+#[derive(Debug, Clone)]
+pub struct Relay {
+    config: Config,
+    digest: digest::Digest,
+    phase: Phase,
+    /// Index of the next token to be delivered.
+    next: u64,
+    continuations: u32,
+    deadline: Option<time::Millis>,
+    /// Whether some attempt ran or may have run, so that "not run" must not be said.
+    ran: bool,
+}
+
+impl Relay {
+    /// Returns the state of a response that was requested under `attempt` from an endpoint with the weights `digest`.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let relay = relay::Relay::new(time::Millis(0), relay::Config::default(), id::AttemptId::random(), digest);
+    /// assert_eq!(relay.resume_index(), 0);
+    /// ```
+    pub fn new(
+        now: time::Millis,
+        config: Config,
+        attempt: id::AttemptId,
+        digest: digest::Digest,
+    ) -> Self {
+        let deadline = Some(now + config.first);
+        let phase = Phase::Open { attempt, next: None, checked: false };
+        Self { config, digest, phase, next: 0, continuations: 0, deadline, ran: false }
+    }
+
+    /// Takes the head of an attempt's response. `echoed` and `digest` are the values of `x-attempt-id` and
+    /// `x-weights-digest`; `attempt` is the one that the connection was opened for.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let attempt = id::AttemptId::random();
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), attempt.clone(), digest);
+    /// assert!(relay.on_head(time::Millis(1), &attempt, &attempt, digest).is_empty());
+    /// let other = digest::Digest::of(b"other");
+    /// assert!(!relay.on_head(time::Millis(1), &attempt, &attempt, other).is_empty());
+    /// ```
+    pub fn on_head(
+        &mut self,
+        now: time::Millis,
+        attempt: &id::AttemptId,
+        echoed: &id::AttemptId,
+        digest: digest::Digest,
+    ) -> Vec<Action> {
+        let matches = attempt == echoed && digest == self.digest;
+        match &mut self.phase {
+            Phase::Open { attempt: open, checked, .. } if open == attempt && matches => {
+                *checked = true;
+                Vec::new()
+            }
+            Phase::Open { attempt: open, .. } if open == attempt => {
+                self.lose(now, error::ErrorKind::AnswerMismatch, "attempt id or digest differs")
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes an event of `attempt`. Events of earlier attempts are ignored, and an event before a matching head counts
+    /// as a mismatch.
+    ///
+    /// ```
+    /// use chestnutpick_streams::{relay, sse};
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let attempt = id::AttemptId::random();
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), attempt.clone(), digest);
+    /// relay.on_head(time::Millis(1), &attempt, &attempt, digest);
+    /// let event = sse::Event::Token { index: 0, text: "a".into() };
+    /// let actions = relay.on_event(time::Millis(2), &attempt, event);
+    /// assert_eq!(actions, [relay::Action::Deliver { index: 0, text: "a".into() }]);
+    /// ```
+    pub fn on_event(
+        &mut self,
+        now: time::Millis,
+        attempt: &id::AttemptId,
+        event: sse::Event,
+    ) -> Vec<Action> {
+        let Phase::Open { attempt: open, next, checked } = &self.phase else { return Vec::new() };
+        if open != attempt {
+            return Vec::new();
+        }
+        if !checked {
+            return self.lose(
+                now,
+                error::ErrorKind::AnswerMismatch,
+                "event before a matching head",
+            );
+        }
+        let next = *next;
+        match event {
+            sse::Event::Token { index, text } => self.on_token(now, next, index, text),
+            sse::Event::Done => self.on_done(now, next),
+            sse::Event::Error(refusal) => self.on_refusal(now, refusal),
+        }
+    }
+
+    fn on_token(
+        &mut self,
+        now: time::Millis,
+        expected: Option<u64>,
+        index: u64,
+        text: sync::Arc<str>,
+    ) -> Vec<Action> {
+        let consecutive = match expected {
+            Some(expected) => index == expected,
+            // A continuation may start before the index asked for, but must not leave a gap.
+            None => index <= self.next,
+        };
+        if !consecutive {
+            return self.lose(
+                now,
+                error::ErrorKind::StreamBroken,
+                "token indexes are not consecutive",
+            );
+        }
+        if let Phase::Open { next, .. } = &mut self.phase {
+            *next = Some(index + 1);
+        }
+        self.deadline = Some(now + self.config.between);
+        if index < self.next {
+            return Vec::new();
+        }
+        self.next = index + 1;
+        vec![Action::Deliver { index, text }]
+    }
+
+    fn on_done(&mut self, now: time::Millis, expected: Option<u64>) -> Vec<Action> {
+        if expected.is_some_and(|expected| expected < self.next) {
+            return self.lose(
+                now,
+                error::ErrorKind::StreamBroken,
+                "the continuation ended too early",
+            );
+        }
+        self.phase = Phase::Whole;
+        self.deadline = None;
+        vec![Action::Finish]
+    }
+
+    fn on_refusal(&mut self, now: time::Millis, refusal: error::Refusal) -> Vec<Action> {
+        match refusal.kind.answer().retry {
+            error::Retry::Never => self.fail(refusal),
+            _ => self.lose(now, refusal.kind, "the endpoint ended the stream with an error"),
+        }
+    }
+
+    /// Takes the news that `attempt` ended without `[DONE]` or an error event.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let attempt = id::AttemptId::random();
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), attempt.clone(), digest);
+    /// let actions = relay.on_loss(time::Millis(1), &attempt, relay::Loss::Broken);
+    /// assert_eq!(actions, [relay::Action::Cancel { attempt }, relay::Action::Continue { from: 0 }]);
+    /// ```
+    pub fn on_loss(
+        &mut self,
+        now: time::Millis,
+        attempt: &id::AttemptId,
+        loss: Loss,
+    ) -> Vec<Action> {
+        match &self.phase {
+            Phase::Open { attempt: open, .. } if open == attempt => {}
+            _ => return Vec::new(),
+        }
+        match loss {
+            Loss::Broken => self.lose(now, error::ErrorKind::EndpointLost, "the connection ended"),
+            Loss::Malformed(cause) => {
+                self.lose(now, error::ErrorKind::StreamBroken, &cause.to_string())
+            }
+            Loss::Rejected(refusal) => self.on_refusal(now, refusal),
+        }
+    }
+
+    /// Ends the running attempt and asks for a continuation, if one is left.
+    fn lose(&mut self, now: time::Millis, kind: error::ErrorKind, cause: &str) -> Vec<Action> {
+        self.ran |= kind.answer().ran != error::Ran::NotRun;
+        let cancel = self.cancel();
+        if self.continuations >= self.config.continuations {
+            return cancel.into_iter().chain(self.break_off(kind, cause)).collect();
+        }
+        self.continuations += 1;
+        self.phase = Phase::Finding;
+        self.deadline = Some(now + self.config.find);
+        cancel.into_iter().chain([Action::Continue { from: self.next }]).collect()
+    }
+
+    fn cancel(&self) -> Option<Action> {
+        match &self.phase {
+            Phase::Open { attempt, .. } => Some(Action::Cancel { attempt: attempt.clone() }),
+            _ => None,
+        }
+    }
+
+    /// Fails with the cause itself while nothing was delivered, and with `StreamBroken` after that.
+    fn break_off(&mut self, kind: error::ErrorKind, cause: &str) -> Vec<Action> {
+        let kind = match self.next {
+            0 => kind,
+            _ => error::ErrorKind::StreamBroken,
+        };
+        self.fail(error::Refusal::new(kind, cause))
+    }
+
+    fn fail(&mut self, refusal: error::Refusal) -> Vec<Action> {
+        self.phase = Phase::Failed;
+        self.deadline = None;
+        let kind = match refusal.kind.answer().ran {
+            error::Ran::NotRun if self.next > 0 => error::ErrorKind::StreamBroken,
+            error::Ran::NotRun if self.ran => error::ErrorKind::EndpointLost,
+            _ => refusal.kind,
+        };
+        vec![Action::Fail(error::Refusal { kind, ..refusal })]
+    }
+
+    /// Takes the attempt that continues the response, after [`Action::Continue`] or [`Self::park`]. The attempt must be
+    /// for the same digest and have [`Self::resume_index`] as `x-resume-from`. Returns false if none is wanted.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let attempt = id::AttemptId::random();
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), attempt.clone(), digest);
+    /// assert!(!relay.resume(time::Millis(1), id::AttemptId::random()));
+    /// relay.on_loss(time::Millis(1), &attempt, relay::Loss::Broken);
+    /// assert!(relay.resume(time::Millis(2), id::AttemptId::random()));
+    /// ```
+    pub fn resume(&mut self, now: time::Millis, attempt: id::AttemptId) -> bool {
+        let wanted = matches!(self.phase, Phase::Finding | Phase::Parked);
+        if wanted {
+            self.phase = Phase::Open { attempt, next: None, checked: false };
+            self.deadline = Some(now + self.config.first);
+        }
+        wanted
+    }
+
+    /// Takes the news that no endpoint can continue the response. "Not run" is not passed on if an attempt ran or may
+    /// have run.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, error, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let attempt = id::AttemptId::random();
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), attempt.clone(), digest);
+    /// relay.on_loss(time::Millis(1), &attempt, relay::Loss::Broken);
+    /// let refusal = error::Refusal::new(error::ErrorKind::NoEndpoint, "none is left");
+    /// let actions = relay.give_up(refusal);
+    /// let [relay::Action::Fail(end)] = &actions[..] else { panic!("{actions:?}") };
+    /// assert_eq!(end.kind, error::ErrorKind::EndpointLost);
+    /// ```
+    pub fn give_up(&mut self, refusal: error::Refusal) -> Vec<Action> {
+        match self.phase {
+            Phase::Whole | Phase::Failed => Vec::new(),
+            _ => {
+                let cancel = self.cancel();
+                self.ran |= cancel.is_some();
+                let end = self.break_off(refusal.kind, &refusal.message);
+                cancel.into_iter().chain(end).collect()
+            }
+        }
+    }
+
+    /// Parks the response: cancels the attempt and waits without a deadline for [`Self::resume`]. `offset` is the index
+    /// of the first token that the buffer did not take, from [`crate::buffer::Action::Park`].
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let attempt = id::AttemptId::random();
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), attempt.clone(), digest);
+    /// assert_eq!(relay.park(0), [relay::Action::Cancel { attempt }]);
+    /// assert_eq!(relay.next_deadline(), None);
+    /// ```
+    pub fn park(&mut self, offset: u64) -> Vec<Action> {
+        let cancel = match &self.phase {
+            Phase::Open { .. } | Phase::Finding => self.cancel(),
+            _ => return Vec::new(),
+        };
+        self.ran |= cancel.is_some();
+        self.next = self.next.min(offset);
+        self.phase = Phase::Parked;
+        self.deadline = None;
+        cancel.into_iter().collect()
+    }
+
+    /// Stops the progress timeout while the entry itself does not read from the attempt.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), id::AttemptId::random(), digest);
+    /// relay.pause();
+    /// assert_eq!(relay.next_deadline(), None);
+    /// ```
+    pub fn pause(&mut self) {
+        if matches!(self.phase, Phase::Open { .. }) {
+            self.deadline = None;
+        }
+    }
+
+    /// Starts the progress timeout again after [`Self::pause`].
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let config = relay::Config::default();
+    /// let mut relay = relay::Relay::new(time::Millis(0), config.clone(), id::AttemptId::random(), digest);
+    /// relay.pause();
+    /// relay.flow(time::Millis(9));
+    /// assert_eq!(relay.next_deadline(), Some(time::Millis(9) + config.first));
+    /// ```
+    pub fn flow(&mut self, now: time::Millis) {
+        if let Phase::Open { next, .. } = &self.phase {
+            let span = match next {
+                Some(_) => self.config.between,
+                None => self.config.first,
+            };
+            self.deadline = Some(now + span);
+        }
+    }
+
+    /// Handles a deadline that has passed.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), id::AttemptId::random(), digest);
+    /// assert!(relay.tick(time::Millis(1)).is_empty());
+    /// assert_eq!(relay.tick(relay.next_deadline().unwrap()).len(), 2);
+    /// ```
+    pub fn tick(&mut self, now: time::Millis) -> Vec<Action> {
+        if self.deadline.is_none_or(|deadline| now < deadline) {
+            return Vec::new();
+        }
+        match self.phase {
+            Phase::Finding => self.break_off(error::ErrorKind::NoEndpoint, "no endpoint in time"),
+            _ => self.lose(now, error::ErrorKind::EndpointSilent, "no progress in time"),
+        }
+    }
+
+    /// Returns the time at which [`Self::tick`] is to be called, if no event comes before.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let config = relay::Config::default();
+    /// let relay = relay::Relay::new(time::Millis(0), config.clone(), id::AttemptId::random(), digest);
+    /// assert_eq!(relay.next_deadline(), Some(config.first));
+    /// ```
+    pub fn next_deadline(&self) -> Option<time::Millis> {
+        self.deadline
+    }
+
+    /// Returns whether `[DONE]` was received after consecutive tokens.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let relay = relay::Relay::new(time::Millis(0), relay::Config::default(), id::AttemptId::random(), digest);
+    /// assert!(!relay.is_whole());
+    /// ```
+    pub fn is_whole(&self) -> bool {
+        self.phase == Phase::Whole
+    }
+
+    /// Returns the index of the next token to be delivered, from which a continuation starts.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let relay = relay::Relay::new(time::Millis(0), relay::Config::default(), id::AttemptId::random(), digest);
+    /// assert_eq!(relay.resume_index(), 0);
+    /// ```
+    pub fn resume_index(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the digest that every attempt of this response must have.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let relay = relay::Relay::new(time::Millis(0), relay::Config::default(), id::AttemptId::random(), digest);
+    /// assert_eq!(relay.digest(), digest);
+    /// ```
+    pub fn digest(&self) -> digest::Digest {
+        self.digest
+    }
+
+    /// Returns the state for the state dump.
+    ///
+    /// ```
+    /// use chestnutpick_streams::relay;
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let relay = relay::Relay::new(time::Millis(0), relay::Config::default(), id::AttemptId::random(), digest);
+    /// assert_eq!(relay.dump()["phase"], "open");
+    /// ```
+    pub fn dump(&self) -> serde_json::Value {
+        let (phase, attempt) = match &self.phase {
+            Phase::Open { attempt, .. } => ("open", Some(attempt.to_string())),
+            Phase::Finding => ("finding", None),
+            Phase::Parked => ("parked", None),
+            Phase::Whole => ("whole", None),
+            Phase::Failed => ("failed", None),
+        };
+        serde_json::json!({
+            "phase": phase,
+            "attempt": attempt,
+            "digest": self.digest.to_string(),
+            "next": self.next,
+            "continuations": self.continuations,
+            "deadline": self.deadline.map(|deadline| deadline.0),
+        })
+    }
+}
