Count only work admitted since the latest cold start

Cause: attempts that were running when an engine declared itself cold raised the new limit when they completed, by up to half the full limit at once.

Ruled out: counting by time of admission (two cold starts in one millisecond would be mixed up).

Change: the ramp numbers its cold starts and the attempt table compares the number at admission and at completion.

Conclusion: the limit after a cold start grows only by work done since.

--- a/crates/chestnutpick_admission/src/ramp.rs
+++ b/crates/chestnutpick_admission/src/ramp.rs
@@ -41,6 +41,7 @@
     slots: u32,
     done: u32,
     held: bool,
+    starts: u32,
 }
 
 impl Ramp {
@@ -60,7 +61,7 @@
             slots: cold.slots.clamp(1, full.slots.max(1)),
             memory: cold.memory.min(full.memory),
         };
-        Self { full, cold, slots: cold.slots, done: 0, held: false }
+        Self { full, cold, slots: cold.slots, done: 0, held: false, starts: 0 }
     }
 
     /// Returns to the cold limit.
@@ -79,6 +80,21 @@
     pub const fn reset(&mut self) {
         self.slots = self.cold.slots;
         self.done = 0;
+        self.starts = self.starts.wrapping_add(1);
+    }
+
+    /// Returns the number of cold starts so far. Work that was admitted before the latest one does not warm the endpoint.
+    ///
+    /// ```
+    /// # use chestnutpick_admission::{limits::Limits, ramp};
+    /// # use chestnutpick_types::size::Tokens;
+    /// # let full = Limits { slots: 4, memory: Tokens(12) };
+    /// let mut ramp = ramp::Ramp::new(full, full);
+    /// ramp.reset();
+    /// assert_eq!(ramp.starts(), 1);
+    /// ```
+    pub const fn starts(&self) -> u32 {
+        self.starts
     }
 
     /// Takes the engine's own statement that it is cold. The limit returns to the cold limit when the statement is first
@@ -103,7 +119,7 @@
         begins
     }
 
-    /// Counts one completed attempt.
+    /// Counts one completed attempt that was admitted since the latest cold start.
     ///
     /// ```
     /// # use chestnutpick_admission::{limits::Limits, ramp};
--- a/crates/chestnutpick_admission/src/table.rs
+++ b/crates/chestnutpick_admission/src/table.rs
@@ -44,6 +44,7 @@
     cost: size::Tokens,
     fingerprint: digest::Digest,
     suspect: bool,
+    start: u32,
 }
 
 #[derive(Debug)]
@@ -214,7 +215,8 @@
 
     fn start(&mut self, now: time::Millis, request: &attempt::Request) {
         let suspect = request.standing == attempt::Standing::Suspect;
-        let running = Running { cost: request.cost, fingerprint: request.fingerprint, suspect };
+        let attempt::Request { cost, fingerprint, .. } = *request;
+        let running = Running { cost, fingerprint, suspect, start: self.ramp.starts() };
         self.load.add(request.cost);
         self.peak = self.peak.max(self.load);
         self.suspects += u32::from(suspect);
@@ -244,46 +246,47 @@
         attempt: &id::AttemptId,
         outcome: attempt::Outcome<R>,
     ) {
-        let running = match self.attempts.get(attempt).map(|entry| &entry.state) {
-            Some(State::Running(_)) => true,
-            Some(State::Ended(Ended::Unknown)) => false,
-            Some(State::Ended(Ended::Finished(_))) | None => return,
-        };
-        if running {
-            self.release(attempt);
-        }
-        match outcome {
-            attempt::Outcome::Done(result) => {
-                self.end(now, attempt, Ended::Finished(result), running);
+        let start = self.release(attempt);
+        match (outcome, start) {
+            (attempt::Outcome::Done(result), Some(start)) => {
+                if start == self.ramp.starts() {
+                    self.ramp.on_done();
+                }
+                self.end(now, attempt, Ended::Finished(result));
             }
-            attempt::Outcome::Lost if running => self.end(now, attempt, Ended::Unknown, true),
-            attempt::Outcome::NotSent if running => self.withdraw(attempt),
-            attempt::Outcome::Lost | attempt::Outcome::NotSent => {}
+            (attempt::Outcome::Done(result), None) => self.reveal(attempt, result),
+            (attempt::Outcome::Lost, Some(_)) => self.end(now, attempt, Ended::Unknown),
+            (attempt::Outcome::NotSent, Some(_)) => self.withdraw(attempt),
+            (attempt::Outcome::Lost | attempt::Outcome::NotSent, None) => {}
         }
     }
 
-    fn release(&mut self, attempt: &id::AttemptId) {
-        let state = self.attempts.get(attempt).map(|entry| &entry.state);
-        if let Some(State::Running(running)) = state {
-            self.load.remove(running.cost);
-            self.suspects -= u32::from(running.suspect);
-        }
+    /// Frees what a running attempt holds. Returns the cold start after which it was admitted, or none if it is not
+    /// running.
+    fn release(&mut self, attempt: &id::AttemptId) -> Option<u32> {
+        let State::Running(running) = &self.attempts.get(attempt)?.state else { return None };
+        self.load.remove(running.cost);
+        self.suspects -= u32::from(running.suspect);
+        Some(running.start)
     }
 
-    fn end(&mut self, now: time::Millis, attempt: &id::AttemptId, ended: Ended<R>, first: bool) {
-        if first && matches!(ended, Ended::Finished(_)) {
-            self.ramp.on_done();
-        }
+    fn end(&mut self, now: time::Millis, attempt: &id::AttemptId, ended: Ended<R>) {
         if let Some(entry) = self.attempts.get_mut(attempt) {
             entry.state = State::Ended(ended);
             let history = if entry.claimed { &mut self.claimed } else { &mut self.ended };
-            if first {
-                history.push_back((now, attempt.clone()));
-            }
+            history.push_back((now, attempt.clone()));
         }
         self.forget(now);
     }
 
+    fn reveal(&mut self, attempt: &id::AttemptId, result: R) {
+        if let Some(entry) = self.attempts.get_mut(attempt)
+            && matches!(entry.state, State::Ended(Ended::Unknown))
+        {
+            entry.state = State::Ended(Ended::Finished(result));
+        }
+    }
+
     /// Removes an attempt that was never sent. Under a claim it is barred, so that a settlement may say not run.
     fn withdraw(&mut self, attempt: &id::AttemptId) {
         if self.attempts.remove(attempt).is_some_and(|entry| entry.claimed) {
@@ -398,7 +401,7 @@
         lost.sort_by(|a, b| a.attempt.cmp(&b.attempt));
         for item in &lost {
             self.release(&item.attempt);
-            self.end(now, &item.attempt, Ended::Unknown, true);
+            self.end(now, &item.attempt, Ended::Unknown);
         }
         self.ramp.reset();
         self.peak = limits::Load::default();
