--- /dev/null
+++ b/crates/chestnutpick_config/tests/readers.rs
@@ -0,0 +1,124 @@
+//! Readers, partners and the watch.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use chestnutpick_config::peers;
+use chestnutpick_config::readers::{Candidate, of_zone};
+use chestnutpick_config::watch::{Action, Answer, GRACE, MAX_PAUSE, MAX_WAIT, WATCH_WAIT, Watcher};
+use chestnutpick_types::id::HostId;
+use chestnutpick_types::size::Bytes;
+use chestnutpick_types::time::Millis;
+use common::sample;
+use rstest::rstest;
+
+fn candidates(entries: usize, agents: usize) -> Vec<Candidate> {
+    let entry = |n| Candidate { host: format!("entry-{n}").parse().unwrap(), entry: true };
+    let agent = |n| Candidate { host: format!("agent-{n}").parse().unwrap(), entry: false };
+    (0..agents).map(agent).chain((0..entries).map(entry)).collect()
+}
+
+/// Guards against a zone without readers after failures, and against both readers changing when one fails.
+#[test]
+fn readers_fail_over() {
+    let zone = "lima".parse().unwrap();
+    let mut live = candidates(5, 4);
+    while !live.is_empty() {
+        let readers = of_zone(&zone, &live);
+        assert_eq!(readers.len(), live.len().min(2));
+        let mut turned = live.clone();
+        turned.reverse();
+        assert_eq!(of_zone(&zone, &turned), readers, "the order of hosts does not matter");
+        live.retain(|c| c.host != readers[0]);
+        if let Some(second) = readers.get(1) {
+            assert_eq!(&of_zone(&zone, &live)[0], second);
+        }
+    }
+    let readers = of_zone(&zone, &candidates(1, 3));
+    assert!(readers[0].as_str().starts_with("entry") && readers[1].as_str().starts_with("agent"));
+}
+
+/// Guards against entries that no change reaches, also after any two entries of the zone are gone.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(7)]
+#[case(55)]
+fn entries_are_connected(#[case] count: usize) {
+    let all: Vec<HostId> = (0..count).map(|n| format!("entry-{n:02}").parse().unwrap()).collect();
+    for gone in [vec![], vec![0], vec![0, 3]] {
+        let live: Vec<_> = all.iter().enumerate().filter(|(n, _)| !gone.contains(n)).collect();
+        let live: Vec<_> = live.into_iter().map(|(_, host)| host.clone()).collect();
+        let Some(first) = live.first().cloned() else { continue };
+        let mut reached = BTreeSet::from([first]);
+        for _ in 0..8 {
+            let from: Vec<_> = reached.iter().cloned().collect();
+            reached.extend(from.iter().flat_map(|me| peers::entries_of(me, &live)));
+            let back = live.iter().filter(|e| {
+                peers::entries_of(e, &live).iter().any(|partner| from.contains(partner))
+            });
+            reached.extend(back.cloned());
+        }
+        assert_eq!(reached.len(), live.len());
+    }
+    let holders = peers::holders_of(&"agent-1".parse().unwrap(), &all);
+    assert_eq!(holders.len(), count.min(peers::HOLDERS));
+}
+
+fn changed(version: u64, bytes: u64) -> Answer {
+    Answer::Changed { version, document: Box::new(sample()), size: Bytes(bytes) }
+}
+
+fn watching() -> Watcher {
+    let mut watcher = Watcher::new(&"entry-1".parse().unwrap());
+    watcher.set_reader(Millis(0), true);
+    watcher
+}
+
+/// Guards against a reader that takes documents faster than its budget, or so slowly that changes miss their bound.
+#[rstest]
+#[case(600, Millis(100))]
+#[case(24_000, Millis(4_000))]
+#[case(900_000, MAX_PAUSE)]
+fn reading_is_paced(#[case] bytes: u64, #[case] pause: Millis) {
+    let mut watcher = watching();
+    assert!(matches!(watcher.on_answer(Millis(50), 1, changed(3, bytes))[..], [Action::Offer(_)]));
+    assert_eq!(watcher.next_deadline(), Some(Millis(50) + pause));
+    let next = watcher.on_tick(Millis(50) + pause);
+    assert!(matches!(next[..], [Action::Watch { call: 2, version: 3, .. }]));
+}
+
+/// Guards against a reader that waits forever on a silent connection, and against the answers of abandoned calls.
+#[test]
+fn silent_watch_is_replaced() {
+    let mut watcher = watching();
+    let due = WATCH_WAIT + GRACE;
+    assert!(watcher.on_tick(Millis(due.0 - 1)).is_empty());
+    assert!(matches!(watcher.on_tick(due)[..], [Action::Close, Action::Watch { call: 2, .. }]));
+    assert!(watcher.on_answer(due, 1, changed(9, 10)).is_empty());
+}
+
+/// Guards against readers that load the store with calls while it is down.
+#[test]
+fn outage_backs_off() {
+    let mut watcher = watching();
+    let mut now = Millis(0);
+    while now < Millis::from_secs(60) {
+        watcher.on_answer(now, watcher.calls(), Answer::Failed);
+        let due = watcher.next_deadline().unwrap();
+        assert!(due.since(now) <= MAX_WAIT && due > now);
+        now = due;
+        watcher.on_tick(now);
+    }
+    assert!(watcher.calls() < 70, "{} calls in a minute", watcher.calls());
+}
+
+/// Guards against a former reader that goes on watching.
+#[test]
+fn former_reader_stops() {
+    let mut watcher = watching();
+    assert_eq!(watcher.set_reader(Millis(10), false), vec![Action::Close]);
+    assert!(watcher.on_answer(Millis(20), 1, changed(3, 10)).is_empty());
+    assert_eq!((watcher.next_deadline(), watcher.calls()), (None, 1));
+}
--- /dev/null
+++ b/crates/chestnutpick_config/tests/replica.rs
@@ -0,0 +1,82 @@
+//! A replica's revision never falls, and updates lead to the sender's document.
+
+mod common;
+
+use std::sync::Arc;
+
+use chestnutpick_config::document::Document;
+use chestnutpick_config::replica::{Offer, Replica};
+use chestnutpick_config::update::Update;
+use common::{model, sample, step, take_out};
+
+fn grown(steps: usize) -> Vec<Arc<Document>> {
+    let mut documents = vec![Arc::new(sample())];
+    for n in 0..steps {
+        let next = step(&documents[n], &model(&format!("m{n}"))).unwrap();
+        documents.push(Arc::new(next));
+    }
+    documents
+}
+
+/// Guards against an accepted configuration being reverted by a late or lagging sender.
+#[test]
+fn never_lower() {
+    let documents = grown(3);
+    let mut replica = Replica::new();
+    assert_eq!(replica.offer(documents[2].clone()), Offer::Accepted(12));
+    assert_eq!(replica.offer(documents[1].clone()), Offer::Stale);
+    assert_eq!(replica.offer_update(&Update::since(&documents[1], 10)), Offer::Stale);
+    assert_eq!(replica.revision(), 12);
+    assert_eq!(replica.offer_update(&Update::since(&documents[3], 12)), Offer::Accepted(13));
+    assert_eq!(replica.document(), &documents[3]);
+}
+
+/// Guards against two processes that hold different documents under one revision.
+#[test]
+fn same_revision_other_content() {
+    let other = Arc::new(step(&sample(), &take_out("lima")).unwrap());
+    let mut replica = Replica::new();
+    replica.offer(grown(1)[1].clone());
+    assert!(matches!(replica.offer(other), Offer::Invalid(_)));
+}
+
+/// Guards against a broken document reaching routing.
+#[test]
+fn invalid_is_not_taken() {
+    let mut broken = (*grown(1)[1]).clone();
+    broken.models.clear();
+    let mut replica = Replica::new();
+    assert!(matches!(replica.offer(Arc::new(broken)), Offer::Invalid(_)));
+    assert_eq!(replica.revision(), 0);
+}
+
+/// Guards against a replay that gives another document than the sender's being used, and against asking for the same
+/// useless update forever.
+#[test]
+fn differing_replay_asks_for_full() {
+    let documents = grown(2);
+    let mut replica = Replica::new();
+    replica.offer(documents[0].clone());
+    let Update::Changes { from, entries, .. } = Update::since(&documents[2], 10) else {
+        panic!("the history covers two changes");
+    };
+    let forged = Update::Changes { from, entries, digest: documents[1].digest() };
+    assert!(matches!(replica.offer_update(&forged), Offer::NeedsFull(_)));
+    assert_eq!((replica.revision(), replica.wanted()), (10, 0));
+    let gap = Update::since(&documents[2], 11);
+    assert!(matches!(replica.offer_update(&gap), Offer::NeedsFull(_)));
+    let full = Update::since(&documents[2], replica.wanted());
+    assert_eq!(replica.offer_update(&full), Offer::Accepted(12));
+    assert_eq!(replica.wanted(), 12);
+}
+
+/// Guards against updates that cost as much as the document, and against a gap in the history going unnoticed.
+#[test]
+fn update_is_small_or_full() {
+    let documents = grown(70);
+    let (last, first) = (&documents[70], &documents[0]);
+    assert!(matches!(Update::since(last, first.revision), Update::Full(_)));
+    let small = Update::since(last, last.revision - 1);
+    assert!(small.encode().len() * 10 < last.encode().len());
+    assert_eq!(Update::decode(small.encode().as_bytes()), Ok(small));
+}
--- /dev/null
+++ b/crates/chestnutpick_config/tests/writer.rs
@@ -0,0 +1,145 @@
+//! One change is written at most once, whatever the store answers.
+
+mod common;
+
+use chestnutpick_config::change::Change;
+use chestnutpick_config::document::Document;
+use chestnutpick_config::writer::{Action, Outcome, Read, Writer, Written};
+use chestnutpick_types::error::{ErrorKind, Ran};
+use chestnutpick_types::time::Millis;
+use common::{bring_back, model, sample, stamp, step, take_out};
+
+const DEADLINE: Millis = Millis(10_000);
+
+fn writer(change: &Change, base: Option<u64>) -> Writer {
+    let mut writer = Writer::new(change.clone(), stamp("mine", "ana", change), base, DEADLINE);
+    assert_eq!(writer.start(Millis(0)), vec![Action::Read]);
+    writer
+}
+
+fn found(document: &Document) -> Read {
+    Read::Found { version: document.revision, document: document.clone() }
+}
+
+fn outcome(actions: &[Action]) -> &Outcome {
+    match actions {
+        [Action::Finish(outcome)] => outcome,
+        other => panic!("not finished: {other:?}"),
+    }
+}
+
+fn is_write(actions: &[Action], expected: u64) -> bool {
+    matches!(actions, [Action::Write { expected: e, .. }] if *e == expected)
+}
+
+/// Lets the pending wait pass.
+fn wake(writer: &mut Writer) -> Vec<Action> {
+    let due = writer.next_deadline().unwrap();
+    writer.on_tick(due)
+}
+
+/// Guards against a change that is reported as failed although it took effect.
+#[test]
+fn lost_answer_is_settled() {
+    let change = model("m");
+    let mut writer = writer(&change, None);
+    assert!(is_write(&writer.on_read(Millis(1), found(&sample())), 10));
+    assert!(writer.on_write(Millis(2), Written::Lost).is_empty());
+    assert_eq!(wake(&mut writer), vec![Action::Read]);
+    let mine = change.apply(&sample(), &stamp("mine", "ana", &change)).unwrap();
+    let later = step(&mine, &model("other")).unwrap();
+    let actions = writer.on_read(Millis(300), found(&later));
+    assert!(matches!(outcome(&actions), Outcome::Applied { revision: 11, .. }));
+}
+
+/// Guards against a delayed write that lands after the change was reported as not run.
+#[test]
+fn lost_write_may_still_land() {
+    let mut writer = writer(&model("m"), None);
+    writer.on_read(Millis(1), found(&sample()));
+    writer.on_write(Millis(2), Written::Lost);
+    wake(&mut writer);
+    // The document has not moved: the same change is written again at the same version.
+    assert!(is_write(&writer.on_read(Millis(300), found(&sample())), 10));
+    writer.on_write(Millis(301), Written::NotSent);
+    let actions = writer.on_tick(DEADLINE);
+    assert_eq!(outcome(&actions), &Outcome::Unknown);
+    assert_eq!(Outcome::Unknown.refusal().unwrap().kind.answer().ran, Ran::Unknown);
+}
+
+/// Guards against "not run" being claimed when the history no longer shows whether it ran.
+#[test]
+fn forgotten_history_is_unknown() {
+    let mut writer = writer(&model("m"), None);
+    writer.on_read(Millis(1), found(&sample()));
+    writer.on_write(Millis(2), Written::Lost);
+    wake(&mut writer);
+    let far = (0..70).fold(sample(), |d, n| step(&d, &model(&format!("m{n}"))).unwrap());
+    assert_eq!(outcome(&writer.on_read(Millis(300), found(&far))), &Outcome::Unknown);
+}
+
+/// Guards against an operator overriding a change that he did not see, and against a conflict that does not name it.
+#[test]
+fn conflict_names_other_change() {
+    let other = take_out("cusco");
+    let taken = other.apply(&sample(), &stamp("theirs", "bea", &other)).unwrap();
+    let mut racing = writer(&take_out("lima"), None);
+    racing.on_read(Millis(1), found(&sample()));
+    assert_eq!(racing.on_write(Millis(2), Written::Mismatch), vec![Action::Read]);
+    let actions = racing.on_read(Millis(3), found(&taken));
+    let refusal = outcome(&actions).refusal().unwrap();
+    assert_eq!((refusal.kind, refusal.kind.answer().ran), (ErrorKind::Conflict, Ran::NotRun));
+    for word in ["bea", "theirs", "cusco"] {
+        assert!(refusal.message.contains(word), "{refusal}");
+    }
+    let mut outdated = writer(&bring_back("cusco"), Some(10));
+    assert!(matches!(outcome(&outdated.on_read(Millis(1), found(&taken))), Outcome::Conflict(_)));
+    let mut informed = writer(&bring_back("cusco"), Some(11));
+    assert!(is_write(&informed.on_read(Millis(1), found(&taken)), 11));
+}
+
+/// Guards against conflicts between changes that have nothing to do with each other.
+#[test]
+fn unrelated_change_is_stepped_over() {
+    let mut writer = writer(&take_out("lima"), None);
+    writer.on_read(Millis(1), found(&sample()));
+    writer.on_write(Millis(2), Written::Mismatch);
+    let other = step(&sample(), &model("other")).unwrap();
+    assert!(is_write(&writer.on_read(Millis(3), found(&other)), 11));
+    let actions = writer.on_write(Millis(4), Written::Done);
+    assert!(matches!(outcome(&actions), Outcome::Applied { revision: 12, .. }));
+}
+
+/// Guards against a store outage that blocks operators or is reported as unknown although nothing was sent.
+#[test]
+fn outage_is_not_run() {
+    let mut writer = writer(&model("m"), None);
+    let mut actions = writer.on_read(Millis(0), Read::Unavailable);
+    while actions.is_empty() {
+        let due = writer.next_deadline().unwrap();
+        assert!(due < DEADLINE, "gives up before the deadline");
+        assert_eq!(writer.on_tick(due), vec![Action::Read]);
+        actions = writer.on_read(due, Read::Unavailable);
+    }
+    let refusal = outcome(&actions).refusal().unwrap();
+    assert_eq!(refusal.kind, ErrorKind::StoreUnavailable);
+    assert_eq!(writer.next_deadline(), None);
+    assert!(writer.calls() <= 8);
+}
+
+/// Guards against a write in progress at the deadline being reported as not run, and late answers being acted on.
+#[test]
+fn deadline_during_write_is_unknown() {
+    let mut writer = writer(&model("m"), None);
+    writer.on_read(Millis(1), found(&sample()));
+    assert_eq!(outcome(&writer.on_tick(DEADLINE)), &Outcome::Unknown);
+    assert!(writer.on_write(Millis(10_001), Written::Done).is_empty());
+}
+
+/// Guards against overwriting a value that is not a document.
+#[test]
+fn unreadable_value_is_kept() {
+    let mut writer = writer(&model("m"), None);
+    let actions = writer.on_read(Millis(1), Read::Unreadable("junk".to_owned()));
+    assert!(matches!(outcome(&actions), Outcome::Unreadable(_)));
+}
