Add the operators' client and the fleet of processes for tests

Cause: the whole path must be run as separate processes.

Change: crate cli; process control, fleet and a checking caller in crate scenario; the path test.

--- /dev/null
+++ b/crates/chestnutpick_cli/src/api.rs
@@ -0,0 +1,143 @@
+//! Calls of the administration API.
+
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use chestnutpick_platform::client;
+use chestnutpick_types::{size, time};
+use serde::Deserialize;
+use serde_json::json;
+use snafu::Snafu;
+
+/// Longest wait for an answer; a change may take 5 s to write and 5 s to spread.
+const TIMEOUT: time::Millis = time::Millis::from_secs(15);
+
+/// Largest answer.
+const LIMIT: size::Bytes = size::Bytes::from_mib(16);
+
+/// A command that was not carried out.
+#[derive(Debug, Snafu)]
+pub enum ApiError {
+    /// No entry could be reached; nothing was sent.
+    #[snafu(display("no entry could be reached: {reason}"))]
+    Unreachable {
+        /// Why, for the last one.
+        reason: String,
+    },
+    /// The answer was lost.
+    #[snafu(display("the answer was lost, the command may have been carried out: {reason}"))]
+    Lost {
+        /// How.
+        reason: String,
+    },
+    /// The entry refused the command.
+    #[snafu(display("{kind} ({ran}): {message}"))]
+    Refused {
+        /// Kind of error.
+        kind: String,
+        /// Whether it was carried out.
+        ran: String,
+        /// What was wrong.
+        message: String,
+    },
+}
+
+/// An answer of the API.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// The whole answer.
+    pub value: serde_json::Value,
+}
+
+impl Answer {
+    /// Returns the text for people.
+    ///
+    /// ```
+    /// use chestnutpick_cli::api;
+    /// let answer = api::Answer { value: serde_json::json!({"text": "accepted\n"}) };
+    /// assert_eq!(answer.text(), "accepted\n");
+    /// ```
+    pub fn text(&self) -> &str {
+        self.value.get("text").and_then(serde_json::Value::as_str).unwrap_or_default()
+    }
+}
+
+/// A command to send.
+#[derive(Debug, Clone)]
+pub struct Command {
+    /// Its text.
+    pub text: String,
+    /// Who sends it.
+    pub operator: String,
+    /// Whether it is only checked.
+    pub dry_run: bool,
+    /// Whether to wait until it is in force.
+    pub wait: bool,
+    /// Revision that the operator has seen.
+    pub base: Option<u64>,
+}
+
+/// The API of a list of entries.
+pub struct Api {
+    client: client::Client,
+    entries: Vec<net::SocketAddr>,
+    token: sync::Arc<str>,
+}
+
+#[derive(Deserialize)]
+struct Refusal {
+    error: String,
+    ran: String,
+    message: String,
+}
+
+impl Api {
+    /// Returns the API of `entries`, which are tried in order.
+    pub fn new(entries: Vec<net::SocketAddr>, token: &str) -> Self {
+        Self { client: client::Client::new(), entries, token: token.into() }
+    }
+
+    /// Sends a command. Another entry is tried only if the command certainly did not reach the one before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ApiError`].
+    pub async fn send(&self, command: &Command) -> Result<Answer, ApiError> {
+        let body = json!({
+            "command": command.text, "operator": command.operator, "dry_run": command.dry_run,
+            "wait": command.wait, "base": command.base,
+        });
+        let body = Bytes::from(body.to_string());
+        let mut last = "no entry is given".to_owned();
+        for entry in &self.entries {
+            let mut request = client::Request::new("POST", "/admin/v1/commands");
+            request.headers.push(("authorization".into(), format!("Bearer {}", self.token).into()));
+            request.body = vec![body.clone()];
+            match self.client.call(*entry, request, TIMEOUT).await {
+                Ok(response) => return read(response).await,
+                Err(reason) if reason.is_not_sent() => last = reason.to_string(),
+                Err(reason) => return LostSnafu { reason: reason.to_string() }.fail(),
+            }
+        }
+        UnreachableSnafu { reason: last }.fail()
+    }
+}
+
+async fn read(mut response: client::Response) -> Result<Answer, ApiError> {
+    let body = response.read(LIMIT).await;
+    let body = body.map_err(|reason| ApiError::Lost { reason: reason.to_string() })?;
+    if response.status == 200 {
+        let value = serde_json::from_slice(&body);
+        return value
+            .map(|value| Answer { value })
+            .map_err(|reason| ApiError::Lost { reason: reason.to_string() });
+    }
+    match serde_json::from_slice::<Refusal>(&body) {
+        Ok(refusal) => {
+            let Refusal { error, ran, message } = refusal;
+            RefusedSnafu { kind: error, ran, message }.fail()
+        }
+        Err(_) => LostSnafu { reason: format!("status {}", response.status) }.fail(),
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_cli/src/options.rs
@@ -0,0 +1,91 @@
+//! Command line of `chestnutpick`.
+
+use std::net;
+use std::path;
+
+use gumdrop::Options;
+
+/// Output formats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Output {
+    /// Aligned text.
+    #[default]
+    Table,
+    /// JSON.
+    Json,
+}
+
+/// Shells for which a completion script is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Shell {
+    /// GNU Bash.
+    Bash,
+    /// Z shell.
+    Zsh,
+}
+
+/// The command line.
+#[derive(Debug, Options)]
+pub struct CommandLine {
+    /// Print the usage and exit.
+    #[options(help = "print this help and exit")]
+    pub help: bool,
+    /// Print the version and exit.
+    #[options(help = "print the version and exit", short = "V")]
+    pub version: bool,
+    /// Entries to send the command to, tried in order.
+    #[options(help = "address of an entry, ip:port; repeat it for alternatives", meta = "ADDR")]
+    pub entry: Vec<net::SocketAddr>,
+    /// File that holds the bearer token.
+    #[options(help = "file that holds the bearer token", meta = "FILE")]
+    pub token_file: Option<path::PathBuf>,
+    /// Output format.
+    #[options(help = "output format: table or json", meta = "FORMAT")]
+    pub output: Output,
+    /// Name that is recorded with a change.
+    #[options(help = "name recorded with a change (default: $USER)", short = "u", meta = "NAME")]
+    pub operator: Option<String>,
+    /// Only check a change.
+    #[options(help = "check a change without making it", short = "n")]
+    pub dry_run: bool,
+    /// Wait until a change is in force.
+    #[options(help = "wait until a change is in force and report each zone")]
+    pub wait: bool,
+    /// Revision that the operator has seen.
+    #[options(help = "revision that you have seen; later changes may conflict", meta = "REV")]
+    pub base: Option<u64>,
+    /// Repeat a query.
+    #[options(help = "repeat a query every N seconds until interrupted", short = "r", meta = "N")]
+    pub repeat: Option<u64>,
+    /// Print a completion script.
+    #[options(help = "print the completion script for bash or zsh", no_short, meta = "SHELL")]
+    pub completion: Option<Shell>,
+    /// Print completions of a command.
+    #[options(help = "print completions of the given words", no_short)]
+    pub complete: bool,
+    /// The words of the command.
+    #[options(free)]
+    pub words: Vec<String>,
+}
+
+/// Returns the completion script for a shell.
+///
+/// ```
+/// use chestnutpick_cli::options;
+/// assert!(options::completion_script(options::Shell::Bash).contains("complete -F"));
+/// ```
+pub fn completion_script(shell: Shell) -> &'static str {
+    match shell {
+        Shell::Bash => {
+            "_chestnutpick() {\n    local IFS=$'\\n'\n    COMPREPLY=($(compgen -W \"$(chestnutpick --complete -- \
+             \"${COMP_WORDS[@]:1:COMP_CWORD}\")\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\ncomplete -F _chestnutpick \
+             chestnutpick\n"
+        }
+        Shell::Zsh => {
+            "#compdef chestnutpick\n_chestnutpick() {\n    compadd -- ${(f)\"$(chestnutpick --complete -- \
+             ${words[2,CURRENT]})\"}\n}\n_chestnutpick\n"
+        }
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_cli/src/print.rs
@@ -0,0 +1,52 @@
+//! Answers as text.
+
+use crate::api;
+use crate::options;
+
+/// Returns an answer in the given format.
+///
+/// ```
+/// use chestnutpick_cli::{api, options, print};
+/// let answer = api::Answer { value: serde_json::json!({"text": "accepted as revision 3\n", "revision": 3}) };
+/// assert_eq!(print::answer(&answer, options::Output::Table), "accepted as revision 3\n");
+/// ```
+pub fn answer(answer: &api::Answer, output: options::Output) -> String {
+    match output {
+        options::Output::Json => {
+            let shown = answer.value.get("rows").unwrap_or(&answer.value);
+            format!("{shown:#}\n")
+        }
+        options::Output::Table => format!("{}{}", answer.text(), zones(&answer.value)),
+    }
+}
+
+fn zones(value: &serde_json::Value) -> String {
+    let Some(zones) = value.get("zones").and_then(serde_json::Value::as_object) else {
+        return String::new();
+    };
+    let line = |(zone, found): (&String, &serde_json::Value)| {
+        let missing = found["not_reached"].as_array().map_or(0, Vec::len);
+        let state = if missing == 0 {
+            "in force".to_owned()
+        } else {
+            format!("not reached: {}", found["not_reached"])
+        };
+        format!("  {zone}: {} hosts, {state}\n", found["in_force"])
+    };
+    zones.iter().map(line).collect()
+}
+
+/// Returns whether an answer says that everything asked for happened; a wait that ended early did not.
+///
+/// ```
+/// use chestnutpick_cli::{api, print};
+/// let answer = api::Answer { value: serde_json::json!({"zones": {"lima": {"not_reached": ["runner-1"]}}}) };
+/// assert!(!print::is_complete(&answer));
+/// ```
+pub fn is_complete(answer: &api::Answer) -> bool {
+    let zones = answer.value.get("zones").and_then(serde_json::Value::as_object);
+    let missing = |zone: &serde_json::Value| {
+        zone["not_reached"].as_array().is_some_and(|list| !list.is_empty())
+    };
+    !zones.is_some_and(|zones| zones.values().any(missing))
+}
--- /dev/null
+++ b/crates/chestnutpick_cli/src/session.rs
@@ -0,0 +1,93 @@
+//! One-shot commands and the interactive session.
+
+use std::io::{self, BufRead, Write};
+use std::time;
+
+use chestnutpick_language::{command, parse};
+
+use crate::api;
+use crate::options;
+use crate::print;
+
+/// Exit status when a command was not accepted or is not in force everywhere.
+pub const NOT_DONE: u8 = 1;
+
+/// Exit status for a wrong command line or a command that cannot be parsed.
+pub const WRONG_USE: u8 = 2;
+
+/// Sends commands as the command line asks.
+pub struct Session {
+    /// Where to.
+    pub api: api::Api,
+    /// How.
+    pub line: options::CommandLine,
+    /// Name recorded with changes.
+    pub operator: String,
+}
+
+impl Session {
+    /// Runs one command; returns the exit status.
+    pub async fn run(&self, text: &str) -> u8 {
+        let parsed = match parse::parse(text) {
+            Ok(parsed) => parsed,
+            Err(reason) => {
+                eprintln!("{reason}");
+                return WRONG_USE;
+            }
+        };
+        let repeats = self.line.repeat.filter(|_| is_query(&parsed));
+        loop {
+            let status = self.send(text).await;
+            let Some(seconds) = repeats else { return status };
+            tokio::time::sleep(time::Duration::from_secs(seconds.max(1))).await;
+        }
+    }
+
+    async fn send(&self, text: &str) -> u8 {
+        let command = api::Command {
+            text: text.to_owned(),
+            operator: self.operator.clone(),
+            dry_run: self.line.dry_run,
+            wait: self.line.wait,
+            base: self.line.base,
+        };
+        match self.api.send(&command).await {
+            Ok(answer) => {
+                print!("{}", print::answer(&answer, self.line.output));
+                if print::is_complete(&answer) { 0 } else { NOT_DONE }
+            }
+            Err(reason) => {
+                eprintln!("{reason}");
+                NOT_DONE
+            }
+        }
+    }
+
+    /// Reads commands from standard input, one a line, until its end or `exit`; returns the last status that was not 0.
+    pub async fn interactive(&self) -> u8 {
+        let mut status = 0;
+        let mut line = String::new();
+        loop {
+            print!("chestnutpick> ");
+            // A prompt that cannot be shown does not keep commands from being read.
+            let _ = io::stdout().flush();
+            line.clear();
+            match io::stdin().lock().read_line(&mut line) {
+                Ok(0) | Err(_) => return status,
+                Ok(_) => {}
+            }
+            match line.trim() {
+                "" => {}
+                "exit" | "quit" => return status,
+                text => match self.run(text).await {
+                    0 => {}
+                    failed => status = failed,
+                },
+            }
+        }
+    }
+}
+
+fn is_query(parsed: &command::Command) -> bool {
+    !matches!(parsed, command::Command::Change(_) | command::Command::Drain { .. })
+}
--- a/crates/chestnutpick_scenario/src/lib.rs
+++ b/crates/chestnutpick_scenario/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Development tools that run the whole system as processes on loopback: a fleet, a fault-injecting relay, and scenarios in a
+//! small test language.
+
+pub mod caller;
+pub mod fleet;
+pub mod plan;
+pub mod process;
--- /dev/null
+++ b/crates/chestnutpick_scenario/tests/path.rs
@@ -0,0 +1,81 @@
+//! The whole path on processes: configuration, weights, a streamed completion, a purchase, and graceful shutdown.
+
+use std::time;
+
+use chestnutpick_scenario::{caller, fleet, plan, process};
+use chestnutpick_types::digest;
+use serde_json::Value;
+
+const DEADLINE: time::Duration = time::Duration::from_secs(60);
+
+async fn until<F, P>(what: &str, mut probe: F)
+where
+    F: FnMut() -> P,
+    P: Future<Output = Result<bool, String>>,
+{
+    let start = time::Instant::now();
+    let mut last = String::new();
+    while start.elapsed() < DEADLINE {
+        match probe().await {
+            Ok(true) => return,
+            Ok(false) => {}
+            Err(reason) => last = reason,
+        }
+        actix_rt::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    panic!("{what} did not happen: {last}");
+}
+
+fn digest_of(published: &Value, key: &str) -> digest::Digest {
+    published[key].as_str().unwrap().parse().unwrap()
+}
+
+/// Guards against a break anywhere on the path from an operator's command to a whole answer.
+#[actix_rt::test]
+async fn whole_path_serves_and_stops_cleanly() {
+    let plan = plan::Plan::even(&["lima", "cusco"], 1, 2);
+    let mut fleet = fleet::Fleet::start(plan, &fleet::programs()).await.unwrap();
+    let published = fleet.publish("gilder", "v1", 3 << 20, 256 << 10, 7).await.unwrap();
+    let version = digest_of(&published, "digest");
+    let entry = "entry-lima-1";
+    for command in [
+        "create region lima-region".to_owned(),
+        "create region cusco-region".to_owned(),
+        "create zone lima in lima-region".to_owned(),
+        "create zone cusco in cusco-region".to_owned(),
+        "create model gilder".to_owned(),
+        format!("create version v1 of gilder digest {version}"),
+        "create workspace bench".to_owned(),
+        "create service ledger".to_owned(),
+        "declare gilder/v1 to bench".to_owned(),
+    ] {
+        fleet.command(entry, &command, true).await.unwrap();
+    }
+    let ask = caller::Ask {
+        workspace: "bench".to_owned(),
+        prompt: "condition report".to_owned(),
+        tokens: 20,
+        contents: vec![(version, digest_of(&published, "content"))],
+    };
+    for address in fleet.entries() {
+        until("a whole completion", || async {
+            let answer = caller::completion(&fleet.client, address, &ask).await;
+            answer.map(|answered| answered == version).map_err(|reason| reason.to_string())
+        })
+        .await;
+    }
+    let entries = fleet.entries();
+    let buy = |address| caller::call(&fleet.client, address, "POST", "ledger/records", Some("order-1"), "5 leaves");
+    let (status, replayed, first) = buy(entries[0]).await.unwrap();
+    assert_eq!((status, replayed), (201, false));
+    let (status, replayed, second) = buy(entries[1]).await.unwrap();
+    assert_eq!((status, replayed), (201, true));
+    assert_eq!(first, second);
+    let shown = fleet.command(entry, "show endpoints", false).await.unwrap();
+    assert_eq!(shown["rows"].as_array().unwrap().len(), 6, "{shown}");
+    for name in fleet.names() {
+        fleet.signal(&name, process::Signal::Terminate).unwrap();
+        let status = fleet.wait(&name, DEADLINE).unwrap();
+        assert_eq!(status, 0, "{name}: {}", fleet.process(&name).unwrap().log());
+    }
+}
