Test the platform clients against a peer that breaks off

Cause: whether a failed call may be sent again depends on telling "not sent" from "lost"; no run had shown it.

Ruled out: tests against the stand-ins only, because these cannot break off in the middle of a head or of a body.

--- /dev/null
+++ b/crates/chestnutpick_platform/tests/common/mod.rs
@@ -0,0 +1,105 @@
+//! A peer that answers each request with scripted bytes.
+
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the peer does with one request.
+#[derive(Clone)]
+pub enum Reply {
+    /// Sends the bytes and waits for the next request on the connection.
+    Send(String),
+    /// Sends the bytes and closes the connection.
+    SendAndClose(String),
+    /// Sends the bytes and then nothing.
+    SendAndHang(String),
+}
+
+/// A peer on a free port.
+pub struct Peer {
+    pub address: SocketAddr,
+    /// Heads and bodies of the requests received.
+    pub requests: Rc<RefCell<Vec<String>>>,
+    /// Number of connections accepted.
+    pub connections: Rc<Cell<usize>>,
+}
+
+/// Returns a response with a status, further head lines and a body of the right length.
+pub fn response(status: u16, head: &str, body: &str) -> Reply {
+    Reply::Send(format!(
+        "HTTP/1.1 {status} X\r\n{head}content-length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+pub async fn start(replies: Vec<Reply>) -> Peer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = Peer {
+        address: listener.local_addr().unwrap(),
+        requests: Rc::default(),
+        connections: Rc::default(),
+    };
+    let replies = Rc::new(RefCell::new(VecDeque::from(replies)));
+    let (requests, connections) = (Rc::clone(&peer.requests), Rc::clone(&peer.connections));
+    actix_rt::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            connections.set(connections.get() + 1);
+            actix_rt::spawn(answer(stream, Rc::clone(&replies), Rc::clone(&requests)));
+        }
+    });
+    peer
+}
+
+async fn answer(
+    mut stream: TcpStream,
+    replies: Rc<RefCell<VecDeque<Reply>>>,
+    requests: Rc<RefCell<Vec<String>>>,
+) {
+    while let Some(request) = read(&mut stream).await {
+        requests.borrow_mut().push(request);
+        let reply = replies.borrow_mut().pop_front().expect("a request that was not scripted");
+        match reply {
+            Reply::Send(bytes) => stream.write_all(bytes.as_bytes()).await.unwrap(),
+            Reply::SendAndClose(bytes) => {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                return;
+            }
+            Reply::SendAndHang(bytes) => {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+async fn read(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let len = stream.read(&mut buffer).await.ok()?;
+        if len == 0 {
+            return None;
+        }
+        text.push_str(std::str::from_utf8(&buffer[..len]).unwrap());
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
+            return Some(text);
+        }
+    }
+}
+
+/// Runs a test on a single-threaded system, as the processes do.
+pub fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    actix_rt::System::new().block_on(test);
+}
--- /dev/null
+++ b/crates/chestnutpick_platform/tests/mapping.rs
@@ -0,0 +1,131 @@
+//! What the clients make of statuses and bodies.
+
+mod common;
+
+use std::rc::Rc;
+
+use chestnutpick_platform::client::Client;
+use chestnutpick_platform::engine::{Engine, HttpEngine};
+use chestnutpick_platform::fault::Kind;
+use chestnutpick_platform::hosts::{HostList, HttpHostList, Role, State};
+use chestnutpick_platform::origin::{HttpOrigin, Origin};
+use chestnutpick_platform::store::{HttpStore, Store, StoreError};
+use chestnutpick_types::digest::Digest;
+use chestnutpick_types::id;
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+use common::Reply;
+use rstest::rstest;
+
+const LONG: Millis = Millis::from_secs(10);
+
+/// Guards against repeating a write that took effect and against settling one that certainly did not.
+#[rstest]
+#[case::written(200, "x-revision: 7\r\n", "Ok(7)")]
+#[case::conflict(409, "x-revision: 9\r\n", "Err(Conflict { current: 9 })")]
+#[case::no_revision(200, "", "Err(Unknown")]
+#[case::rate(429, "", "Err(Refused")]
+#[case::outage(503, "", "Err(Refused")]
+#[case::failure(500, "", "Err(Unknown")]
+#[case::gateway(504, "", "Err(Unknown")]
+fn store_write(#[case] status: u16, #[case] head: &str, #[case] expected: &str) {
+    common::run(async move {
+        let peer = common::start(vec![common::response(status, head, "")]).await;
+        let store = HttpStore::new(Client::new(), peer.address, LONG);
+        let outcome = store.put("claims/3".into(), 6, "v".into()).await;
+        assert!(format!("{outcome:?}").starts_with(expected), "{outcome:?}");
+        let request = peer.requests.borrow()[0].clone();
+        assert!(request.starts_with("PUT /v1/kv/claims/3?expected=6 HTTP/1.1\r\n"), "{request}");
+    });
+}
+
+/// Guards against treating a write whose connection was closed as not applied.
+#[test]
+fn store_write_without_response_is_unknown() {
+    common::run(async move {
+        let peer = common::start(vec![Reply::SendAndClose(String::new())]).await;
+        let store = HttpStore::new(Client::new(), peer.address, LONG);
+        let outcome = store.put("config".into(), 0, "v".into()).await;
+        assert!(matches!(outcome, Err(StoreError::Unknown { .. })), "{outcome:?}");
+    });
+}
+
+/// Guards against mistaking a missing key or a watch that ended for a failure.
+#[test]
+fn store_read_and_watch() {
+    common::run(async move {
+        let replies = vec![
+            common::response(200, "x-revision: 3\r\n", "abc"),
+            common::response(404, "", ""),
+            Reply::Send("HTTP/1.1 204 No Content\r\n\r\n".to_owned()),
+        ];
+        let peer = common::start(replies).await;
+        let store = HttpStore::new(Client::new(), peer.address, LONG);
+        let value = store.get("config".into()).await.unwrap().unwrap();
+        assert_eq!((value.revision, &*value.bytes), (3, &b"abc"[..]));
+        assert_eq!(store.get("config".into()).await, Ok(None));
+        assert_eq!(store.watch("config".into(), 3, Millis(20)).await, Ok(None));
+        let request = peer.requests.borrow()[2].clone();
+        assert!(request.starts_with("GET /v1/watch/config?after=3&wait-ms=20 HTTP/1.1\r\n"));
+    });
+}
+
+/// Guards against losing the distinction between an old fence, a rate limit, a missing item and other refusals.
+#[rstest]
+#[case(409, Kind::Stale)]
+#[case(429, Kind::Busy)]
+#[case(503, Kind::Busy)]
+#[case(404, Kind::NotFound)]
+#[case(500, Kind::Rejected)]
+fn order_that_is_refused(#[case] status: u16, #[case] expected: Kind) {
+    common::run(async move {
+        let peer = common::start(vec![common::response(status, "", "because")]).await;
+        let engine = HttpEngine::new(Client::new(), peer.address, LONG);
+        let pieces = vec!["we".into(), "ights".into()];
+        let error = engine.load(Digest::of(b"m"), 4, pieces).await.unwrap_err();
+        assert_eq!(error.kind, expected);
+        assert!(error.reason.contains("because"), "{error}");
+        let request = peer.requests.borrow()[0].clone();
+        assert!(request.contains("\r\ncontent-length: 7\r\n"), "{request}");
+        assert!(request.ends_with("\r\n\r\nweights"), "{request}");
+    });
+}
+
+/// Guards against failing because a request has ended before its cancellation arrives.
+#[test]
+fn cancelling_an_unknown_request_succeeds() {
+    common::run(async move {
+        let peer = common::start(vec![common::response(404, "", "")]).await;
+        let engine = HttpEngine::new(Client::new(), peer.address, LONG);
+        assert_eq!(engine.cancel(id::AttemptId::random()).await, Ok(()));
+    });
+}
+
+/// Guards against reading hosts from a list of another form, and against rejecting the documented one.
+#[test]
+fn host_list() {
+    common::run(async move {
+        let line = r#"[{"host":"e-1","zone":"lima","region":"pe","role":"entry","http":"127.0.0.1:1",
+        "control":"127.0.0.1:2","state":"leaving"}]"#;
+        let replies = vec![common::response(200, "", line), common::response(200, "", "{}")];
+        let peer = common::start(replies).await;
+        let hosts = Rc::new(HttpHostList::new(Client::new(), peer.address, LONG));
+        let list = hosts.list().await.unwrap();
+        assert_eq!((list[0].role, list[0].state), (Role::Entry, State::Leaving));
+        assert_eq!(hosts.list().await.unwrap_err().kind, Kind::Malformed);
+    });
+}
+
+/// Guards against accepting a chunk that is larger than its manifest says.
+#[test]
+fn chunk_beyond_its_limit() {
+    common::run(async move {
+        let peer = common::start(vec![common::response(200, "", "12345")]).await;
+        let origin = HttpOrigin::new(Client::new(), peer.address, LONG);
+        let (model, version) = ("m".parse().unwrap(), "v".parse().unwrap());
+        let error = origin.chunk(model, version, 2, size::Bytes(4)).await.unwrap_err();
+        assert_eq!(error.kind, Kind::Lost);
+        let request = peer.requests.borrow()[0].clone();
+        assert!(request.starts_with("GET /v1/weights/m/v/chunks/2 HTTP/1.1\r\n"), "{request}");
+    });
+}
