Add the stand-ins for store, host list, origin, and plain service

Cause: the processes need services to run against, with faults that can be injected while they run.

Ruled out: a JSON form of faults that ignores unknown fields, because a misspelt fault would make a test pass without it. One settings type with a tag for the kind, because its errors lose the line; the kind is read first instead.

Change: the program chestnutpick-standin, the server with common faults, and four kinds, each a state machine in virtual time under an HTTP layer. Calls that serve only tests (PUT of hosts and weights, /faults, /stats) are exempt from common faults.

Conclusion: `down` closes a connection before any byte of a response through a body that fails at its first piece.

--- /dev/null
+++ b/crates/chestnutpick_standin/src/hosts/state.rs
@@ -0,0 +1,110 @@
+//! State of the host list: each host's versions over time.
+
+use std::collections::BTreeMap;
+
+use chestnutpick_platform::hosts::HostRecord;
+use chestnutpick_types::id;
+use chestnutpick_types::time::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::hosts::Settings;
+
+/// Longest lag; older versions are dropped.
+pub const MAX_LAG: Millis = Millis::from_secs(600);
+
+/// Faults of the host list.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Time by which the list lags, at most [`MAX_LAG`]; the setting applies if absent.
+    pub lag_ms: Option<u64>,
+}
+
+/// Counters of the host list.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Stats {
+    /// Lists returned.
+    pub lists: u64,
+    /// Hosts put or deleted.
+    pub changes: u64,
+}
+
+/// The host list.
+#[derive(Debug)]
+pub struct State {
+    /// Versions of each host in the order of time; `None` means that it was not listed.
+    hosts: BTreeMap<id::HostId, Vec<(Millis, Option<HostRecord>)>>,
+    lag: Millis,
+    faults: Faults,
+    stats: Stats,
+}
+
+impl State {
+    /// Returns the list with the hosts of the settings, which are visible at once.
+    ///
+    /// ```
+    /// use chestnutpick_standin::hosts;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = hosts::state::State::new(&hosts::Settings::default());
+    /// assert!(state.list(Millis(0)).is_empty());
+    /// ```
+    pub fn new(settings: &Settings) -> Self {
+        let mut state = Self {
+            hosts: BTreeMap::new(),
+            lag: Millis(settings.lag_ms),
+            faults: Faults::default(),
+            stats: Stats::default(),
+        };
+        for record in &settings.hosts {
+            state.change(Millis::ZERO, record.host.clone(), Some(record.clone()));
+        }
+        state
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Lists a host or replaces its line.
+    pub fn put(&mut self, now: Millis, record: HostRecord) {
+        self.stats.changes += 1;
+        self.change(now, record.host.clone(), Some(record));
+    }
+
+    /// Deletes a host from the list; returns whether it was listed.
+    pub fn delete(&mut self, now: Millis, host: &id::HostId) -> bool {
+        let last = self.hosts.get(host).and_then(|versions| versions.last());
+        let listed = matches!(last, Some((_, Some(_))));
+        if listed {
+            self.stats.changes += 1;
+            self.change(now, host.clone(), None);
+        }
+        listed
+    }
+
+    /// Returns the hosts as they were before the lag.
+    pub fn list(&mut self, now: Millis) -> Vec<HostRecord> {
+        self.stats.lists += 1;
+        let lag = self.faults.lag_ms.map_or(self.lag, Millis);
+        let seen = Millis(now.since(lag.min(MAX_LAG)).0);
+        let hosts = self.hosts.values();
+        hosts
+            .filter_map(|versions| versions.iter().rev().find(|(at, _)| *at <= seen)?.1.clone())
+            .collect()
+    }
+
+    fn change(&mut self, now: Millis, host: id::HostId, record: Option<HostRecord>) {
+        let versions = self.hosts.entry(host).or_default();
+        let horizon = now.since(MAX_LAG);
+        let old = versions.iter().filter(|(at, _)| *at <= horizon).count();
+        // The newest of the old versions is still visible at the horizon.
+        versions.drain(..old.saturating_sub(1));
+        versions.push((now, record));
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_standin/src/origin/state.rs
@@ -0,0 +1,235 @@
+//! State of the origin: published versions and the link.
+
+use std::collections::BTreeMap;
+
+use bytes::{Bytes, BytesMut};
+use chestnutpick_types::digest::{Digest, Hasher};
+use chestnutpick_types::id;
+use chestnutpick_types::time::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::bucket;
+use crate::content;
+use crate::manifest;
+use crate::origin::Settings;
+
+/// Bytes that the link carries without a wait after it was idle; also the size of the pieces of a response.
+pub const PIECE: u64 = 64 << 10;
+
+/// Faults of the origin.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every so many chunk responses have one wrong byte; 0 means none.
+    pub corrupt_every: u64,
+    /// Manifests and chunks are those of another seed.
+    pub changed: bool,
+}
+
+/// Counters of the origin.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Stats {
+    /// Manifests returned.
+    pub manifests: u64,
+    /// Chunks returned.
+    pub chunks: u64,
+    /// Chunks returned with a wrong byte.
+    pub corrupted: u64,
+    /// Bytes put on the link.
+    pub bytes: u64,
+}
+
+/// Digests of a published version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digests {
+    /// Digest of the manifest.
+    pub digest: Digest,
+    /// Digest of all bytes of the content.
+    pub content: Digest,
+}
+
+/// A version that is generated from a seed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Publication {
+    /// Size of the content in bytes.
+    pub size: u64,
+    /// Size of each chunk but the last in bytes, not 0.
+    pub chunk_size: u64,
+    /// Seed of the content.
+    pub seed: u64,
+}
+
+impl Publication {
+    /// Returns the number of chunks.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin::state;
+    /// assert_eq!(state::Publication { size: 10, chunk_size: 4, seed: 1 }.chunk_count(), 3);
+    /// ```
+    pub fn chunk_count(&self) -> u64 {
+        self.size.div_ceil(self.chunk_size)
+    }
+
+    /// Returns a chunk, or `None` beyond the last.
+    ///
+    /// ```
+    /// use chestnutpick_standin::{content, origin::state};
+    /// let publication = state::Publication { size: 10, chunk_size: 4, seed: 1 };
+    /// assert_eq!(publication.chunk(2).unwrap(), content::bytes(1, 8, 2));
+    /// assert!(publication.chunk(3).is_none());
+    /// ```
+    pub fn chunk(&self, index: u64) -> Option<Bytes> {
+        if index >= self.chunk_count() {
+            return None;
+        }
+        let offset = index * self.chunk_size;
+        let len = usize::try_from(self.chunk_size.min(self.size - offset)).ok()?;
+        Some(content::bytes(self.seed, offset, len))
+    }
+
+    /// Returns the publication with another seed, which the fault `changed` serves.
+    fn changed(self) -> Self {
+        Self { seed: !self.seed, ..self }
+    }
+}
+
+/// Computes manifest and digests of a publication chunk by chunk.
+#[derive(Debug)]
+pub struct Publisher {
+    publication: Publication,
+    manifest: manifest::Manifest,
+    content: Hasher,
+}
+
+impl Publisher {
+    /// Returns a publisher that has seen no chunk.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin::state;
+    /// let publication = state::Publication { size: 10, chunk_size: 4, seed: 1 };
+    /// let mut publisher = state::Publisher::new(publication);
+    /// while publisher.step() {}
+    /// assert_eq!(publisher.finish().0.chunks.len(), 3);
+    /// ```
+    pub fn new(publication: Publication) -> Self {
+        Self { publication, manifest: manifest::Manifest::default(), content: Hasher::default() }
+    }
+
+    /// Computes the next chunk; returns whether there was one.
+    pub fn step(&mut self) -> bool {
+        let index = u64::try_from(self.manifest.chunks.len()).unwrap_or(u64::MAX);
+        let Some(chunk) = self.publication.chunk(index) else { return false };
+        self.content.update(&chunk);
+        let size = u64::try_from(chunk.len()).unwrap_or(u64::MAX);
+        self.manifest.chunks.push(manifest::Chunk { digest: Digest::of(&chunk), size });
+        true
+    }
+
+    /// Returns the manifest and the digests.
+    pub fn finish(self) -> (manifest::Manifest, Digests) {
+        let digest = Digest::of(&self.manifest.to_bytes());
+        (self.manifest, Digests { digest, content: self.content.finish() })
+    }
+}
+
+#[derive(Debug)]
+struct Version {
+    publication: Publication,
+    manifest: Bytes,
+    /// Manifest of the other seed, computed when first needed.
+    changed: Option<Bytes>,
+}
+
+/// The origin.
+#[derive(Debug)]
+pub struct State {
+    versions: BTreeMap<(id::ModelId, id::VersionId), Version>,
+    link: bucket::Bucket,
+    faults: Faults,
+    stats: Stats,
+}
+
+impl State {
+    /// Returns an origin without versions.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin;
+    /// let state = origin::state::State::new(&origin::Settings::default());
+    /// assert_eq!(state.stats().bytes, 0);
+    /// ```
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            versions: BTreeMap::new(),
+            link: bucket::Bucket::new(settings.link_rate, PIECE),
+            faults: Faults::default(),
+            stats: Stats::default(),
+        }
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Publishes a version or replaces it.
+    pub fn publish(
+        &mut self,
+        model: id::ModelId,
+        version: id::VersionId,
+        publication: Publication,
+        manifest: &manifest::Manifest,
+    ) {
+        let manifest = manifest.to_bytes().into();
+        self.versions.insert((model, version), Version { publication, manifest, changed: None });
+    }
+
+    /// Returns the manifest of a version.
+    pub fn manifest(&mut self, model: id::ModelId, version: id::VersionId) -> Option<Bytes> {
+        let version = self.versions.get_mut(&(model, version))?;
+        self.stats.manifests += 1;
+        if !self.faults.changed {
+            return Some(version.manifest.clone());
+        }
+        let publication = version.publication.changed();
+        let changed = version.changed.get_or_insert_with(|| {
+            let mut publisher = Publisher::new(publication);
+            while publisher.step() {}
+            publisher.finish().0.to_bytes().into()
+        });
+        Some(changed.clone())
+    }
+
+    /// Returns a chunk of a version.
+    pub fn chunk(
+        &mut self,
+        model: id::ModelId,
+        version: id::VersionId,
+        index: u64,
+    ) -> Option<Bytes> {
+        let publication = self.versions.get(&(model, version))?.publication;
+        let publication = if self.faults.changed { publication.changed() } else { publication };
+        let chunk = publication.chunk(index)?;
+        self.stats.chunks += 1;
+        let every = self.faults.corrupt_every;
+        if every == 0 || !self.stats.chunks.is_multiple_of(every) {
+            return Some(chunk);
+        }
+        self.stats.corrupted += 1;
+        let mut wrong = BytesMut::from(chunk);
+        if let Some(byte) = wrong.first_mut() {
+            *byte = !*byte;
+        }
+        Some(wrong.freeze())
+    }
+
+    /// Puts `len` bytes on the link and returns the time until they may be sent.
+    pub fn send(&mut self, now: Millis, len: u64) -> Millis {
+        self.stats.bytes += len;
+        self.link.reserve(now, len)
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_standin/src/serve.rs
@@ -0,0 +1,196 @@
+//! The server around a stand-in: common paths, common faults, start and end.
+
+use std::cell;
+use std::io;
+use std::net;
+use std::rc;
+
+use actix_http as http;
+use actix_rt::task;
+use chestnutpick_http::{request, respond, server};
+use chestnutpick_types::error;
+use chestnutpick_types::size;
+use chestnutpick_types::time::{Clock, Millis};
+use futures::StreamExt;
+use futures::future::LocalBoxFuture;
+use serde::de;
+use tokio_util::sync;
+
+use crate::fault;
+
+/// Largest body of `PUT /faults`.
+const FAULTS_LIMIT: size::Bytes = size::Bytes(64 << 10);
+
+/// What a stand-in of one kind does with requests.
+pub trait Handler: Sized + 'static {
+    /// The faults of this kind.
+    type Faults: de::DeserializeOwned;
+
+    /// Replaces the faults of this kind.
+    fn set_faults(&self, faults: Self::Faults);
+
+    /// Returns the counters.
+    fn stats(&self) -> serde_json::Value;
+
+    /// Returns whether the path serves the development of tests and is exempt from common faults.
+    fn is_control(&self, method: &http::Method, path: &str) -> bool {
+        let _ = (method, path);
+        false
+    }
+
+    /// Returns whether connections are closed without a response for a reason of this kind, such as a crash.
+    fn is_down(&self) -> bool {
+        false
+    }
+
+    /// Answers a request.
+    fn handle(
+        self: rc::Rc<Self>,
+        request: http::Request,
+        context: Context,
+    ) -> LocalBoxFuture<'static, respond::Response>;
+}
+
+/// What the handlers of a stand-in share.
+#[derive(Clone)]
+pub struct Context {
+    /// Time since the start.
+    pub clock: Clock,
+    /// Cancelled when the stand-in is to end; waiting requests end then.
+    pub stop: sync::CancellationToken,
+}
+
+/// A stand-in that runs on the current thread.
+#[derive(Debug)]
+pub struct Running {
+    /// Address of its HTTP server.
+    pub address: net::SocketAddr,
+    /// Ends once the server has drained.
+    pub done: task::JoinHandle<server::Drained>,
+}
+
+struct Shell<H> {
+    handler: rc::Rc<H>,
+    common: cell::Cell<fault::Common>,
+    context: Context,
+}
+
+/// Starts a stand-in on the current thread; it runs until `stop` is cancelled and its connections have ended, but at
+/// most for `drain_deadline` after that.
+///
+/// # Errors
+///
+/// Returns the operating system's reason when the address cannot be bound.
+///
+/// ```
+/// use chestnutpick_standin::{serve, store};
+/// use chestnutpick_types::time::{Clock, Millis};
+/// actix_rt::System::new().block_on(async {
+///     let stop = tokio_util::sync::CancellationToken::new();
+///     let handler = store::serve::Store::new(&store::Settings::default());
+///     let listen = "127.0.0.1:0".parse().unwrap();
+///     let running = serve::start(handler, listen, Millis(100), stop.clone()).await.unwrap();
+///     assert_ne!(running.address.port(), 0);
+///     stop.cancel();
+///     running.done.await.unwrap();
+/// });
+/// ```
+pub async fn start<H>(
+    handler: H,
+    listen: net::SocketAddr,
+    drain_deadline: Millis,
+    stop: sync::CancellationToken,
+) -> io::Result<Running>
+where
+    H: Handler,
+{
+    let listener = server::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let context = Context { clock: Clock::start(), stop: stop.clone() };
+    let shell = rc::Rc::new(Shell {
+        handler: rc::Rc::new(handler),
+        common: cell::Cell::default(),
+        context,
+    });
+    let serving = server::serve(listener, stop, drain_deadline.to_duration(), move |request| {
+        answer(rc::Rc::clone(&shell), request)
+    });
+    Ok(Running { address, done: actix_rt::spawn(serving) })
+}
+
+async fn answer<H>(shell: rc::Rc<Shell<H>>, mut request: http::Request) -> respond::Response
+where
+    H: Handler,
+{
+    let method = request.method().clone();
+    let path = request.path().to_owned();
+    match (method.as_str(), path.as_str()) {
+        ("GET", "/stats") => return respond::json(200, &shell.handler.stats()),
+        ("PUT", "/faults") => return set_faults(&shell, &mut request).await,
+        _ => {}
+    }
+    if !shell.handler.is_control(&method, &path) {
+        let common = shell.common.get();
+        if common.down || shell.handler.is_down() {
+            return fault::closed();
+        }
+        if common.silent {
+            discard_body(&mut request).await;
+            shell.context.stop.cancelled().await;
+            return fault::closed();
+        }
+        actix_rt::time::sleep(Millis(common.delay_ms).to_duration()).await;
+    }
+    if path == "/health" {
+        return respond::bytes(200, "text/plain", "ok\n");
+    }
+    rc::Rc::clone(&shell.handler).handle(request, shell.context.clone()).await
+}
+
+async fn set_faults<H>(shell: &Shell<H>, request: &mut http::Request) -> respond::Response
+where
+    H: Handler,
+{
+    let parsed = match request::read_body(request, FAULTS_LIMIT).await {
+        Ok(body) => fault::parse::<H::Faults>(&body),
+        Err(refusal) => Err(refusal),
+    };
+    match parsed {
+        Ok((common, own)) => {
+            shell.common.set(common);
+            shell.handler.set_faults(own);
+            respond::bytes(200, "application/json", "{}")
+        }
+        Err(refusal) => respond::refusal(&refusal),
+    }
+}
+
+/// Reads the body of a request without keeping it.
+pub(crate) async fn discard_body(request: &mut http::Request) {
+    let mut payload = request.take_payload();
+    while let Some(Ok(_)) = payload.next().await {}
+}
+
+/// Returns the refusal of a path that is not served.
+pub(crate) fn not_found() -> respond::Response {
+    let refusal = error::Refusal::new(error::ErrorKind::NotFound, "no such path or item");
+    respond::refusal(&refusal)
+}
+
+/// Returns the refusal of a malformed request.
+pub(crate) fn invalid<M>(message: M) -> respond::Response
+where
+    M: Into<std::sync::Arc<str>>,
+{
+    respond::refusal(&error::Refusal::new(error::ErrorKind::InvalidRequest, message))
+}
+
+/// Returns a parameter of the query string, parsed.
+pub(crate) fn query<T>(request: &http::Request, name: &str) -> Result<T, respond::Response>
+where
+    T: std::str::FromStr,
+{
+    let text = request.uri().query().and_then(|query| request::query_value(query, name));
+    let parsed = text.and_then(|text| text.parse().ok());
+    parsed.ok_or_else(|| invalid(format!("query parameter {name} is {text:?}")))
+}
--- /dev/null
+++ b/crates/chestnutpick_standin/src/settings.rs
@@ -0,0 +1,81 @@
+//! Settings: `kind`, `listen` and the keys of the kind.
+
+use std::net;
+use std::path;
+
+use chestnutpick_settings::{check, file};
+use chestnutpick_types::time::Millis;
+use serde::Deserialize;
+
+use crate::{hosts, origin, service, store};
+
+/// Drain deadline unless set. Connections that clients keep open would otherwise hold up the end of a test by the
+/// servers' keep-alive time.
+pub const DRAIN_DEADLINE: Millis = Millis::from_secs(1);
+
+/// Address unless set: any free port on loopback.
+pub const ANY_PORT: net::SocketAddr =
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
+
+/// Kinds of stand-in.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Deserialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// Key-value service.
+    Store,
+    /// Host list.
+    Hosts,
+    /// Weight store.
+    Origin,
+    /// Plain service.
+    Service,
+}
+
+/// The keys that every file must have.
+#[derive(Debug, Deserialize)]
+struct Head {
+    kind: Kind,
+    #[serde(rename = "listen")]
+    _listen: net::SocketAddr,
+}
+
+impl check::Check for Head {
+    fn check(&self) -> Result<(), check::Violation> {
+        Ok(())
+    }
+}
+
+/// The settings of a stand-in.
+#[derive(Debug, Clone)]
+pub enum Settings {
+    /// Key-value service.
+    Store(store::Settings),
+    /// Host list.
+    Hosts(hosts::Settings),
+    /// Weight store.
+    Origin(origin::Settings),
+    /// Plain service.
+    Service(service::Settings),
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns [`file::SettingsError`] with the first thing that is wrong.
+///
+/// ```
+/// let error = chestnutpick_standin::settings::load("/no/such/file.toml".as_ref()).unwrap_err();
+/// assert!(error.to_string().starts_with("/no/such/file.toml: cannot be read"));
+/// ```
+pub fn load(path: &path::Path) -> Result<Settings, file::SettingsError> {
+    Ok(match file::load::<Head>(path)?.kind {
+        Kind::Store => Settings::Store(file::load(path)?),
+        Kind::Hosts => Settings::Hosts(file::load(path)?),
+        Kind::Origin => Settings::Origin(file::load(path)?),
+        Kind::Service => Settings::Service(file::load(path)?),
+    })
+}
--- /dev/null
+++ b/crates/chestnutpick_standin/src/store/state.rs
@@ -0,0 +1,276 @@
+//! State of the store: keys, leases and rates.
+
+use std::collections::BTreeMap;
+use std::sync;
+
+use bytes::Bytes;
+use chestnutpick_types::time::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::bucket;
+use crate::store::Settings;
+
+/// Faults of the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Number of writes that take effect while their connection is closed without a response.
+    pub lose_answers: u64,
+}
+
+/// Counters of the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Stats {
+    /// Reads and watches within the rate.
+    pub reads: u64,
+    /// Writes and lease calls within the rate.
+    pub writes: u64,
+    /// Writes that took effect.
+    pub applied: u64,
+    /// Writes refused because of their expected revision.
+    pub conflicts: u64,
+    /// Calls refused because of the rates.
+    pub refused: u64,
+    /// Writes whose response was lost by a fault.
+    pub lost: u64,
+    /// Keys deleted with their lease.
+    pub expired: u64,
+}
+
+/// Answer to a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// The key's revision and value.
+    Value(u64, Bytes),
+    /// The key, lease or newer revision does not exist.
+    Missing,
+    /// The write took effect.
+    Written {
+        /// The new revision.
+        revision: u64,
+        /// Whether the connection is to be closed without a response.
+        lost: bool,
+    },
+    /// The expected revision is not the current one, which is given; 0 if the key does not exist.
+    Conflict(u64),
+    /// A lease was granted.
+    Lease(u64),
+    /// The lease call took effect.
+    Done,
+    /// The rate is exceeded.
+    TooMany,
+    /// The value exceeds the limit.
+    TooLarge,
+}
+
+#[derive(Debug)]
+struct Entry {
+    /// Kept after deletion, so that a key that is created again has a higher revision.
+    revision: u64,
+    bytes: Option<Bytes>,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Millis,
+    expires: Millis,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct State {
+    keys: BTreeMap<sync::Arc<str>, Entry>,
+    leases: BTreeMap<u64, Lease>,
+    last_lease: u64,
+    reads: bucket::Bucket,
+    writes: bucket::Bucket,
+    value_limit: usize,
+    faults: Faults,
+    stats: Stats,
+}
+
+impl State {
+    /// Returns an empty store.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store;
+    /// let state = store::state::State::new(&store::Settings::default());
+    /// assert_eq!(state.stats().writes, 0);
+    /// ```
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            last_lease: 0,
+            reads: bucket::Bucket::new(settings.reads_per_sec, settings.reads_per_sec),
+            writes: bucket::Bucket::new(settings.writes_per_sec, settings.writes_per_sec),
+            value_limit: usize::try_from(settings.value_limit).unwrap_or(usize::MAX),
+            faults: Faults::default(),
+            stats: Stats::default(),
+        }
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Reads a key: `Value`, `Missing` or `TooMany`.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = store::state::State::new(&store::Settings::default());
+    /// assert_eq!(state.read(Millis(0), "config"), store::state::Reply::Missing);
+    /// ```
+    pub fn read(&mut self, now: Millis, key: &str) -> Reply {
+        if !self.count_read(now) {
+            return Reply::TooMany;
+        }
+        self.newer(now, key, 0)
+    }
+
+    /// Starts a watch, which counts as one read; returns whether the rate allows it.
+    pub fn start_watch(&mut self, now: Millis) -> bool {
+        self.count_read(now)
+    }
+
+    /// Returns `Value` if the key has a revision above `after`, otherwise `Missing`; counts towards no rate.
+    pub fn newer(&mut self, now: Millis, key: &str, after: u64) -> Reply {
+        self.expire(now);
+        match self.keys.get(key) {
+            Some(Entry { revision, bytes: Some(bytes), .. }) if *revision > after => {
+                Reply::Value(*revision, bytes.clone())
+            }
+            _ => Reply::Missing,
+        }
+    }
+
+    /// Writes a key if its revision is `expected` (0: it does not exist), bound to `lease` if one is given.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store::{self, state::Reply};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = store::state::State::new(&store::Settings::default());
+    /// let written = state.write(Millis(0), "config", 0, None, "a".into());
+    /// assert_eq!(written, Reply::Written { revision: 1, lost: false });
+    /// assert_eq!(state.write(Millis(0), "config", 0, None, "b".into()), Reply::Conflict(1));
+    /// ```
+    pub fn write(
+        &mut self,
+        now: Millis,
+        key: &str,
+        expected: u64,
+        lease: Option<u64>,
+        bytes: Bytes,
+    ) -> Reply {
+        if !self.count_write(now) {
+            return Reply::TooMany;
+        }
+        self.expire(now);
+        if bytes.len() > self.value_limit {
+            return Reply::TooLarge;
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Reply::Missing;
+        }
+        let entry = self.keys.get(key);
+        let current = entry.filter(|entry| entry.bytes.is_some()).map_or(0, |entry| entry.revision);
+        if current != expected {
+            self.stats.conflicts += 1;
+            return Reply::Conflict(current);
+        }
+        let revision = entry.map_or(0, |entry| entry.revision) + 1;
+        self.keys.insert(key.into(), Entry { revision, bytes: Some(bytes), lease });
+        self.stats.applied += 1;
+        Reply::Written { revision, lost: self.loses_answer() }
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, now: Millis, ttl: Millis) -> Reply {
+        if !self.count_write(now) {
+            return Reply::TooMany;
+        }
+        self.last_lease += 1;
+        self.leases.insert(self.last_lease, Lease { ttl, expires: now + ttl });
+        Reply::Lease(self.last_lease)
+    }
+
+    /// Renews a lease for its time to live: `Done`, `Missing` or `TooMany`.
+    pub fn renew(&mut self, now: Millis, id: u64) -> Reply {
+        if !self.count_write(now) {
+            return Reply::TooMany;
+        }
+        self.expire(now);
+        match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.expires = now + lease.ttl;
+                Reply::Done
+            }
+            None => Reply::Missing,
+        }
+    }
+
+    /// Ends a lease and deletes its keys: `Done`, `Missing` or `TooMany`.
+    pub fn revoke(&mut self, now: Millis, id: u64) -> Reply {
+        if !self.count_write(now) {
+            return Reply::TooMany;
+        }
+        self.expire(now);
+        if self.leases.remove(&id).is_none() {
+            return Reply::Missing;
+        }
+        self.delete_bound(id);
+        Reply::Done
+    }
+
+    fn count_read(&mut self, now: Millis) -> bool {
+        let allowed = self.reads.take(now, 1);
+        let counter = if allowed { &mut self.stats.reads } else { &mut self.stats.refused };
+        *counter += 1;
+        allowed
+    }
+
+    fn count_write(&mut self, now: Millis) -> bool {
+        let allowed = self.writes.take(now, 1);
+        let counter = if allowed { &mut self.stats.writes } else { &mut self.stats.refused };
+        *counter += 1;
+        allowed
+    }
+
+    fn loses_answer(&mut self) -> bool {
+        let lost = self.faults.lose_answers > 0;
+        if lost {
+            self.faults.lose_answers -= 1;
+            self.stats.lost += 1;
+        }
+        lost
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let due: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.expires <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            self.leases.remove(&id);
+            self.delete_bound(id);
+        }
+    }
+
+    fn delete_bound(&mut self, lease: u64) {
+        for entry in self.keys.values_mut().filter(|entry| entry.lease == Some(lease)) {
+            entry.bytes = None;
+            entry.lease = None;
+            self.stats.expired += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_standin/tests/cli.rs
@@ -0,0 +1,69 @@
+//! The program: command line, settings file, signals.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+
+use rstest::rstest;
+
+fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_chestnutpick-standin"))
+}
+
+/// Writes a settings file for one test.
+fn settings(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn error_line(output: &Output) -> String {
+    let text = String::from_utf8(output.stderr.clone()).unwrap();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    text
+}
+
+/// Guards against a wrong command line that starts something or whose error cannot be understood.
+#[rstest]
+#[case::none(&[], "--settings FILE is required")]
+#[case::unknown(&["--nonsense"], "nonsense")]
+#[case::no_file(&["--settings", "/no/such/file.toml"], "/no/such/file.toml: cannot be read")]
+fn wrong_command_line(#[case] arguments: &[&str], #[case] expected: &str) {
+    let output = program().args(arguments).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(error_line(&output).contains(expected), "{}", error_line(&output));
+}
+
+/// Guards against a wrong settings file that is accepted in part, or whose error does not name the place.
+#[rstest]
+#[case("no_kind", "listen = '127.0.0.1:0'", "missing field `kind`")]
+#[case("no_listen", "kind = 'store'", "missing field `listen`")]
+#[case("kind", "kind = 'shop'\nlisten = '127.0.0.1:0'", "kind = 'shop'")]
+#[case("other_kind", "kind = 'store'\nlisten = '127.0.0.1:0'\nslots = 3", ":3:")]
+fn wrong_settings(#[case] name: &str, #[case] text: &str, #[case] expected: &str) {
+    let path = settings(&format!("wrong-{name}"), text);
+    let output = program().arg("--check").arg("--settings").arg(&path).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let line = error_line(&output);
+    assert!(line.contains(expected) && line.contains(path.to_str().unwrap()), "{line}");
+}
+
+/// Guards against a key without a default, and against a process that does not name its port or does not end cleanly.
+#[rstest]
+fn minimal_settings(
+    #[values("store", "hosts", "origin", "service")] kind: &str,
+    #[values("TERM", "INT")] signal: &str,
+) {
+    let text = format!("kind = '{kind}'\nlisten = '127.0.0.1:0'\n");
+    let path = settings(&format!("minimal-{kind}-{signal}"), &text);
+    let mut command = program();
+    command.arg("--settings").arg(&path).stderr(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let line = lines.next().unwrap().unwrap();
+    assert!(line.contains("event=listening http=127.0.0.1:"), "{line}");
+    assert!(!line.ends_with(":0"), "{line}");
+    let kill = format!("kill -{signal} {}", child.id());
+    assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
--- /dev/null
+++ b/crates/chestnutpick_standin/tests/store.rs
@@ -0,0 +1,94 @@
+//! The store through its client.
+
+mod common;
+
+use chestnutpick_platform::store::{HttpStore, Store, StoreError};
+use chestnutpick_standin::store::{self, Settings, state};
+use chestnutpick_types::time::Millis;
+use common::{LONG, SHORT, Standin};
+
+async fn start(settings: Settings) -> (Standin, HttpStore) {
+    let standin = common::start(store::serve::Store::new(&settings)).await;
+    let client = HttpStore::new(standin.client.clone(), standin.address, LONG);
+    (standin, client)
+}
+
+/// Guards against two writers that both believe to have won, and against a deleted key that starts again at an old
+/// revision.
+#[test]
+fn compare_and_swap() {
+    common::run(async move {
+        let (standin, store) = start(Settings::default()).await;
+        assert_eq!(store.get("claims/1".into()).await, Ok(None));
+        assert_eq!(store.put("claims/1".into(), 0, "a".into()).await, Ok(1));
+        let conflict = Err(StoreError::Conflict { current: 1 });
+        assert_eq!(store.put("claims/1".into(), 0, "b".into()).await, conflict);
+        assert_eq!(store.put("claims/1".into(), 1, "c".into()).await, Ok(2));
+        assert_eq!(store.get("claims/1".into()).await.unwrap().unwrap().bytes, "c");
+        let (_, lease) = standin.text("POST", "/v1/leases?ttl-ms=60000", "").await;
+        assert_eq!(lease, r#"{"lease":1}"#);
+        let path = "/v1/kv/claims/1?expected=2&lease=1";
+        assert_eq!(standin.text("PUT", path, "d").await.0, 200);
+        assert_eq!(standin.text("DELETE", "/v1/leases/1", "").await.0, 200);
+        assert_eq!(store.get("claims/1".into()).await, Ok(None));
+        assert_eq!(store.put("claims/1".into(), 0, "e".into()).await, Ok(4));
+    });
+}
+
+/// Guards against a watch that misses a write, returns an old one or does not end.
+#[test]
+fn watch_returns_newer_value() {
+    common::run(async move {
+        let (_standin, store) = start(Settings::default()).await;
+        store.put("config".into(), 0, "a".into()).await.unwrap();
+        assert_eq!(store.watch("config".into(), 1, SHORT).await, Ok(None));
+        let waiting = actix_rt::spawn(store.watch("config".into(), 1, LONG));
+        store.put("config".into(), 1, "b".into()).await.unwrap();
+        let value = waiting.await.unwrap().unwrap().unwrap();
+        assert_eq!((value.revision, &*value.bytes), (2, &b"b"[..]));
+        assert_eq!(store.watch("config".into(), 0, LONG).await.unwrap(), Some(value));
+    });
+}
+
+/// Guards against a lost answer that is reported as a refusal or whose write is undone.
+#[test]
+fn lost_answer_takes_effect() {
+    common::run(async move {
+        let (standin, store) = start(Settings::default()).await;
+        standin.faults(r#"{"lose_answers":1}"#).await;
+        let outcome = store.put("config".into(), 0, "a".into()).await;
+        assert!(matches!(outcome, Err(StoreError::Unknown { .. })), "{outcome:?}");
+        assert_eq!(store.get("config".into()).await.unwrap().unwrap().bytes, "a");
+        assert_eq!(store.put("config".into(), 1, "b".into()).await, Ok(2));
+    });
+}
+
+/// Guards against a rate that is not enforced, that an applied write does not count towards, or that a refused write
+/// passes.
+#[test]
+fn rates_are_enforced() {
+    let settings = Settings { reads_per_sec: 2, writes_per_sec: 1, ..Settings::default() };
+    let mut state = state::State::new(&settings);
+    let written = state::Reply::Written { revision: 1, lost: false };
+    assert_eq!(state.write(Millis(0), "k", 0, None, "a".into()), written);
+    assert_eq!(state.write(Millis(999), "k", 1, None, "b".into()), state::Reply::TooMany);
+    assert_eq!(state.read(Millis(999), "k"), state::Reply::Value(1, "a".into()));
+    assert!(state.start_watch(Millis(999)));
+    assert_eq!(state.read(Millis(999), "k"), state::Reply::TooMany);
+    let written = state::Reply::Written { revision: 2, lost: false };
+    assert_eq!(state.write(Millis(1_000), "k", 1, None, "c".into()), written);
+    assert_eq!((state.stats().refused, state.stats().applied), (2, 2));
+}
+
+/// Guards against a lease that outlives its holder or is renewed after it expired.
+#[test]
+fn lease_expires() {
+    let mut state = state::State::new(&Settings::default());
+    assert_eq!(state.grant(Millis(0), Millis(100)), state::Reply::Lease(1));
+    state.write(Millis(0), "k", 0, Some(1), "a".into());
+    assert_eq!(state.renew(Millis(99), 1), state::Reply::Done);
+    assert_eq!(state.read(Millis(198), "k"), state::Reply::Value(1, "a".into()));
+    assert_eq!(state.read(Millis(199), "k"), state::Reply::Missing);
+    assert_eq!(state.renew(Millis(199), 1), state::Reply::Missing);
+    assert_eq!(state.write(Millis(199), "k", 0, Some(1), "b".into()), state::Reply::Missing);
+}
