Add the stand-in for model engines

Cause: admission, the version gate, continuation and crash suspects need an engine that batches, starts cold, runs out of memory and crashes.

Change: the kind `engine`, its state in virtual time and its HTTP layer.

--- a/crates/chestnutpick_standin/src/cli.rs
+++ b/crates/chestnutpick_standin/src/cli.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix;
 use tokio_util::sync;
 
-use crate::{hosts, origin, serve, service, settings, store};
+use crate::{engine, hosts, origin, serve, service, settings, store};
 
 /// Name of the program.
 pub const PROGRAM: &str = "chestnutpick-standin";
@@ -135,6 +135,10 @@
             let drain = Millis(own.drain_deadline_ms);
             serve::start(origin::serve::Origin::new(&own), own.listen, drain, stop).await
         }
+        settings::Settings::Engine(own) => {
+            let drain = Millis(own.drain_deadline_ms);
+            serve::start(engine::serve::Engine::new(&own), own.listen, drain, stop).await
+        }
         settings::Settings::Service(own) => {
             let drain = Millis(own.drain_deadline_ms);
             serve::start(service::serve::Service::new(&own), own.listen, drain, stop).await
--- a/crates/chestnutpick_standin/src/lib.rs
+++ b/crates/chestnutpick_standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bucket;
 pub mod cli;
 pub mod content;
+pub mod engine;
 pub mod fault;
 pub mod hosts;
 pub mod manifest;
--- a/crates/chestnutpick_standin/src/settings.rs
+++ b/crates/chestnutpick_standin/src/settings.rs
@@ -7,7 +7,7 @@
 use chestnutpick_types::time::Millis;
 use serde::Deserialize;
 
-use crate::{hosts, origin, service, store};
+use crate::{engine, hosts, origin, service, store};
 
 /// Drain deadline unless set. Connections that clients keep open would otherwise hold up the end of a test by the
 /// servers' keep-alive time.
@@ -30,6 +30,8 @@
     Hosts,
     /// Weight store.
     Origin,
+    /// Model engine.
+    Engine,
     /// Plain service.
     Service,
 }
@@ -57,6 +59,8 @@
     Hosts(hosts::Settings),
     /// Weight store.
     Origin(origin::Settings),
+    /// Model engine.
+    Engine(engine::Settings),
     /// Plain service.
     Service(service::Settings),
 }
@@ -76,6 +80,7 @@
         Kind::Store => Settings::Store(file::load(path)?),
         Kind::Hosts => Settings::Hosts(file::load(path)?),
         Kind::Origin => Settings::Origin(file::load(path)?),
+        Kind::Engine => Settings::Engine(file::load(path)?),
         Kind::Service => Settings::Service(file::load(path)?),
     })
 }
--- a/crates/chestnutpick_standin/tests/cli.rs
+++ b/crates/chestnutpick_standin/tests/cli.rs
@@ -40,6 +40,7 @@
 #[case("no_listen", "kind = 'store'", "missing field `listen`")]
 #[case("kind", "kind = 'shop'\nlisten = '127.0.0.1:0'", "kind = 'shop'")]
 #[case("other_kind", "kind = 'store'\nlisten = '127.0.0.1:0'\nslots = 3", ":3:")]
+#[case("value", "kind = 'engine'\nlisten = '127.0.0.1:0'\nslots = 0", "slots is \"0\"")]
 fn wrong_settings(#[case] name: &str, #[case] text: &str, #[case] expected: &str) {
     let path = settings(&format!("wrong-{name}"), text);
     let output = program().arg("--check").arg("--settings").arg(&path).output().unwrap();
@@ -51,7 +52,7 @@
 /// Guards against a key without a default, and against a process that does not name its port or does not end cleanly.
 #[rstest]
 fn minimal_settings(
-    #[values("store", "hosts", "origin", "service")] kind: &str,
+    #[values("store", "hosts", "origin", "engine", "service")] kind: &str,
     #[values("TERM", "INT")] signal: &str,
 ) {
     let text = format!("kind = '{kind}'\nlisten = '127.0.0.1:0'\n");
