--- a/crates/chestnutpick_admission/src/table.rs
+++ b/crates/chestnutpick_admission/src/table.rs
@@ -28,6 +28,10 @@
 /// Allowance for the difference between the clock that stamped a claim and the clock of the entry that settles it.
 pub const CLAIM_AGE_MARGIN: time::Millis = time::Millis::from_secs(2);
 
+/// Longest lag of the engine's own count of its load. Two status intervals were too short for an engine that lags by
+/// 500 ms: a cold endpoint's only slot stayed blocked after each attempt.
+pub const REPORT_LAG: time::Millis = time::Millis(1_000);
+
 /// Settings of one endpoint.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -85,6 +89,7 @@
     load: limits::Load,
     peak: limits::Load,
     last_peak: limits::Load,
+    rotated: time::Millis,
     foreign: limits::Load,
     suspects: u32,
 }
@@ -120,6 +125,7 @@
             load: limits::Load::default(),
             peak: limits::Load::default(),
             last_peak: limits::Load::default(),
+            rotated: now,
             foreign: limits::Load::default(),
             suspects: 0,
         }
@@ -364,7 +370,7 @@
         let crash = self.on_generation(now, status.generation);
         let moves = self.gate.on_loaded(&status.loaded);
         let held = self.ramp.hold(status.cold);
-        self.on_engine_load(status.load);
+        self.on_engine_load(now, status.load);
         let cold = held || crash.is_some() || self.generation.is_none();
         self.generation = Some(status.generation);
         status::Change { cold, opened: moves.opened, closed: moves.closed, crash }
@@ -410,12 +416,15 @@
     }
 
     /// Counts load that the engine reports beyond what the agent has sent. The engine's count lags, so it is compared
-    /// with the agent's peak over the last two status intervals; otherwise every completed attempt would block its slot
-    /// until the next status.
-    fn on_engine_load(&mut self, load: limits::Load) {
+    /// with the agent's peak over at least [`REPORT_LAG`]; otherwise every completed attempt would block its slot until
+    /// the engine's count has caught up.
+    fn on_engine_load(&mut self, now: time::Millis, load: limits::Load) {
         self.foreign = load.beyond(self.peak.max(self.last_peak));
-        self.last_peak = self.peak;
-        self.peak = self.load;
+        if now.since(self.rotated) >= REPORT_LAG {
+            self.rotated = now;
+            self.last_peak = self.peak;
+            self.peak = self.load;
+        }
     }
 
     /// Returns the endpoint to its cold limit, for example when its availability zone returns to service.
--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -137,12 +137,7 @@
     if response.status != 200 {
         let reason = response.read(size::Bytes(settings::MAX_BODY)).await.unwrap_or_default();
         running.end(attempt::Outcome::NotSent);
-        let kind = match response.status {
-            409 => error::ErrorKind::VersionNotLoaded,
-            400 | 413 | 422 => error::ErrorKind::InvalidRequest,
-            _ => error::ErrorKind::EndpointFull,
-        };
-        return Err(error::Refusal::new(kind, String::from_utf8_lossy(&reason).into_owned()));
+        return Err(engine_refusal(&reason));
     }
     let answered = response.header("x-weights-digest").and_then(|text| text.parse().ok());
     if answered != Some(head.digest) {
@@ -153,6 +148,17 @@
     Ok(relay(node, head, running, response))
 }
 
+/// Returns the engine's refusal, which came before it ran anything.
+fn engine_refusal(body: &[u8]) -> error::Refusal {
+    match serde_json::from_slice::<respond::ErrorBody>(body) {
+        Ok(body) if body.ran == error::Ran::NotRun => error::Refusal::new(body.error, body.message),
+        Ok(_) | Err(_) => {
+            let message = String::from_utf8_lossy(body).into_owned();
+            error::Refusal::new(error::ErrorKind::EndpointFull, message)
+        }
+    }
+}
+
 fn relay(
     node: rc::Rc<node::Node>,
     head: Head,
--- a/crates/chestnutpick_cli/src/main.rs
+++ b/crates/chestnutpick_cli/src/main.rs
@@ -29,7 +29,9 @@
         return process::ExitCode::SUCCESS;
     }
     if line.complete {
-        complete::complete(&line.words.join(" "), &view::View::default()).iter().for_each(|word| println!("{word}"));
+        complete::complete(&line.words.join(" "), &view::View::default())
+            .iter()
+            .for_each(|word| println!("{word}"));
         return process::ExitCode::SUCCESS;
     }
     run(line)
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -250,10 +250,10 @@
 
 /// Notes that an attempt did not bring the answer.
 pub fn note_failure(completion: &mut Completion, host: id::HostId, kind: error::ErrorKind) {
-    if kind.answer().ran != error::Ran::NotRun {
+    if kind == error::ErrorKind::EndpointLost {
         completion.lost += 1;
     }
-    if !completion.ask.exclude.contains(&host) && kind.answer().ran != error::Ran::NotRun {
+    if kind.answer().ran != error::Ran::NotRun && !completion.ask.exclude.contains(&host) {
         completion.ask.exclude.push(host);
     }
 }
--- a/crates/chestnutpick_entry/src/dispatch.rs
+++ b/crates/chestnutpick_entry/src/dispatch.rs
@@ -154,9 +154,10 @@
     let table = node.table.borrow();
     let mut rng = node.rng.borrow_mut();
     for target in &ask.targets {
-        // With every endpoint excluded the request would wait in vain; one that lost it may have recovered.
-        let exclude: &[id::HostId] =
-            if table.serving(target) > ask.exclude.len() { &ask.exclude } else { &[] };
+        // With every endpoint excluded the request would wait in vain; one that lost it may have recovered. For a
+        // suspect all entries must agree on one endpoint, which a list of this entry's own would prevent.
+        let narrow = ask.suspect.is_none() && table.serving(target) > ask.exclude.len();
+        let exclude: &[id::HostId] = if narrow { &ask.exclude } else { &[] };
         let query = choice::Query {
             target,
             zone: &node.settings.zone,
--- a/crates/chestnutpick_scenario/src/caller.rs
+++ b/crates/chestnutpick_scenario/src/caller.rs
@@ -113,7 +113,13 @@
     }
 }
 
-fn check(ask: &Ask, content: &digest::Digest, next: u64, index: u64, text: &str) -> Result<(), CallerError> {
+fn check(
+    ask: &Ask,
+    content: &digest::Digest,
+    next: u64,
+    index: u64,
+    text: &str,
+) -> Result<(), CallerError> {
     let expected = tokens::text(content, &ask.prompt, next);
     if index == next && *expected == *text {
         return Ok(());
@@ -148,7 +154,8 @@
     if !body.is_empty() {
         request.body = vec![Bytes::from(body.to_owned())];
     }
-    let cut = |reason: client::CallError| CallerError::Cut { tokens: 0, reason: reason.to_string() };
+    let cut =
+        |reason: client::CallError| CallerError::Cut { tokens: 0, reason: reason.to_string() };
     let mut response = client.call(entry, request, TIMEOUT).await.map_err(cut)?;
     let replayed = response.header("x-replayed").is_some();
     let status = response.status;
--- a/crates/chestnutpick_scenario/src/fleet.rs
+++ b/crates/chestnutpick_scenario/src/fleet.rs
@@ -142,7 +142,8 @@
 
     async fn start_service(&mut self, zone: &plan::Zone, service: &str) -> Result<()> {
         let host = format!("{service}-{}", zone.name);
-        let standin = self.standin(&format!("service-{host}"), "service", &self.plan.service.clone())?;
+        let standin =
+            self.standin(&format!("service-{host}"), "service", &self.plan.service.clone())?;
         let endpoint = format!(
             "[endpoint]\nkind = \"service\"\naddress = \"{standin}\"\nservices = [\"{service}\"]\nslots = 64\n\
              memory_tokens = 64\ncold_slots = 64\n"
@@ -150,7 +151,13 @@
         self.start_agent(zone, &host, "service", &endpoint).await
     }
 
-    async fn start_agent(&mut self, zone: &plan::Zone, host: &str, role: &str, endpoint: &str) -> Result<()> {
+    async fn start_agent(
+        &mut self,
+        zone: &plan::Zone,
+        host: &str,
+        role: &str,
+        endpoint: &str,
+    ) -> Result<()> {
         let origin_region = &self.plan.zones[0].region;
         let platform = format!(
             "[platform]\nstore = \"{}\"\nhosts = \"{}\"\norigin = \"{}\"\norigin_region = \"{origin_region}\"\n",
@@ -269,7 +276,9 @@
             _ => "service",
         };
         match zones.iter().find(|zone| name.split('-').any(|part| part == zone.name)) {
-            Some(zone) if self.process(name)?.control.is_some() => self.list(name, zone, role).await,
+            Some(zone) if self.process(name)?.control.is_some() => {
+                self.list(name, zone, role).await
+            }
             _ => Ok(()),
         }
     }
@@ -297,8 +306,16 @@
     /// # Errors
     ///
     /// Returns [`FleetError::Call`].
-    pub async fn publish(&self, model: &str, version: &str, size: u64, chunk: u64, seed: u64) -> Result<Value> {
-        let path = format!("/v1/weights/{model}/{version}?size={size}&chunk-size={chunk}&seed={seed}");
+    pub async fn publish(
+        &self,
+        model: &str,
+        version: &str,
+        size: u64,
+        chunk: u64,
+        seed: u64,
+    ) -> Result<Value> {
+        let path =
+            format!("/v1/weights/{model}/{version}?size={size}&chunk-size={chunk}&seed={seed}");
         self.json("PUT", "origin", &path, None).await
     }
 
@@ -317,7 +334,13 @@
     /// # Errors
     ///
     /// Returns [`FleetError::Call`].
-    pub async fn json(&self, method: &str, name: &str, path: &str, body: Option<&Value>) -> Result<Value> {
+    pub async fn json(
+        &self,
+        method: &str,
+        name: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value> {
         let address = self.address(name)?;
         let what = format!("{method} {name} {path}");
         let mut request = client::Request::new(method, path);
@@ -326,8 +349,12 @@
             request.headers.push(("content-type".into(), "application/json".into()));
             request.body = vec![Bytes::from(body.to_string())];
         }
-        let failed = |reason: client::CallError| FleetError::Call { what: what.clone(), reason: reason.to_string() };
-        let mut response = self.client.call(address, request, CALL_TIMEOUT).await.map_err(failed)?;
+        let failed = |reason: client::CallError| FleetError::Call {
+            what: what.clone(),
+            reason: reason.to_string(),
+        };
+        let mut response =
+            self.client.call(address, request, CALL_TIMEOUT).await.map_err(failed)?;
         let body = response.read(ANSWER_LIMIT).await.map_err(failed)?;
         let text = String::from_utf8_lossy(&body);
         if !(200..300).contains(&response.status) {
@@ -354,5 +381,9 @@
     let own = std::env::current_exe().unwrap_or_default();
     let directory = own.parent().map(path::Path::to_owned).unwrap_or_default();
     let in_deps = directory.file_name().is_some_and(|name| name == "deps");
-    if in_deps { directory.parent().map(path::Path::to_owned).unwrap_or_default() } else { directory }
+    if in_deps {
+        directory.parent().map(path::Path::to_owned).unwrap_or_default()
+    } else {
+        directory
+    }
 }
--- a/crates/chestnutpick_scenario/src/process.rs
+++ b/crates/chestnutpick_scenario/src/process.rs
@@ -150,10 +150,11 @@
             Signal::Pause => rustix::process::Signal::STOP,
             Signal::Resume => rustix::process::Signal::CONT,
         };
-        let sent = match i32::try_from(self.child.id()).ok().and_then(rustix::process::Pid::from_raw) {
-            Some(pid) => rustix::process::kill_process(pid, number).map_err(io::Error::from),
-            None => Err(io::Error::other("the process id is out of range")),
-        };
+        let sent =
+            match i32::try_from(self.child.id()).ok().and_then(rustix::process::Pid::from_raw) {
+                Some(pid) => rustix::process::kill_process(pid, number).map_err(io::Error::from),
+                None => Err(io::Error::other("the process id is out of range")),
+            };
         sent.context(IoSnafu { name: self.name(), what: "sending a signal" })
     }
 
@@ -210,7 +211,10 @@
 }
 
 fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    line.split_whitespace().filter_map(|pair| pair.split_once('=')).find(|(name, _)| *name == key).map(|(_, v)| v)
+    line.split_whitespace()
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(name, _)| *name == key)
+        .map(|(_, v)| v)
 }
 
 fn tail(log: &path::Path) -> String {
--- a/crates/chestnutpick_scenario/tests/path.rs
+++ b/crates/chestnutpick_scenario/tests/path.rs
@@ -65,7 +65,9 @@
         .await;
     }
     let entries = fleet.entries();
-    let buy = |address| caller::call(&fleet.client, address, "POST", "ledger/records", Some("order-1"), "5 leaves");
+    let buy = |address| {
+        caller::call(&fleet.client, address, "POST", "ledger/records", Some("order-1"), "5 leaves")
+    };
     let (status, replayed, first) = buy(entries[0]).await.unwrap();
     assert_eq!((status, replayed), (201, false));
     let (status, replayed, second) = buy(entries[1]).await.unwrap();
--- a/crates/chestnutpick_standin/src/engine/serve.rs
+++ b/crates/chestnutpick_standin/src/engine/serve.rs
@@ -134,7 +134,11 @@
         let digest = generate.digest;
         let arrival = self.state.borrow_mut().arrive(self.clock.now(), generate);
         match arrival {
-            Arrival::Accepted(ticket) => Ok(self.stream(ticket, context)),
+            Arrival::Accepted(ticket) => {
+                let mut response = self.stream(ticket, context);
+                respond::set_header(&mut response, "x-weights-digest", &digest.to_string());
+                Ok(response)
+            }
             Arrival::NotLoaded => Err(respond::refusal(&error::Refusal::new(
                 error::ErrorKind::VersionNotLoaded,
                 format!("weights {digest} are not loaded"),
--- a/crates/chestnutpick_standin/src/lib.rs
+++ b/crates/chestnutpick_standin/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod engine;
 pub mod fault;
 pub mod hosts;
-pub mod manifest;
 pub mod origin;
 pub mod serve;
 pub mod service;
--- a/crates/chestnutpick_standin/src/origin/serve.rs
+++ b/crates/chestnutpick_standin/src/origin/serve.rs
@@ -86,7 +86,8 @@
             // Hashing must not hold up the responses that are being sent.
             tokio::task::yield_now().await;
         }
-        let (manifest, digests) = publisher.finish();
+        let finished = publisher.finish();
+        let (manifest, digests) = finished.map_err(|reason| serve::invalid(reason.to_string()))?;
         self.state.borrow_mut().publish(model, version, publication, &manifest);
         Ok(respond::json(200, &digests))
     }
--- a/crates/chestnutpick_standin/src/origin/state.rs
+++ b/crates/chestnutpick_standin/src/origin/state.rs
@@ -5,12 +5,13 @@
 use bytes::{Bytes, BytesMut};
 use chestnutpick_types::digest::{Digest, Hasher};
 use chestnutpick_types::id;
+use chestnutpick_types::size;
 use chestnutpick_types::time::Millis;
+use chestnutpick_weights::manifest;
 use serde::{Deserialize, Serialize};
 
 use crate::bucket;
 use crate::content;
-use crate::manifest;
 use crate::origin::Settings;
 
 /// Bytes that the link carries without a wait after it was idle; also the size of the pieces of a response.
@@ -97,7 +98,7 @@
 #[derive(Debug)]
 pub struct Publisher {
     publication: Publication,
-    manifest: manifest::Manifest,
+    chunks: Vec<manifest::Chunk>,
     content: Hasher,
 }
 
@@ -109,29 +110,41 @@
     /// let publication = state::Publication { size: 10, chunk_size: 4, seed: 1 };
     /// let mut publisher = state::Publisher::new(publication);
     /// while publisher.step() {}
-    /// assert_eq!(publisher.finish().0.chunks.len(), 3);
+    /// assert_eq!(publisher.finish().unwrap().0.len(), 3);
     /// ```
     pub fn new(publication: Publication) -> Self {
-        Self { publication, manifest: manifest::Manifest::default(), content: Hasher::default() }
+        Self { publication, chunks: Vec::new(), content: Hasher::default() }
     }
 
     /// Computes the next chunk; returns whether there was one.
     pub fn step(&mut self) -> bool {
-        let index = u64::try_from(self.manifest.chunks.len()).unwrap_or(u64::MAX);
+        let index = u64::try_from(self.chunks.len()).unwrap_or(u64::MAX);
         let Some(chunk) = self.publication.chunk(index) else { return false };
         self.content.update(&chunk);
-        let size = u64::try_from(chunk.len()).unwrap_or(u64::MAX);
-        self.manifest.chunks.push(manifest::Chunk { digest: Digest::of(&chunk), size });
+        let size = size::Bytes::of_len(chunk.len());
+        self.chunks.push(manifest::Chunk { digest: Digest::of(&chunk), size });
         true
     }
 
     /// Returns the manifest and the digests.
-    pub fn finish(self) -> (manifest::Manifest, Digests) {
-        let digest = Digest::of(&self.manifest.to_bytes());
-        (self.manifest, Digests { digest, content: self.content.finish() })
+    ///
+    /// # Errors
+    ///
+    /// Returns [`manifest::ManifestError`] for a publication without chunks, or with too many.
+    pub fn finish(self) -> Result<(manifest::Manifest, Digests), manifest::ManifestError> {
+        let Publication { size, chunk_size, .. } = self.publication;
+        let manifest =
+            manifest::Manifest::new(size::Bytes(chunk_size), size::Bytes(size), self.chunks)?;
+        let digests = Digests { digest: manifest.digest(), content: self.content.finish() };
+        Ok((manifest, digests))
     }
 }
 
+fn encode(manifest: &manifest::Manifest) -> Bytes {
+    // Serialising digests and numbers into memory cannot fail.
+    serde_json::to_vec(manifest).unwrap_or_default().into()
+}
+
 #[derive(Debug)]
 struct Version {
     publication: Publication,
@@ -184,7 +197,7 @@
         publication: Publication,
         manifest: &manifest::Manifest,
     ) {
-        let manifest = manifest.to_bytes().into();
+        let manifest = encode(manifest);
         self.versions.insert((model, version), Version { publication, manifest, changed: None });
     }
 
@@ -199,7 +212,7 @@
         let changed = version.changed.get_or_insert_with(|| {
             let mut publisher = Publisher::new(publication);
             while publisher.step() {}
-            publisher.finish().0.to_bytes().into()
+            publisher.finish().map(|(manifest, _)| encode(&manifest)).unwrap_or_default()
         });
         Some(changed.clone())
     }
--- a/crates/chestnutpick_standin/tests/hosts.rs
+++ b/crates/chestnutpick_standin/tests/hosts.rs
@@ -12,7 +12,7 @@
         host: host.parse().unwrap(),
         zone: "lima".parse().unwrap(),
         region: "pe".parse().unwrap(),
-        role: Role::Agent,
+        role: Role::Engine,
         http: "127.0.0.1:1".parse().unwrap(),
         control: "127.0.0.1:2".parse().unwrap(),
         state: State::Live,
--- a/crates/chestnutpick_standin/tests/origin.rs
+++ b/crates/chestnutpick_standin/tests/origin.rs
@@ -5,10 +5,11 @@
 use chestnutpick_platform::fault::Kind;
 use chestnutpick_platform::origin::{HttpOrigin, Origin};
 use chestnutpick_standin::origin::{self, Settings, state};
-use chestnutpick_standin::{bucket, content, manifest};
+use chestnutpick_standin::{bucket, content};
 use chestnutpick_types::digest::Digest;
 use chestnutpick_types::size;
 use chestnutpick_types::time::Millis;
+use chestnutpick_weights::manifest;
 use common::{LONG, Standin};
 
 const LIMIT: size::Bytes = size::Bytes::from_mib(1);
@@ -37,12 +38,12 @@
     common::run(async move {
         let (standin, origin, digests) = start().await;
         let bytes = fetch_manifest(&origin).await;
-        assert_eq!(Digest::of(&bytes), digests.digest);
         let manifest: manifest::Manifest = serde_json::from_slice(&bytes).unwrap();
+        assert_eq!(manifest.digest(), digests.digest);
         let mut whole = Vec::new();
-        for (index, chunk) in (0..).zip(&manifest.chunks) {
+        for (index, chunk) in (0..).zip(manifest.chunks()) {
             let bytes = fetch(&origin, index).await.unwrap();
-            assert_eq!((Digest::of(&bytes), bytes.len() as u64), (chunk.digest, chunk.size));
+            assert_eq!((Digest::of(&bytes), bytes.len() as u64), (chunk.digest, chunk.size.0));
             whole.extend_from_slice(&bytes);
         }
         assert_eq!(whole, content::bytes(7, 0, 150_000));
@@ -76,11 +77,13 @@
         let (standin, origin, digests) = start().await;
         standin.faults(r#"{"changed":true}"#).await;
         let bytes = fetch_manifest(&origin).await;
-        assert_ne!(Digest::of(&bytes), digests.digest);
         let manifest: manifest::Manifest = serde_json::from_slice(&bytes).unwrap();
-        assert_eq!(Digest::of(&fetch(&origin, 1).await.unwrap()), manifest.chunks[1].digest);
+        assert_ne!(manifest.digest(), digests.digest);
+        assert_eq!(Digest::of(&fetch(&origin, 1).await.unwrap()), manifest.chunks()[1].digest);
         standin.faults("{}").await;
-        assert_eq!(Digest::of(&fetch_manifest(&origin).await), digests.digest);
+        let bytes = fetch_manifest(&origin).await;
+        let manifest: manifest::Manifest = serde_json::from_slice(&bytes).unwrap();
+        assert_eq!(manifest.digest(), digests.digest);
     });
 }
 
