Release cancelled requests at once and break pending calls when a stand-in goes down

Cause: a cancelled request kept its slot and memory until its stream was polled, which a slow reader can put off forever; a watch that was pending when the store went down ended with a normal answer during the outage.

Ruled out: ending streams whose head was sent when a stand-in goes down; a crash of the engine has a fault of its own.

Change: the engine's state forgets a cancelled request and remembers only its ticket; the server closes pending requests when the fault `down` is set.

--- a/crates/chestnutpick_standin/src/engine/serve.rs
+++ b/crates/chestnutpick_standin/src/engine/serve.rs
@@ -117,7 +117,7 @@
         let id = path.strip_prefix("/v1/generate/").ok_or_else(serve::not_found)?;
         let id = id.parse::<id::AttemptId>();
         let id = id.map_err(|reason| serve::invalid(reason.to_string()))?;
-        let held = self.state.borrow_mut().cancel(&id);
+        let held = self.state.borrow_mut().cancel(self.clock.now(), &id);
         self.changed.notify_waiters();
         if held { Ok(done()) } else { Err(serve::not_found()) }
     }
--- a/crates/chestnutpick_standin/src/engine/state.rs
+++ b/crates/chestnutpick_standin/src/engine/state.rs
@@ -3,7 +3,7 @@
 //! A request holds its prompt tokens ([`tokens::count`]) and all tokens up to the next index, those before a resumption
 //! included, from its arrival to its end.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync;
 
 use chestnutpick_platform::engine::{Generate, Status};
@@ -142,7 +142,6 @@
     sent: u64,
     /// Time of the next token; `None` while it waits for a slot.
     due: Option<Millis>,
-    cancelled: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -164,6 +163,8 @@
     /// Manifest digest and content digest of the loaded weights.
     loaded: BTreeMap<Digest, Digest>,
     requests: BTreeMap<Ticket, Request>,
+    /// Cancelled requests whose streams have not seen it.
+    cancelled: BTreeSet<Ticket>,
     queue: VecDeque<Ticket>,
     running: u64,
     memory: u64,
@@ -196,6 +197,7 @@
             fence: 0,
             loaded: BTreeMap::new(),
             requests: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
             queue: VecDeque::new(),
             running: 0,
             memory: 0,
@@ -297,12 +299,10 @@
 
     /// Advances a request. After `Done` and `End` it is no longer held.
     pub fn advance(&mut self, now: Millis, ticket: Ticket) -> Step {
-        let Some(request) = self.requests.get(&ticket) else { return Step::Broken };
-        if request.cancelled {
-            self.stats.cancelled += 1;
-            self.release(now, ticket);
+        if self.cancelled.remove(&ticket) {
             return Step::End;
         }
+        let Some(request) = self.requests.get(&ticket) else { return Step::Broken };
         if self.faults.stall {
             return Step::Blocked;
         }
@@ -326,25 +326,22 @@
         }
     }
 
-    /// Cancels the request with the given id; returns whether it is held. Its stream ends at its next step.
-    pub fn cancel(&mut self, id: &id::AttemptId) -> bool {
-        let held = self.requests.values_mut().find(|request| request.id == *id);
-        match held {
-            Some(request) => {
-                request.cancelled = true;
-                true
-            }
-            None => false,
-        }
+    /// Cancels the request with the given id; returns whether it was held. Slot and memory are free at once, even if the
+    /// reader of the stream is slow; the stream ends at its next step.
+    pub fn cancel(&mut self, now: Millis, id: &id::AttemptId) -> bool {
+        let held = self.requests.iter().find(|(_, request)| request.id == *id);
+        let Some(ticket) = held.map(|(ticket, _)| *ticket) else { return false };
+        self.stats.cancelled += 1;
+        self.release(now, ticket);
+        self.cancelled.insert(ticket);
+        true
     }
 
     /// Ends a request whose reader went away; one that is no longer held is ignored.
     pub fn abandon(&mut self, now: Millis, ticket: Ticket) {
-        if let Some(request) = self.requests.get(&ticket) {
-            let cancelled = request.cancelled;
-            let counter =
-                if cancelled { &mut self.stats.cancelled } else { &mut self.stats.abandoned };
-            *counter += 1;
+        self.cancelled.remove(&ticket);
+        if self.requests.contains_key(&ticket) {
+            self.stats.abandoned += 1;
             self.release(now, ticket);
         }
     }
@@ -422,7 +419,6 @@
             end: request.max_tokens,
             sent: 0,
             due: None,
-            cancelled: false,
         };
         self.requests.insert(ticket, request);
         self.memory = self.memory.saturating_add(held);
@@ -532,6 +528,7 @@
         self.stats.crashes += 1;
         self.stats.crashed += self.held();
         self.requests.clear();
+        self.cancelled.clear();
         self.queue.clear();
         self.loaded.clear();
         self.prefixes.clear();
--- a/crates/chestnutpick_standin/src/fault.rs
+++ b/crates/chestnutpick_standin/src/fault.rs
@@ -11,7 +11,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Common {
-    /// Connections are closed without a response.
+    /// Connections are closed without a response, those of pending requests included. Responses whose head was sent go
+    /// on.
     pub down: bool,
     /// Requests are read and never answered, not even after the fault is reset.
     pub silent: bool,
--- a/crates/chestnutpick_standin/src/serve.rs
+++ b/crates/chestnutpick_standin/src/serve.rs
@@ -72,6 +72,8 @@
 struct Shell<H> {
     handler: rc::Rc<H>,
     common: cell::Cell<fault::Common>,
+    /// Wakes pending requests when the faults change.
+    changed: tokio::sync::Notify,
     context: Context,
 }
 
@@ -110,6 +112,7 @@
     let shell = rc::Rc::new(Shell {
         handler: rc::Rc::new(handler),
         common: cell::Cell::default(),
+        changed: tokio::sync::Notify::new(),
         context,
     });
     let serving = server::serve(listener, stop, drain_deadline.to_duration(), move |request| {
@@ -129,7 +132,8 @@
         ("PUT", "/faults") => return set_faults(&shell, &mut request).await,
         _ => {}
     }
-    if !shell.handler.is_control(&method, &path) {
+    let is_control = shell.handler.is_control(&method, &path);
+    if !is_control {
         let common = shell.common.get();
         if common.down || shell.handler.is_down() {
             return fault::closed();
@@ -144,7 +148,22 @@
     if path == "/health" {
         return respond::bytes(200, "text/plain", "ok\n");
     }
-    rc::Rc::clone(&shell.handler).handle(request, shell.context.clone()).await
+    let handling = rc::Rc::clone(&shell.handler).handle(request, shell.context.clone());
+    tokio::select! {
+        response = handling => response,
+        () = until_down(&shell), if !is_control => fault::closed(),
+    }
+}
+
+async fn until_down<H>(shell: &Shell<H>) {
+    loop {
+        // Created before the fault is looked at, so that no change in between is missed.
+        let changed = shell.changed.notified();
+        if shell.common.get().down {
+            return;
+        }
+        changed.await;
+    }
 }
 
 async fn set_faults<H>(shell: &Shell<H>, request: &mut http::Request) -> respond::Response
@@ -159,6 +178,7 @@
         Ok((common, own)) => {
             shell.common.set(common);
             shell.handler.set_faults(own);
+            shell.changed.notify_waiters();
             respond::bytes(200, "application/json", "{}")
         }
         Err(refusal) => respond::refusal(&refusal),
--- a/crates/chestnutpick_standin/tests/engine.rs
+++ b/crates/chestnutpick_standin/tests/engine.rs
@@ -155,6 +155,22 @@
     assert_eq!(engine.stats().unloaded, 1);
 }
 
+/// Guards against a cancelled request that keeps its slot and memory until its reader looks, or that looks complete.
+#[test]
+fn cancelled_request_is_released_at_once() {
+    let mut engine = engine(Settings { slots: 1, report_lag_ms: 0, ..warm() });
+    let cancelled = request("1234", 0, 9);
+    let first = accept(&mut engine, 0, cancelled.clone());
+    let second = accept(&mut engine, 0, request("12345678", 0, 9));
+    assert!(engine.cancel(Millis(10), &cancelled.id));
+    assert!(!engine.cancel(Millis(10), &cancelled.id));
+    let status = engine.status(Millis(10));
+    assert_eq!((status.running, status.queued, status.memory_used), (1, 0, 2));
+    assert_eq!(engine.advance(Millis(10), second), Step::At(Millis(110)));
+    assert_eq!(engine.advance(Millis(10), first), Step::End);
+    assert_eq!(engine.advance(Millis(10), first), Step::Broken);
+}
+
 /// Guards against a load report that is ahead of its lag or never catches up.
 #[test]
 fn report_lags() {
--- a/crates/chestnutpick_standin/tests/store.rs
+++ b/crates/chestnutpick_standin/tests/store.rs
@@ -50,6 +50,19 @@
     });
 }
 
+/// Guards against an outage that a pending watch does not notice.
+#[test]
+fn outage_breaks_pending_watches() {
+    common::run(async move {
+        let (standin, store) = start(Settings::default()).await;
+        let waiting = actix_rt::spawn(store.watch("config".into(), 0, LONG));
+        standin.wait_for("reads", 1).await;
+        standin.faults(r#"{"down":true}"#).await;
+        let outcome = waiting.await.unwrap();
+        assert!(matches!(outcome, Err(StoreError::Unknown { .. })), "{outcome:?}");
+    });
+}
+
 /// Guards against a lost answer that is reported as a refusal or whose write is undone.
 #[test]
 fn lost_answer_takes_effect() {
