Add runnable examples to the states of the stand-ins

Cause: the house style asks for an example on each public function that runs without a server.

Change: 37 examples in chestnutpick_standin, one in chestnutpick_platform.

--- a/crates/chestnutpick_platform/src/client.rs
+++ b/crates/chestnutpick_platform/src/client.rs
@@ -135,6 +135,19 @@
     /// # Errors
     ///
     /// Returns [`CallError`]; a response with an error status is not an error here.
+    ///
+    /// ```
+    /// use chestnutpick_platform::client;
+    /// use chestnutpick_types::time;
+    /// actix_rt::System::new().block_on(async {
+    ///     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    ///     let address = listener.local_addr().unwrap();
+    ///     drop(listener);
+    ///     let request = client::Request::new("GET", "/health");
+    ///     let result = client::Client::new().call(address, request, time::Millis(1_000)).await;
+    ///     assert!(result.err().unwrap().is_not_sent());
+    /// });
+    /// ```
     pub async fn call(
         &self,
         address: net::SocketAddr,
--- a/crates/chestnutpick_standin/src/cli.rs
+++ b/crates/chestnutpick_standin/src/cli.rs
@@ -118,6 +118,17 @@
 /// # Errors
 ///
 /// Returns the operating system's reason when the address cannot be bound.
+///
+/// ```
+/// use chestnutpick_standin::{cli, hosts, settings};
+/// actix_rt::System::new().block_on(async {
+///     let stop = tokio_util::sync::CancellationToken::new();
+///     let settings = settings::Settings::Hosts(hosts::Settings::default());
+///     let running = cli::start(settings, stop.clone()).await.unwrap();
+///     stop.cancel();
+///     running.done.await.unwrap();
+/// });
+/// ```
 pub async fn start(
     settings: settings::Settings,
     stop: sync::CancellationToken,
--- a/crates/chestnutpick_standin/src/engine/state.rs
+++ b/crates/chestnutpick_standin/src/engine/state.rs
@@ -212,6 +212,14 @@
     }
 
     /// Replaces the faults.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// state.set_faults(Millis(0), state::Faults { crash: true, ..state::Faults::default() });
+    /// assert_eq!((state.generation(), state.is_down(Millis(999))), (2, true));
+    /// ```
     pub fn set_faults(&mut self, now: Millis, faults: Faults) {
         if faults.crash {
             self.crash(now);
@@ -220,26 +228,54 @@
     }
 
     /// Returns the counters.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// assert_eq!(state::State::new(&Settings::default(), 1).stats(), state::Stats::default());
+    /// ```
     pub fn stats(&self) -> Stats {
         self.stats
     }
 
     /// Returns whether the engine is restarting after a crash.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::time::Millis;
+    /// assert!(!state::State::new(&Settings::default(), 1).is_down(Millis(0)));
+    /// ```
     pub fn is_down(&self, now: Millis) -> bool {
         now < self.down_until
     }
 
     /// Returns whether streams are stalled by a fault.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// assert!(!state::State::new(&Settings::default(), 1).is_stalled());
+    /// ```
     pub fn is_stalled(&self) -> bool {
         self.faults.stall
     }
 
     /// Returns the run's number, which a crash raises.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// assert_eq!(state::State::new(&Settings::default(), 7).generation(), 7);
+    /// ```
     pub fn generation(&self) -> u64 {
         self.generation
     }
 
     /// Returns what the engine reports of itself; the load lags, the rest does not.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// assert_eq!(state.status(Millis(0)).slots, 16);
+    /// ```
     pub fn status(&mut self, now: Millis) -> Status {
         let seen = now.since(Millis(self.settings.report_lag_ms));
         self.prune_loads(seen);
@@ -298,6 +334,19 @@
     }
 
     /// Advances a request. After `Done` and `End` it is no longer held.
+    ///
+    /// ```
+    /// use chestnutpick_platform::engine::Generate;
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::{digest::Digest, id, time::Millis};
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// let digest = Digest::of(b"manifest");
+    /// state.load(Millis(0), digest, 1, Digest::of(b"content"));
+    /// let id = id::AttemptId::random();
+    /// let request = Generate { id, digest, prompt: "a".into(), max_tokens: 0, from: 0 };
+    /// let state::Arrival::Accepted(ticket) = state.arrive(Millis(0), request) else { panic!() };
+    /// assert_eq!(state.advance(Millis(100), ticket), state::Step::Done);
+    /// ```
     pub fn advance(&mut self, now: Millis, ticket: Ticket) -> Step {
         if self.cancelled.remove(&ticket) {
             return Step::End;
@@ -328,6 +377,20 @@
 
     /// Cancels the request with the given id; returns whether it was held. Slot and memory are free at once, even if the
     /// reader of the stream is slow; the stream ends at its next step.
+    ///
+    /// ```
+    /// use chestnutpick_platform::engine::Generate;
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::{digest::Digest, id, time::Millis};
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// let digest = Digest::of(b"manifest");
+    /// state.load(Millis(0), digest, 1, Digest::of(b"content"));
+    /// let id = id::AttemptId::random();
+    /// let request = Generate { id: id.clone(), digest, prompt: "a".into(), max_tokens: 0, from: 0 };
+    /// let state::Arrival::Accepted(ticket) = state.arrive(Millis(0), request) else { panic!() };
+    /// assert!(state.cancel(Millis(1), &id));
+    /// assert_eq!(state.advance(Millis(1), ticket), state::Step::End);
+    /// ```
     pub fn cancel(&mut self, now: Millis, id: &id::AttemptId) -> bool {
         let held = self.requests.iter().find(|(_, request)| request.id == *id);
         let Some(ticket) = held.map(|(ticket, _)| *ticket) else { return false };
@@ -338,6 +401,20 @@
     }
 
     /// Ends a request whose reader went away; one that is no longer held is ignored.
+    ///
+    /// ```
+    /// use chestnutpick_platform::engine::Generate;
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::{digest::Digest, id, time::Millis};
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// let digest = Digest::of(b"manifest");
+    /// state.load(Millis(0), digest, 1, Digest::of(b"content"));
+    /// let id = id::AttemptId::random();
+    /// let request = Generate { id, digest, prompt: "a".into(), max_tokens: 0, from: 0 };
+    /// let state::Arrival::Accepted(ticket) = state.arrive(Millis(0), request) else { panic!() };
+    /// state.abandon(Millis(1), ticket);
+    /// assert_eq!(state.stats().abandoned, 1);
+    /// ```
     pub fn abandon(&mut self, now: Millis, ticket: Ticket) {
         self.cancelled.remove(&ticket);
         if self.requests.contains_key(&ticket) {
@@ -347,11 +424,27 @@
     }
 
     /// Returns the time until `len` bytes of weights are taken in.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::time::Millis;
+    /// let settings = Settings { intake_rate: 1 << 20, ..Settings::default() };
+    /// let mut state = state::State::new(&settings, 1);
+    /// assert_eq!(state.take_in(Millis(0), 64 << 10), Millis(0));
+    /// assert_eq!(state.take_in(Millis(0), 1 << 20), Millis(1_000));
+    /// ```
     pub fn take_in(&mut self, now: Millis, len: u64) -> Millis {
         self.intake.reserve(now, len)
     }
 
     /// Checks the fencing number of an order: `Done` or `Stale`.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// assert_eq!(state.check_fence(5), state::Order::Done);
+    /// assert_eq!(state.check_fence(4), state::Order::Stale(5));
+    /// ```
     pub fn check_fence(&mut self, fence: u64) -> Order {
         if fence < self.fence {
             if self.settings.fencing {
@@ -366,6 +459,15 @@
 
     /// Loads weights, replacing those with the same manifest digest: `Done`, `Stale` or `Full`. A load does not change the
     /// temperature.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// let (digest, content) = (Digest::of(b"manifest"), Digest::of(b"content"));
+    /// assert_eq!(state.load(Millis(0), digest, 2, content), state::Order::Done);
+    /// assert_eq!(state.load(Millis(0), digest, 1, content), state::Order::Stale(2));
+    /// ```
     pub fn load(&mut self, now: Millis, digest: Digest, fence: u64, content: Digest) -> Order {
         let order = self.check_fence(fence);
         if order != Order::Done {
@@ -382,6 +484,14 @@
     }
 
     /// Unloads weights: `Done`, `Stale` or `NotLoaded`. Requests that use them break off.
+    ///
+    /// ```
+    /// use chestnutpick_standin::engine::{Settings, state};
+    /// use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut state = state::State::new(&Settings::default(), 1);
+    /// let digest = Digest::of(b"manifest");
+    /// assert_eq!(state.unload(Millis(0), &digest, 1), state::Order::NotLoaded);
+    /// ```
     pub fn unload(&mut self, now: Millis, digest: &Digest, fence: u64) -> Order {
         let order = self.check_fence(fence);
         if order != Order::Done {
--- a/crates/chestnutpick_standin/src/hosts/state.rs
+++ b/crates/chestnutpick_standin/src/hosts/state.rs
@@ -62,22 +62,56 @@
     }
 
     /// Replaces the faults.
+    ///
+    /// ```
+    /// use chestnutpick_standin::hosts;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = hosts::state::State::new(&hosts::Settings::default());
+    /// state.set_faults(hosts::state::Faults { lag_ms: Some(5_000) });
+    /// assert!(state.list(Millis(0)).is_empty());
+    /// ```
     pub fn set_faults(&mut self, faults: Faults) {
         self.faults = faults;
     }
 
     /// Returns the counters.
+    ///
+    /// ```
+    /// use chestnutpick_standin::hosts;
+    /// let state = hosts::state::State::new(&hosts::Settings::default());
+    /// assert_eq!(state.stats(), hosts::state::Stats::default());
+    /// ```
     pub fn stats(&self) -> Stats {
         self.stats
     }
 
     /// Lists a host or replaces its line.
+    ///
+    /// ```
+    /// let record: chestnutpick_platform::hosts::HostRecord = serde_json::from_str(
+    ///     r#"{"host":"a","zone":"lima","region":"pe","role":"agent","http":"127.0.0.1:1",
+    ///         "control":"127.0.0.1:2","state":"live"}"#,
+    /// )
+    /// .unwrap();
+    /// use chestnutpick_standin::hosts;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = hosts::state::State::new(&hosts::Settings::default());
+    /// state.put(Millis(0), record.clone());
+    /// assert_eq!(state.list(Millis(0)), [record]);
+    /// ```
     pub fn put(&mut self, now: Millis, record: HostRecord) {
         self.stats.changes += 1;
         self.change(now, record.host.clone(), Some(record));
     }
 
     /// Deletes a host from the list; returns whether it was listed.
+    ///
+    /// ```
+    /// use chestnutpick_standin::hosts;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = hosts::state::State::new(&hosts::Settings::default());
+    /// assert!(!state.delete(Millis(0), &"a".parse().unwrap()));
+    /// ```
     pub fn delete(&mut self, now: Millis, host: &id::HostId) -> bool {
         let last = self.hosts.get(host).and_then(|versions| versions.last());
         let listed = matches!(last, Some((_, Some(_))));
@@ -89,6 +123,14 @@
     }
 
     /// Returns the hosts as they were before the lag.
+    ///
+    /// ```
+    /// use chestnutpick_standin::hosts;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = hosts::state::State::new(&hosts::Settings::default());
+    /// assert!(state.list(Millis(0)).is_empty());
+    /// assert_eq!(state.stats().lists, 1);
+    /// ```
     pub fn list(&mut self, now: Millis) -> Vec<HostRecord> {
         self.stats.lists += 1;
         let lag = self.faults.lag_ms.map_or(self.lag, Millis);
--- a/crates/chestnutpick_standin/src/origin/state.rs
+++ b/crates/chestnutpick_standin/src/origin/state.rs
@@ -116,6 +116,14 @@
     }
 
     /// Computes the next chunk; returns whether there was one.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin::state;
+    /// let publication = state::Publication { size: 4, chunk_size: 4, seed: 1 };
+    /// let mut publisher = state::Publisher::new(publication);
+    /// assert!(publisher.step());
+    /// assert!(!publisher.step());
+    /// ```
     pub fn step(&mut self) -> bool {
         let index = u64::try_from(self.manifest.chunks.len()).unwrap_or(u64::MAX);
         let Some(chunk) = self.publication.chunk(index) else { return false };
@@ -126,6 +134,18 @@
     }
 
     /// Returns the manifest and the digests.
+    ///
+    /// ```
+    /// use chestnutpick_standin::{content, origin};
+    /// use chestnutpick_types::digest::Digest;
+    /// use origin::state::{Publication, Publisher};
+    /// let publication = Publication { size: 10, chunk_size: 4, seed: 1 };
+    /// let mut publisher = Publisher::new(publication);
+    /// while publisher.step() {}
+    /// let (manifest, digests) = publisher.finish();
+    /// assert_eq!(digests.digest, Digest::of(&manifest.to_bytes()));
+    /// assert_eq!(digests.content, Digest::of(&content::bytes(1, 0, 10)));
+    /// ```
     pub fn finish(self) -> (manifest::Manifest, Digests) {
         let digest = Digest::of(&self.manifest.to_bytes());
         (self.manifest, Digests { digest, content: self.content.finish() })
@@ -167,16 +187,51 @@
     }
 
     /// Replaces the faults.
+    ///
+    /// ```
+    /// use chestnutpick_standin::{content, origin};
+    /// use origin::state::{Faults, Publication, Publisher, State};
+    /// let publication = Publication { size: 10, chunk_size: 4, seed: 1 };
+    /// let mut publisher = Publisher::new(publication);
+    /// while publisher.step() {}
+    /// let (manifest, _) = publisher.finish();
+    /// let mut state = State::new(&origin::Settings::default());
+    /// let (model, version): (_, chestnutpick_types::id::VersionId) =
+    ///     ("m".parse::<chestnutpick_types::id::ModelId>().unwrap(), "v".parse().unwrap());
+    /// state.publish(model.clone(), version.clone(), publication, &manifest);
+    /// state.set_faults(Faults { corrupt_every: 1, changed: false });
+    /// assert_ne!(state.chunk(model, version, 0).unwrap(), content::bytes(1, 0, 4));
+    /// ```
     pub fn set_faults(&mut self, faults: Faults) {
         self.faults = faults;
     }
 
     /// Returns the counters.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin;
+    /// let state = origin::state::State::new(&origin::Settings::default());
+    /// assert_eq!(state.stats(), origin::state::Stats::default());
+    /// ```
     pub fn stats(&self) -> Stats {
         self.stats
     }
 
     /// Publishes a version or replaces it.
+    ///
+    /// ```
+    /// use chestnutpick_standin::{content, origin};
+    /// use origin::state::{Publication, Publisher, State};
+    /// let publication = Publication { size: 10, chunk_size: 4, seed: 1 };
+    /// let mut publisher = Publisher::new(publication);
+    /// while publisher.step() {}
+    /// let (manifest, _) = publisher.finish();
+    /// let mut state = State::new(&origin::Settings::default());
+    /// let (model, version): (_, chestnutpick_types::id::VersionId) =
+    ///     ("m".parse::<chestnutpick_types::id::ModelId>().unwrap(), "v".parse().unwrap());
+    /// state.publish(model.clone(), version.clone(), publication, &manifest);
+    /// assert_eq!(state.chunk(model, version, 2).unwrap(), content::bytes(1, 8, 2));
+    /// ```
     pub fn publish(
         &mut self,
         model: id::ModelId,
@@ -189,6 +244,20 @@
     }
 
     /// Returns the manifest of a version.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin;
+    /// use origin::state::{Publication, Publisher, State};
+    /// let publication = Publication { size: 10, chunk_size: 4, seed: 1 };
+    /// let mut publisher = Publisher::new(publication);
+    /// while publisher.step() {}
+    /// let (manifest, _) = publisher.finish();
+    /// let mut state = State::new(&origin::Settings::default());
+    /// let (model, version): (_, chestnutpick_types::id::VersionId) =
+    ///     ("m".parse::<chestnutpick_types::id::ModelId>().unwrap(), "v".parse().unwrap());
+    /// state.publish(model.clone(), version.clone(), publication, &manifest);
+    /// assert_eq!(state.manifest(model, version).unwrap(), manifest.to_bytes());
+    /// ```
     pub fn manifest(&mut self, model: id::ModelId, version: id::VersionId) -> Option<Bytes> {
         let version = self.versions.get_mut(&(model, version))?;
         self.stats.manifests += 1;
@@ -205,6 +274,12 @@
     }
 
     /// Returns a chunk of a version.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin;
+    /// let mut state = origin::state::State::new(&origin::Settings::default());
+    /// assert!(state.chunk("m".parse().unwrap(), "v".parse().unwrap(), 0).is_none());
+    /// ```
     pub fn chunk(
         &mut self,
         model: id::ModelId,
@@ -228,6 +303,15 @@
     }
 
     /// Puts `len` bytes on the link and returns the time until they may be sent.
+    ///
+    /// ```
+    /// use chestnutpick_standin::origin;
+    /// use chestnutpick_types::time::Millis;
+    /// let settings = origin::Settings { link_rate: 1_000, ..origin::Settings::default() };
+    /// let mut state = origin::state::State::new(&settings);
+    /// assert_eq!(state.send(Millis(0), origin::state::PIECE), Millis(0));
+    /// assert_eq!(state.send(Millis(0), 500), Millis(500));
+    /// ```
     pub fn send(&mut self, now: Millis, len: u64) -> Millis {
         self.stats.bytes += len;
         self.link.reserve(now, len)
--- a/crates/chestnutpick_standin/src/service/state.rs
+++ b/crates/chestnutpick_standin/src/service/state.rs
@@ -45,11 +45,23 @@
 
 impl State {
     /// Replaces the faults.
+    ///
+    /// ```
+    /// use chestnutpick_standin::service::state;
+    /// let mut state = state::State::default();
+    /// state.set_faults(state::Faults { lose_answers: 1 });
+    /// assert_eq!(state.execute("ledger".parse().unwrap(), "k-1", b"gold"), (1, true));
+    /// ```
     pub fn set_faults(&mut self, faults: Faults) {
         self.faults = faults;
     }
 
     /// Returns the counters.
+    ///
+    /// ```
+    /// use chestnutpick_standin::service::state;
+    /// assert_eq!(state::State::default().stats(), state::Stats::default());
+    /// ```
     pub fn stats(&self) -> Stats {
         self.stats
     }
@@ -78,6 +90,13 @@
     }
 
     /// Returns the executed calls of a service.
+    ///
+    /// ```
+    /// use chestnutpick_standin::service::state;
+    /// let mut state = state::State::default();
+    /// state.execute("ledger".parse().unwrap(), "k-1", b"gold");
+    /// assert_eq!(state.records(&"ledger".parse().unwrap())[0].body, "gold");
+    /// ```
     pub fn records(&mut self, service: &id::ServiceId) -> &[Record] {
         self.stats.lists += 1;
         self.records.get(service).map_or(&[], Vec::as_slice)
--- a/crates/chestnutpick_standin/src/store/state.rs
+++ b/crates/chestnutpick_standin/src/store/state.rs
@@ -112,11 +112,26 @@
     }
 
     /// Replaces the faults.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store::{self, state::{Faults, Reply, State}};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = State::new(&store::Settings::default());
+    /// state.set_faults(Faults { lose_answers: 1 });
+    /// let reply = state.write(Millis(0), "k", 0, None, "a".into());
+    /// assert_eq!(reply, Reply::Written { revision: 1, lost: true });
+    /// ```
     pub fn set_faults(&mut self, faults: Faults) {
         self.faults = faults;
     }
 
     /// Returns the counters.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store;
+    /// let state = store::state::State::new(&store::Settings::default());
+    /// assert_eq!(state.stats(), store::state::Stats::default());
+    /// ```
     pub fn stats(&self) -> Stats {
         self.stats
     }
@@ -137,11 +152,28 @@
     }
 
     /// Starts a watch, which counts as one read; returns whether the rate allows it.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store::{self, state::State};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = State::new(&store::Settings::default());
+    /// assert!(state.start_watch(Millis(0)));
+    /// assert_eq!(state.stats().reads, 1);
+    /// ```
     pub fn start_watch(&mut self, now: Millis) -> bool {
         self.count_read(now)
     }
 
     /// Returns `Value` if the key has a revision above `after`, otherwise `Missing`; counts towards no rate.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store::{self, state::{Reply, State}};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = State::new(&store::Settings::default());
+    /// state.write(Millis(0), "k", 0, None, "a".into());
+    /// assert_eq!(state.newer(Millis(0), "k", 1), Reply::Missing);
+    /// assert_eq!(state.newer(Millis(0), "k", 0), Reply::Value(1, "a".into()));
+    /// ```
     pub fn newer(&mut self, now: Millis, key: &str, after: u64) -> Reply {
         self.expire(now);
         match self.keys.get(key) {
@@ -193,6 +225,13 @@
     }
 
     /// Grants a lease.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store::{self, state::{Reply, State}};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = State::new(&store::Settings::default());
+    /// assert_eq!(state.grant(Millis(0), Millis(10)), Reply::Lease(1));
+    /// ```
     pub fn grant(&mut self, now: Millis, ttl: Millis) -> Reply {
         if !self.count_write(now) {
             return Reply::TooMany;
@@ -203,6 +242,15 @@
     }
 
     /// Renews a lease for its time to live: `Done`, `Missing` or `TooMany`.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store::{self, state::{Reply, State}};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = State::new(&store::Settings::default());
+    /// assert_eq!(state.renew(Millis(0), 1), Reply::Missing);
+    /// state.grant(Millis(0), Millis(10));
+    /// assert_eq!(state.renew(Millis(9), 1), Reply::Done);
+    /// ```
     pub fn renew(&mut self, now: Millis, id: u64) -> Reply {
         if !self.count_write(now) {
             return Reply::TooMany;
@@ -218,6 +266,15 @@
     }
 
     /// Ends a lease and deletes its keys: `Done`, `Missing` or `TooMany`.
+    ///
+    /// ```
+    /// use chestnutpick_standin::store::{self, state::{Reply, State}};
+    /// use chestnutpick_types::time::Millis;
+    /// let mut state = State::new(&store::Settings::default());
+    /// state.grant(Millis(0), Millis(10));
+    /// assert_eq!(state.revoke(Millis(9), 1), Reply::Done);
+    /// assert_eq!(state.revoke(Millis(9), 1), Reply::Missing);
+    /// ```
     pub fn revoke(&mut self, now: Millis, id: u64) -> Reply {
         if !self.count_write(now) {
             return Reply::TooMany;
