Replace the connection pool at the maximum age of its connections

Cause: awc removes an idle connection only on the next call to the same address. Connections to hosts that were replaced would stay open for the life of the process.

Change: the client replaces its pool every 60 s; calls in progress keep the old one until they end. `Client::with_age_limit` sets another age.

--- a/crates/chestnutpick_platform/src/client.rs
+++ b/crates/chestnutpick_platform/src/client.rs
@@ -1,6 +1,8 @@
 //! The shared HTTP client: one pool of connections, a deadline for each call, no retries.
 
+use std::cell;
 use std::net;
+use std::rc;
 use std::sync;
 use std::time;
 
@@ -17,7 +19,7 @@
 pub const IDLE_LIMIT: time::Duration = time::Duration::from_secs(2);
 
 /// Age after which a pooled connection is not used again, so that connections that went silent are replaced.
-pub const AGE_LIMIT: time::Duration = time::Duration::from_secs(60);
+pub const AGE_LIMIT: Millis = Millis::from_secs(60);
 
 /// Time allowed for opening a connection. Connecting takes milliseconds between regions; a host that does not answer
 /// within this time is taken as unreachable, and the request as not sent.
@@ -100,23 +102,25 @@
 /// A shared HTTP/1.1 client with a connection pool; cloning it shares the pool. It belongs to one thread.
 #[derive(Clone)]
 pub struct Client {
+    pool: rc::Rc<cell::RefCell<Pool>>,
+    age_limit: Millis,
+}
+
+/// A pool and the time of its creation. awc removes an idle connection only on the next call to the same address, which
+/// never comes for a host that was replaced; so the whole pool is replaced at the age limit.
+struct Pool {
     inner: awc::Client,
+    created: time::Instant,
 }
 
-impl Client {
-    /// Returns a client with an empty pool.
-    ///
-    /// ```
-    /// let client = chestnutpick_platform::client::Client::new();
-    /// let _shares_the_pool = client.clone();
-    /// ```
-    pub fn new() -> Self {
+impl Pool {
+    fn new(age_limit: Millis) -> Self {
         // The number of connections is bounded by admission control, not by the pool: a request that waits for the pool
         // would be neither sent nor refused.
         let connector = awc::Connector::new()
             .timeout(CONNECT_TIMEOUT)
             .conn_keep_alive(IDLE_LIMIT)
-            .conn_lifetime(AGE_LIMIT)
+            .conn_lifetime(age_limit.to_duration())
             .limit(0);
         let inner = awc::Client::builder()
             .connector(connector)
@@ -124,7 +128,40 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Self { inner }
+        Self { inner, created: time::Instant::now() }
+    }
+}
+
+impl Client {
+    /// Returns a client with an empty pool.
+    ///
+    /// ```
+    /// let client = chestnutpick_platform::client::Client::new();
+    /// let _shares_the_pool = client.clone();
+    /// ```
+    pub fn new() -> Self {
+        Self::with_age_limit(AGE_LIMIT)
+    }
+
+    /// Returns a client whose pooled connections are closed at the given age instead of [`AGE_LIMIT`].
+    ///
+    /// ```
+    /// use chestnutpick_platform::client;
+    /// use chestnutpick_types::time;
+    /// let _client = client::Client::with_age_limit(time::Millis::from_secs(5));
+    /// ```
+    pub fn with_age_limit(age_limit: Millis) -> Self {
+        Self { pool: rc::Rc::new(cell::RefCell::new(Pool::new(age_limit))), age_limit }
+    }
+
+    /// Returns the current pool, replaced if it has reached the age limit. Calls in progress keep the old one until they
+    /// end.
+    fn pool(&self) -> awc::Client {
+        let mut pool = self.pool.borrow_mut();
+        if pool.created.elapsed() >= self.age_limit.to_duration() {
+            *pool = Pool::new(self.age_limit);
+        }
+        pool.inner.clone()
     }
 
     /// Sends `request` to `address` and returns once the head of the response has arrived.
@@ -158,7 +195,7 @@
         let method = actix_http::Method::from_bytes(request.method.as_bytes())
             .map_err(|reason| invalid(reason.to_string()))?;
         let bodiless = method == actix_http::Method::HEAD;
-        let mut call = self.inner.request(method, format!("http://{address}{}", request.path));
+        let mut call = self.pool().request(method, format!("http://{address}{}", request.path));
         for (name, value) in &request.headers {
             let name = header::HeaderName::from_bytes(name.as_bytes())
                 .map_err(|reason| invalid(format!("header {name:?}: {reason}")))?;
--- a/crates/chestnutpick_platform/tests/client.rs
+++ b/crates/chestnutpick_platform/tests/client.rs
@@ -166,6 +166,26 @@
     });
 }
 
+/// Guards against connections to replaced hosts that stay open because their address is never called again.
+#[test]
+fn old_connections_are_closed() {
+    common::run(async move {
+        let replaced = common::start(vec![common::response(200, "", "ok")]).await;
+        let peer = common::start(vec![common::response(200, "", "ok")]).await;
+        let client = Client::with_age_limit(Millis(0));
+        let mut response = client.call(replaced.address, get("/"), LONG).await.ok().unwrap();
+        assert_eq!(response.read(LIMIT).await.unwrap(), "ok");
+        drop(response);
+        client.call(peer.address, get("/"), LONG).await.ok().unwrap();
+        let closed = async {
+            while replaced.closed.get() == 0 {
+                actix_rt::time::sleep(std::time::Duration::from_millis(1)).await;
+            }
+        };
+        assert!(tokio::time::timeout(LONG.to_duration(), closed).await.is_ok());
+    });
+}
+
 /// Guards against sending a header that was split into two by a line end in its value.
 #[test]
 fn invalid_header_is_not_sent() {
--- a/crates/chestnutpick_platform/tests/common/mod.rs
+++ b/crates/chestnutpick_platform/tests/common/mod.rs
@@ -28,6 +28,8 @@
     pub requests: Rc<RefCell<Vec<String>>>,
     /// Number of connections accepted.
     pub connections: Rc<Cell<usize>>,
+    /// Number of connections that the client closed.
+    pub closed: Rc<Cell<usize>>,
 }
 
 /// Returns a response with a status, further head lines and a body of the right length.
@@ -44,14 +46,21 @@
         address: listener.local_addr().unwrap(),
         requests: Rc::default(),
         connections: Rc::default(),
+        closed: Rc::default(),
     };
     let replies = Rc::new(RefCell::new(VecDeque::from(replies)));
     let (requests, connections) = (Rc::clone(&peer.requests), Rc::clone(&peer.connections));
+    let closed = Rc::clone(&peer.closed);
     actix_rt::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
             connections.set(connections.get() + 1);
-            actix_rt::spawn(answer(stream, Rc::clone(&replies), Rc::clone(&requests)));
+            let answering = answer(stream, Rc::clone(&replies), Rc::clone(&requests));
+            let closed = Rc::clone(&closed);
+            actix_rt::spawn(async move {
+                answering.await;
+                closed.set(closed.get() + 1);
+            });
         }
     });
     peer
