Compute a document's digest once per replica

Cause: every update to a peer carries the digest, and replaying checked the size of the document that the writer had checked.

Change: the replica keeps the digest; replaying a history entry skips the check of the size.

--- a/crates/chestnutpick_config/src/change.rs
+++ b/crates/chestnutpick_config/src/change.rs
@@ -251,11 +251,7 @@
     /// ```
     pub fn apply(&self, document: &Document, stamp: &Stamp) -> Result<Document, ChangeError> {
         let mut next = document.clone();
-        edit::edit(self, &mut next)?;
-        next.revision += 1;
-        next.history.push_back(self.entry(stamp, next.revision));
-        let surplus = next.history.len().saturating_sub(document::HISTORY_LEN);
-        next.history.drain(..surplus);
+        self.replay(&mut next, &self.entry(stamp, document.revision + 1))?;
         match next.encode().len() {
             bytes if bytes > document::MAX_BYTES => {
                 TooLargeSnafu { word: bytes.to_string() }.fail()
@@ -264,6 +260,21 @@
         }
     }
 
+    /// Applies the change in place under an existing history entry, without the check of the size, which the writer has
+    /// made. After an error the document is to be discarded.
+    pub(crate) fn replay(
+        &self,
+        document: &mut Document,
+        entry: &document::Entry,
+    ) -> Result<(), ChangeError> {
+        edit::edit(self, document)?;
+        document.revision += 1;
+        document.history.push_back(entry.clone());
+        let surplus = document.history.len().saturating_sub(document::HISTORY_LEN);
+        document.history.drain(..surplus);
+        Ok(())
+    }
+
     fn entry(&self, stamp: &Stamp, revision: u64) -> document::Entry {
         document::Entry {
             id: stamp.id.clone(),
--- a/crates/chestnutpick_config/src/replica.rs
+++ b/crates/chestnutpick_config/src/replica.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use chestnutpick_types::digest;
+
 use crate::document;
 use crate::lookup;
 use crate::update;
@@ -20,9 +22,11 @@
 }
 
 /// A copy of the document whose revision never falls.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Replica {
     current: sync::Arc<document::Document>,
+    /// Digest of the copy, which every update to a peer carries.
+    digest: digest::Digest,
     index: sync::Arc<lookup::Index>,
     needs_full: bool,
     accepted: u64,
@@ -31,6 +35,12 @@
     full: u64,
 }
 
+impl Default for Replica {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Replica {
     /// Returns a replica of the empty document, revision 0.
     ///
@@ -38,7 +48,17 @@
     /// assert_eq!(chestnutpick_config::replica::Replica::new().revision(), 0);
     /// ```
     pub fn new() -> Self {
-        Self::default()
+        let current = sync::Arc::<document::Document>::default();
+        Self {
+            digest: current.digest(),
+            current,
+            index: sync::Arc::default(),
+            needs_full: false,
+            accepted: 0,
+            stale: 0,
+            invalid: 0,
+            full: 0,
+        }
     }
 
     /// Returns the revision of the copy.
@@ -85,7 +105,7 @@
     /// assert_eq!(replica::Replica::new().update_since(0).revision(), 0);
     /// ```
     pub fn update_since(&self, revision: u64) -> update::Update {
-        update::Update::since(&self.current, revision)
+        update::Update::with_digest(&self.current, self.digest, revision)
     }
 
     /// Offers a whole document. A lower revision is never accepted.
@@ -105,7 +125,8 @@
             return Offer::Invalid(error.to_string());
         }
         self.full += 1;
-        self.adopt(document)
+        let digest = document.digest();
+        self.adopt(document, digest)
     }
 
     fn compare(&mut self, document: &document::Document) -> Offer {
@@ -118,7 +139,8 @@
         Offer::Stale
     }
 
-    fn adopt(&mut self, document: sync::Arc<document::Document>) -> Offer {
+    fn adopt(&mut self, document: sync::Arc<document::Document>, digest: digest::Digest) -> Offer {
+        self.digest = digest;
         self.index = sync::Arc::new(lookup::Index::new(&document));
         self.current = document;
         self.needs_full = false;
@@ -142,7 +164,7 @@
             return Offer::Stale;
         }
         match update.apply(&self.current) {
-            Ok(document) => self.adopt(document),
+            Ok((document, digest)) => self.adopt(document, digest),
             Err(error) => {
                 self.invalid += 1;
                 self.needs_full = true;
@@ -159,7 +181,7 @@
     pub fn dump(&self) -> serde_json::Value {
         serde_json::json!({
             "revision": self.revision(),
-            "digest": self.current.digest(),
+            "digest": self.digest,
             "needs_full": self.needs_full,
             "accepted": self.accepted,
             "stale": self.stale,
--- a/crates/chestnutpick_config/src/update.rs
+++ b/crates/chestnutpick_config/src/update.rs
@@ -75,11 +75,20 @@
     /// assert!(matches!(update::Update::since(&document, 0), update::Update::Full(_)));
     /// ```
     pub fn since(document: &sync::Arc<document::Document>, revision: u64) -> Self {
+        Self::with_digest(document, document.digest(), revision)
+    }
+
+    /// As [`Update::since`], for a caller that has computed the document's digest before.
+    pub(crate) fn with_digest(
+        document: &sync::Arc<document::Document>,
+        digest: digest::Digest,
+        revision: u64,
+    ) -> Self {
         match document.entries_after(revision) {
             Some(entries) if revision > 0 => Self::Changes {
                 from: revision,
                 entries: entries.into_iter().cloned().collect(),
-                digest: document.digest(),
+                digest,
             },
             _ => Self::Full(document.clone()),
         }
@@ -119,7 +128,7 @@
         serde_json::from_slice(bytes).map_err(|e| UpdateError::Malformed { reason: e.to_string() })
     }
 
-    /// Returns the document that the update produces from `base`.
+    /// Returns the document that the update produces from `base`, with its digest.
     ///
     /// ```
     /// use chestnutpick_config::{document, update};
@@ -133,9 +142,9 @@
     pub fn apply(
         &self,
         base: &document::Document,
-    ) -> Result<sync::Arc<document::Document>, UpdateError> {
+    ) -> Result<(sync::Arc<document::Document>, digest::Digest), UpdateError> {
         match self {
-            Self::Full(document) => Ok(document.clone()),
+            Self::Full(document) => Ok((document.clone(), document.digest())),
             Self::Changes { from, .. } if *from != base.revision => {
                 GapSnafu { from: *from, revision: base.revision }.fail()
             }
@@ -144,7 +153,7 @@
                 if next.digest() != *digest {
                     return DiffersSnafu { revision: next.revision }.fail();
                 }
-                Ok(sync::Arc::new(next))
+                Ok((sync::Arc::new(next), *digest))
             }
         }
     }
@@ -154,16 +163,10 @@
     base: &document::Document,
     entries: &[document::Entry],
 ) -> Result<document::Document, UpdateError> {
-    entries.iter().try_fold(base.clone(), |document, entry| {
-        let stamp = change::Stamp {
-            id: entry.id.clone(),
-            operator: entry.operator.clone(),
-            command: entry.command.clone(),
-            at: entry.at,
-        };
-        entry
-            .change
-            .apply(&document, &stamp)
-            .map_err(|source| UpdateError::Rejected { revision: entry.revision, source })
-    })
+    let mut document = base.clone();
+    for entry in entries {
+        let step = entry.change.replay(&mut document, entry);
+        step.map_err(|source| UpdateError::Rejected { revision: entry.revision, source })?;
+    }
+    Ok(document)
 }
