--- /dev/null
+++ b/crates/chestnutpick_language/tests/commands.rs
@@ -0,0 +1,93 @@
+//! The language by example; the files in `tests/commands` hold input and expected output.
+//!
+//! They guard against commands that are understood differently, errors that do not point at the word or name what is
+//! allowed, and answers that do not match the document and the endpoints.
+
+use std::sync::Arc;
+
+use chestnutpick_config::change::Stamp;
+use chestnutpick_language::complete::complete;
+use chestnutpick_language::parse::parse;
+use chestnutpick_language::query;
+use chestnutpick_language::table::Table;
+use chestnutpick_language::view::{Endpoint, Kind, Temperature, View};
+use chestnutpick_types::time::Millis;
+
+fn parsed(input: &str) -> String {
+    match parse(input) {
+        Ok(command) => format!("{command}\n"),
+        Err(error) => format!("{error}\n"),
+    }
+}
+
+/// Applies each line and reports its revision or why it is rejected.
+fn apply(view: &mut View, input: &str) -> String {
+    let mut output = String::new();
+    for line in input.lines() {
+        let change = parse(line).unwrap().to_change().unwrap();
+        let number = view.document.revision + 1;
+        let stamp = Stamp {
+            id: format!("change-{number}").parse().unwrap(),
+            operator: "ana".into(),
+            command: line.into(),
+            at: Millis(1_798_761_599_000 + number * 1_000),
+        };
+        match change.apply(&view.document, &stamp) {
+            Ok(next) => view.document = Arc::new(next),
+            Err(error) => output += &format!("{line}: {error}\n"),
+        }
+    }
+    output + &format!("revision {}\n", view.document.revision)
+}
+
+/// Parses `host zone kind digests temperature in-flight slots [leaving]`; a digest is one digit that is repeated.
+fn endpoint(line: &str) -> Endpoint {
+    let words: Vec<_> = line.split(' ').collect();
+    let digests = words[3].split(',').filter(|digit| *digit != "-");
+    Endpoint {
+        host: words[0].parse().unwrap(),
+        zone: words[1].parse().unwrap(),
+        kind: match words[2] {
+            "engine" => Kind::Engine,
+            service => Kind::Service(service.parse().unwrap()),
+        },
+        digests: digests.map(|digit| digit.repeat(64).parse().unwrap()).collect(),
+        temperature: if words[4] == "cold" { Temperature::Cold } else { Temperature::Warm },
+        in_flight: words[5].parse().unwrap(),
+        slots: words[6].parse().unwrap(),
+        leaving: words.get(7).is_some(),
+        seen: Millis(400),
+    }
+}
+
+fn answer(view: &View, input: &str, render: fn(Table) -> String) -> String {
+    match query::run(&parse(input).unwrap(), view) {
+        Ok(table) => render(table),
+        Err(error) => format!("error: {error}\n"),
+    }
+}
+
+#[test]
+fn files() {
+    datadriven::walk("tests/commands", |file| {
+        let mut view = View::default();
+        file.run(|case| {
+            let input = case.input.trim_end_matches('\n');
+            match case.directive.as_str() {
+                "parse" => parsed(input),
+                "apply" => apply(&mut view, input),
+                "endpoints" => {
+                    view.endpoints = input.lines().map(endpoint).collect();
+                    format!("{} endpoints\n", view.endpoints.len())
+                }
+                "query" => answer(&view, input, |table| table.to_string()),
+                "json" => answer(&view, input, |table| format!("{:#}\n", table.to_json())),
+                "complete" => {
+                    let words = complete(input.trim_end_matches('|'), &view);
+                    format!("{}\n", words.join(" "))
+                }
+                other => panic!("unknown directive {other}"),
+            }
+        });
+    });
+}
