--- a/crates/chestnutpick_standin/src/hosts/state.rs
+++ b/crates/chestnutpick_standin/src/hosts/state.rs
@@ -89,7 +89,7 @@
     ///
     /// ```
     /// let record: chestnutpick_platform::hosts::HostRecord = serde_json::from_str(
-    ///     r#"{"host":"a","zone":"lima","region":"pe","role":"agent","http":"127.0.0.1:1",
+    ///     r#"{"host":"a","zone":"lima","region":"pe","role":"engine","http":"127.0.0.1:1",
     ///         "control":"127.0.0.1:2","state":"live"}"#,
     /// )
     /// .unwrap();
--- a/crates/chestnutpick_standin/src/origin/state.rs
+++ b/crates/chestnutpick_standin/src/origin/state.rs
@@ -207,7 +207,7 @@
     /// let publication = Publication { size: 10, chunk_size: 4, seed: 1 };
     /// let mut publisher = Publisher::new(publication);
     /// while publisher.step() {}
-    /// let (manifest, _) = publisher.finish();
+    /// let (manifest, _) = publisher.finish().unwrap();
     /// let mut state = State::new(&origin::Settings::default());
     /// let (model, version): (_, chestnutpick_types::id::VersionId) =
     ///     ("m".parse::<chestnutpick_types::id::ModelId>().unwrap(), "v".parse().unwrap());
@@ -238,7 +238,7 @@
     /// let publication = Publication { size: 10, chunk_size: 4, seed: 1 };
     /// let mut publisher = Publisher::new(publication);
     /// while publisher.step() {}
-    /// let (manifest, _) = publisher.finish();
+    /// let (manifest, _) = publisher.finish().unwrap();
     /// let mut state = State::new(&origin::Settings::default());
     /// let (model, version): (_, chestnutpick_types::id::VersionId) =
     ///     ("m".parse::<chestnutpick_types::id::ModelId>().unwrap(), "v".parse().unwrap());
@@ -264,12 +264,13 @@
     /// let publication = Publication { size: 10, chunk_size: 4, seed: 1 };
     /// let mut publisher = Publisher::new(publication);
     /// while publisher.step() {}
-    /// let (manifest, _) = publisher.finish();
+    /// let (manifest, _) = publisher.finish().unwrap();
     /// let mut state = State::new(&origin::Settings::default());
     /// let (model, version): (_, chestnutpick_types::id::VersionId) =
     ///     ("m".parse::<chestnutpick_types::id::ModelId>().unwrap(), "v".parse().unwrap());
     /// state.publish(model.clone(), version.clone(), publication, &manifest);
-    /// assert_eq!(state.manifest(model, version).unwrap(), manifest.to_bytes());
+    /// let served = state.manifest(model, version).unwrap();
+    /// assert_eq!(served, serde_json::to_vec(&manifest).unwrap());
     /// ```
     pub fn manifest(&mut self, model: id::ModelId, version: id::VersionId) -> Option<Bytes> {
         let version = self.versions.get_mut(&(model, version))?;
