--- a/crates/chestnutpick_language/src/error.rs
+++ b/crates/chestnutpick_language/src/error.rs
@@ -53,6 +53,9 @@
 impl fmt::Display for ParseError {
     /// Writes the message, the text and a line with carets under the word at fault.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.text.trim().is_empty() {
+            return f.write_str(&self.message());
+        }
         let before = self.text.get(..self.offset).unwrap_or(&self.text).chars().count();
         let carets = self.found.chars().count().max(1);
         let shown: String =
