--- a/crates/chestnutpick_membership/src/members.rs
+++ b/crates/chestnutpick_membership/src/members.rs
@@ -12,6 +12,10 @@
 /// Delay of a tick beyond its due time from which on this process counts as having been paused itself.
 pub const OWN_PAUSE: time::Millis = time::Millis(500);
 
+/// How long a host that is gone is remembered. Its incarnation and announcement must outlast the lag of the list, which
+/// may show the host as live once more, and messages of an earlier process.
+pub const KEEP_GONE: time::Millis = time::Millis(600_000);
+
 /// What a host says about itself in a heartbeat or its announcement of leaving.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Beat {
@@ -162,6 +166,7 @@
     settings: suspicion::Settings,
     list: list::HostList,
     members: collections::BTreeMap<id::HostId, Member>,
+    gone: collections::BTreeMap<id::HostId, (time::Millis, Member)>,
     stale_beats: u64,
     own_pauses: u64,
 }
@@ -173,6 +178,7 @@
             settings,
             list: list::HostList::default(),
             members: collections::BTreeMap::new(),
+            gone: collections::BTreeMap::new(),
             stale_beats: 0,
             own_pauses: 0,
         }
@@ -225,7 +231,7 @@
     /// let entry = list::Entry { place, state: list::Listed::Live };
     /// assert_eq!(members.on_list(time::Millis(0), vec![entry]).len(), 1);
     /// ```
-    pub fn on_list(&mut self, _now: time::Millis, entries: Vec<list::Entry>) -> Vec<Action> {
+    pub fn on_list(&mut self, now: time::Millis, entries: Vec<list::Entry>) -> Vec<Action> {
         let before: collections::BTreeSet<_> = self
             .list
             .iter()
@@ -238,25 +244,31 @@
         let mut actions = Vec::new();
         for entry in self.list.iter() {
             let was_leaving = before.contains(&entry.place.host);
-            merge(&mut self.members, entry, was_leaving, &mut actions);
+            let place = &entry.place;
+            let member = recall(now, &mut self.members, &mut self.gone, place, &mut actions);
+            merge(member, entry, was_leaving, &mut actions);
         }
         for member in self.members.values_mut() {
             member.in_list = self.list.get(&member.place.host).is_some();
         }
-        self.drop_gone(&mut actions);
+        self.drop_gone(now, &mut actions);
         actions
     }
 
     /// Drops hosts that neither the list nor heartbeats show.
-    fn drop_gone(&mut self, actions: &mut Vec<Action>) {
-        self.members.retain(|_, member| {
-            let heard = member.suspicion.is_some() && member.state() != suspicion::State::Dead;
-            let keep = member.in_list || heard;
-            if !keep {
-                actions.push(member.notify(Change::Gone));
-            }
-            keep
-        });
+    fn drop_gone(&mut self, now: time::Millis, actions: &mut Vec<Action>) {
+        let dead_after = self.settings.dead_after;
+        let is_gone = |_: &id::HostId, member: &mut Member| {
+            let heard = member.suspicion.as_ref().is_some_and(|suspicion| {
+                suspicion.state() != suspicion::State::Dead || suspicion.silence(now) < dead_after
+            });
+            !member.in_list && !heard
+        };
+        for (host, member) in self.members.extract_if(.., is_gone) {
+            actions.push(member.notify(Change::Gone));
+            self.gone.insert(host, (now, member));
+        }
+        self.gone.retain(|_, (at, _)| now.since(*at) < KEEP_GONE);
     }
 
     /// Handles a heartbeat, or a host's announcement that it is leaving.
@@ -266,17 +278,13 @@
     pub fn on_beat(&mut self, now: time::Millis, beat: Beat) -> Vec<Action> {
         let mut actions = Vec::new();
         let host = beat.place.host.clone();
-        let in_list = self.list.get(&host).is_some();
-        let member = match self.members.entry(host) {
-            collections::btree_map::Entry::Occupied(entry) => entry.into_mut(),
-            collections::btree_map::Entry::Vacant(entry) => {
-                entry.insert(Member::new(beat.place.clone(), in_list))
-            }
-        };
-        if beat.incarnation < member.incarnation {
+        let known = self.members.get(&host).or(self.gone.get(&host).map(|(_, member)| member));
+        if known.is_some_and(|member| beat.incarnation < member.incarnation) {
             self.stale_beats += 1;
             return actions;
         }
+        let member = recall(now, &mut self.members, &mut self.gone, &beat.place, &mut actions);
+        member.in_list = self.list.get(&host).is_some();
         if beat.incarnation > member.incarnation {
             renew(member, &beat, now, &self.settings, &mut actions);
         }
@@ -314,16 +322,17 @@
     ///
     /// ```
     /// use chestnutpick_membership::{members, suspicion};
+    /// use chestnutpick_types::time;
     /// let mut members = members::Members::new(suspicion::Settings::default());
-    /// assert!(members.release(&"agent-1".parse().unwrap()).is_empty());
+    /// assert!(members.release(time::Millis(0), &"agent-1".parse().unwrap()).is_empty());
     /// ```
-    pub fn release(&mut self, host: &id::HostId) -> Vec<Action> {
+    pub fn release(&mut self, now: time::Millis, host: &id::HostId) -> Vec<Action> {
         let mut actions = Vec::new();
         if let Some(member) = self.members.get_mut(host) {
             member.suspicion = None;
             member.released = true;
         }
-        self.drop_gone(&mut actions);
+        self.drop_gone(now, &mut actions);
         actions
     }
 
@@ -372,7 +381,7 @@
                 actions.push(Action::Connect { host, addresses });
             }
         }
-        self.drop_gone(&mut actions);
+        self.drop_gone(now, &mut actions);
         actions
     }
 
@@ -412,6 +421,7 @@
             self.members.iter().map(|(id, member)| (id.to_string(), describe(member))).collect();
         serde_json::json!({
             "list": self.list.dump(),
+            "gone": self.gone.len(),
             "stale_beats": self.stale_beats,
             "own_pauses": self.own_pauses,
             "hosts": hosts,
@@ -431,19 +441,33 @@
     })
 }
 
-fn merge(
-    members: &mut collections::BTreeMap<id::HostId, Member>,
-    entry: &list::Entry,
-    was_leaving: bool,
+/// Returns a host, which is a new one or comes back as it was when it was dropped.
+fn recall<'a>(
+    now: time::Millis,
+    members: &'a mut collections::BTreeMap<id::HostId, Member>,
+    gone: &mut collections::BTreeMap<id::HostId, (time::Millis, Member)>,
+    place: &list::Place,
     actions: &mut Vec<Action>,
-) {
-    let leaving = entry.state == list::Listed::Leaving;
-    let host = entry.place.host.clone();
-    let member = members.entry(host).or_insert_with(|| {
-        let member = Member::new(entry.place.clone(), true);
+) -> &'a mut Member {
+    members.entry(place.host.clone()).or_insert_with(|| {
+        let earlier = gone.remove(&place.host).map(|(_, member)| member);
+        let mut member = earlier.unwrap_or_else(|| Member::new(place.clone(), false));
+        if let Some(suspicion) = &mut member.suspicion {
+            suspicion.on_recall(now);
+        }
         actions.push(member.notify(Change::Found));
+        if member.is_leaving() {
+            actions.push(member.notify(Change::Leaving));
+        }
+        if member.state() != suspicion::State::Alive {
+            actions.push(member.notify(change_to(member.state())));
+        }
         member
-    });
+    })
+}
+
+fn merge(member: &mut Member, entry: &list::Entry, was_leaving: bool, actions: &mut Vec<Action>) {
+    let leaving = entry.state == list::Listed::Leaving;
     let was = member.is_leaving();
     // A line that was there before this incarnation appeared is about an earlier one.
     member.listed_leaving = leaving && (member.listed_leaving || !was_leaving);
@@ -471,6 +495,8 @@
     member.announced = false;
     member.listed_leaving &= first;
     member.suspicion = (!member.released).then(|| suspicion::Suspicion::new(now, settings));
+    // The host was reported just now if this heartbeat is the first sign of it.
+    actions.retain(|action| !matches!(action, Action::Notify { .. }));
     actions.push(member.notify(Change::Found));
 }
 
@@ -484,11 +510,15 @@
     step(suspicion);
     let after = suspicion.state();
     if after != before {
-        actions.push(member.notify(match after {
-            suspicion::State::Alive => Change::Alive,
-            suspicion::State::Slow => Change::Slow,
-            suspicion::State::Suspect => Change::Suspect,
-            suspicion::State::Dead => Change::Dead,
-        }));
+        actions.push(member.notify(change_to(after)));
+    }
+}
+
+fn change_to(state: suspicion::State) -> Change {
+    match state {
+        suspicion::State::Alive => Change::Alive,
+        suspicion::State::Slow => Change::Slow,
+        suspicion::State::Suspect => Change::Suspect,
+        suspicion::State::Dead => Change::Dead,
     }
 }
--- a/crates/chestnutpick_membership/src/suspicion.rs
+++ b/crates/chestnutpick_membership/src/suspicion.rs
@@ -315,6 +315,21 @@
         calls_fine && self.gap.0 * 4 < settings.interval.0 * 5
     }
 
+    /// Resumes the judgement on a dead host that had been dropped: the next new connection is due as if one had been
+    /// opened now, instead of at a time that has passed.
+    ///
+    /// ```
+    /// use chestnutpick_membership::suspicion;
+    /// use chestnutpick_types::time;
+    /// let settings = suspicion::Settings::default();
+    /// let mut host = suspicion::Suspicion::new(time::Millis(0), &settings);
+    /// host.on_recall(time::Millis(600_000));
+    /// assert!(host.next_deadline(&settings) > time::Millis(600_000));
+    /// ```
+    pub fn on_recall(&mut self, now: time::Millis) {
+        self.connect = Some(now);
+    }
+
     /// Moves all times by a pause of this process, in which nothing could be received.
     ///
     /// ```
