--- a/crates/chestnutpick_entry/src/hosts.rs
+++ b/crates/chestnutpick_entry/src/hosts.rs
@@ -101,7 +101,7 @@
         let keep = wanted.get(host).is_some_and(|wanted| wanted.control == record.control);
         if !keep {
             task.abort();
-            let actions = node.members.borrow_mut().release(host);
+            let actions = node.members.borrow_mut().release(node.now(), host);
             apply(node, actions);
             node.table.borrow_mut().remove(host);
         }
