Test that a pause of this process kills no suspect

Cause: a trial mutation that removed the excuse passed all tests, because a late look opens a new connection first anyway. What the excuse prevents is a suspect being declared dead.

--- a/crates/chestnutpick_membership/tests/members.rs
+++ b/crates/chestnutpick_membership/tests/members.rs
@@ -162,6 +162,20 @@
     assert_eq!((world.state(), world.told()), (Some(State::Alive), vec![]));
 }
 
+/// Guards against suspects being declared dead because this process was paused.
+#[test]
+fn own_pause_kills_no_suspect() {
+    let mut world = World::new();
+    world.pass(5_000);
+    world.now = Millis(60_000);
+    let actions = world.members.on_tick(world.now);
+    world.record(actions);
+    assert_eq!(world.told(), vec![Change::Suspect]);
+    assert_eq!(world.members.dump()["own_pauses"], 1);
+    world.pass(10_000);
+    assert_eq!(world.told()[1], Change::Dead, "silence after the pause counts");
+}
+
 /// Guards against a driver that ticks once a second, and is late each time, never suspecting anything.
 #[test]
 fn coarse_ticks_still_suspect() {
