Detect chunked bodies that break off, and callers that go away

Cause: awc reports a chunked body whose connection closes before the last chunk as complete, so a service's answer could be cut without notice (test chunked_body_that_breaks_off_is_lost failed with "an error" expected). The server side of actix-http kept serving callers that had closed their connection until the next write.

Ruled out: content-length only (services may answer chunked).

Change: the client's connections note the end of the file and the response compares; the server drops half-closed callers.

--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -121,6 +121,8 @@
     let factory = http::HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(HEAD_TIMEOUT)
+        // A caller that closes its side has gone away; its request must not keep a place in a queue.
+        .h1_allow_half_closed(false)
         .tcp_nodelay(true)
         .finish(service)
         .tcp();
--- a/crates/chestnutpick_platform/src/client.rs
+++ b/crates/chestnutpick_platform/src/client.rs
@@ -14,6 +14,8 @@
 use futures::StreamExt;
 use snafu::Snafu;
 
+use crate::connection;
+
 /// Idle time after which a pooled connection is not used again. Half of the servers' keep-alive time
 /// (`chestnutpick_http::server::KEEP_ALIVE`), so that no request is sent on a connection that is being closed.
 pub const IDLE_LIMIT: time::Duration = time::Duration::from_secs(2);
@@ -110,6 +112,7 @@
 /// never comes for a host that was replaced; so the whole pool is replaced at the age limit.
 struct Pool {
     inner: awc::Client,
+    ended: connection::Ended,
     created: time::Instant,
 }
 
@@ -117,7 +120,9 @@
     fn new(age_limit: Millis) -> Self {
         // The number of connections is bounded by admission control, not by the pool: a request that waits for the pool
         // would be neither sent nor refused.
+        let ended = connection::Ended::default();
         let connector = awc::Connector::new()
+            .connector(connection::Connector::new(ended.clone()))
             .timeout(CONNECT_TIMEOUT)
             .conn_keep_alive(IDLE_LIMIT)
             .conn_lifetime(age_limit.to_duration())
@@ -128,7 +133,7 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Self { inner, created: time::Instant::now() }
+        Self { inner, ended, created: time::Instant::now() }
     }
 }
 
@@ -156,12 +161,12 @@
 
     /// Returns the current pool, replaced if it has reached the age limit. Calls in progress keep the old one until they
     /// end.
-    fn pool(&self) -> awc::Client {
+    fn pool(&self) -> (awc::Client, connection::Ended) {
         let mut pool = self.pool.borrow_mut();
         if pool.created.elapsed() >= self.age_limit.to_duration() {
             *pool = Pool::new(self.age_limit);
         }
-        pool.inner.clone()
+        (pool.inner.clone(), pool.ended.clone())
     }
 
     /// Sends `request` to `address` and returns once the head of the response has arrived.
@@ -195,7 +200,8 @@
         let method = actix_http::Method::from_bytes(request.method.as_bytes())
             .map_err(|reason| invalid(reason.to_string()))?;
         let bodiless = method == actix_http::Method::HEAD;
-        let mut call = self.pool().request(method, format!("http://{address}{}", request.path));
+        let (client, ended) = self.pool();
+        let mut call = client.request(method, format!("http://{address}{}", request.path));
         for (name, value) in &request.headers {
             let name = header::HeaderName::from_bytes(name.as_bytes())
                 .map_err(|reason| invalid(format!("header {name:?}: {reason}")))?;
@@ -209,7 +215,7 @@
             call.send_body(sized_body(request.body))
         };
         match tokio::time::timeout(timeout.to_duration(), sending).await {
-            Ok(Ok(response)) => Ok(Response::new(address, timeout, response, bodiless)),
+            Ok(Ok(response)) => Ok(Response::new(address, timeout, response, bodiless, ended)),
             Ok(Err(reason)) => Err(call_error(address, &reason)),
             Err(_) => Err(CallError::Timeout {
                 address,
@@ -237,6 +243,10 @@
     /// Bytes that `content-length` announces and that have not arrived; a connection that breaks off looks like the end
     /// of the body to awc.
     missing: Option<u64>,
+    /// Noted by the connection while the body is polled.
+    ended: connection::Ended,
+    /// Whether the connection has ended during this body.
+    broken: bool,
 }
 
 impl Response {
@@ -245,6 +255,7 @@
         timeout: Millis,
         body: awc::ClientResponse,
         bodiless: bool,
+        ended: connection::Ended,
     ) -> Self {
         let headers: Vec<Header> = body
             .headers()
@@ -252,7 +263,8 @@
             .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
             .collect();
         let status = body.status().as_u16();
-        let mut response = Self { status, headers, address, timeout, body, missing: None };
+        let mut response =
+            Self { status, headers, address, timeout, body, missing: None, ended, broken: false };
         if !bodiless && status != 304 {
             response.missing =
                 response.header("content-length").and_then(|length| length.parse().ok());
@@ -279,7 +291,13 @@
     pub async fn next(&mut self, timeout: Millis) -> Result<Option<Bytes>, CallError> {
         let address = self.address;
         let lost = |reason: String| CallError::Lost { address, reason: reason.into() };
-        match tokio::time::timeout(timeout.to_duration(), self.body.next()).await {
+        let piece = futures::future::poll_fn(|context| {
+            self.ended.take();
+            let poll = self.body.poll_next_unpin(context);
+            self.broken |= self.ended.take();
+            poll
+        });
+        match tokio::time::timeout(timeout.to_duration(), piece).await {
             Ok(Some(Ok(piece))) => {
                 let len = size::Bytes::of_len(piece.len()).0;
                 self.missing = self.missing.map(|missing| missing.saturating_sub(len));
@@ -290,6 +308,9 @@
                 Some(missing) if missing > 0 => {
                     Err(lost(format!("the body broke off {missing} bytes before its end")))
                 }
+                _ if self.broken && self.header("transfer-encoding").is_some() => {
+                    Err(lost("the body broke off before its last chunk".to_owned()))
+                }
                 _ => Ok(None),
             },
             Err(_) => Err(CallError::Timeout {
--- a/crates/chestnutpick_platform/src/lib.rs
+++ b/crates/chestnutpick_platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! URLs and headers. All clients run on the caller's thread and never retry by themselves.
 
 pub mod client;
+mod connection;
 pub mod engine;
 pub mod fault;
 pub mod hosts;
