Bound the memory that slow readers hold, and park their streams

Cause: each stream held up to four pieces, 32 KiB of write buffer and its endpoint's slot for as long as its reader was slow.

Ruled out: backpressure alone (it keeps the endpoint's slot and memory).

Change: frames go through the budget of the streams library; a stream in backpressure for 5 s, or the slowest when the budget is nearly used, is cancelled at the engine and continued from its offset once its reader has caught up. One piece of 4 KiB and 8 KiB of write buffer a connection.

--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -14,6 +14,7 @@
 use chestnutpick_types::{digest, error, id, size, time};
 use serde::Deserialize;
 
+use crate::buffers;
 use crate::dispatch;
 use crate::node;
 use crate::stream;
@@ -69,9 +70,9 @@
     let in_flight = node::InFlight::new(&node);
     let received = node.now();
     match run(&node, &mut request).await {
-        Ok((completion, started)) => {
+        Ok((completion, started, buffer)) => {
             metrics::histogram!("entry_first_byte_ms").record(node.now().since(received).0 as f64);
-            stream::respond(node, in_flight, completion, started)
+            stream::respond(node, in_flight, buffer, completion, started)
         }
         Err(refusal) => {
             metrics::counter!("entry_refused_total", "kind" => refusal.kind.to_string())
@@ -86,11 +87,12 @@
 async fn run(
     node: &rc::Rc<node::Node>,
     request: &mut http::Request,
-) -> Result<(Completion, Started), error::Refusal> {
+) -> Result<(Completion, Started, buffers::Handle), error::Refusal> {
     let mut completion = read(node, request).await?;
+    let buffer = buffers::open(node)?;
     node.budget.borrow_mut().on_first(node.now());
     let started = start(node, &mut completion, 0).await?;
-    Ok((completion, started))
+    Ok((completion, started, buffer))
 }
 
 async fn read(
--- a/crates/chestnutpick_entry/src/lib.rs
+++ b/crates/chestnutpick_entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry: takes requests from callers and operators, chooses endpoints, and keeps the promises about answers.
 
 pub mod admin;
+pub mod buffers;
 pub mod claims;
 pub mod completions;
 pub mod config;
--- a/crates/chestnutpick_entry/src/node.rs
+++ b/crates/chestnutpick_entry/src/node.rs
@@ -11,11 +11,12 @@
 use chestnutpick_routing::{budget, queue, suspects, table};
 use chestnutpick_rpc::message;
 use chestnutpick_telemetry::event;
-use chestnutpick_types::{id, time};
+use chestnutpick_types::{id, size, time};
 use rand_core::SeedableRng;
 use serde_json::json;
 use tokio::sync::Notify;
 
+use crate::buffers;
 use crate::claims;
 use crate::dispatch;
 use crate::settings;
@@ -59,6 +60,8 @@
     pub budget: cell::RefCell<budget::RetryBudget>,
     /// Fingerprints that were in flight at crashes.
     pub suspects: cell::RefCell<suspects::Suspects>,
+    /// Answers that wait for slow readers.
+    pub buffers: buffers::Buffers,
     /// Claims of non-idempotent calls.
     pub claims: claims::Claims,
     /// Generator for routing.
@@ -104,6 +107,7 @@
             calls: cell::RefCell::new(queue::Queue::new(limits)),
             budget: cell::RefCell::new(budget::RetryBudget::new(requests.retry_percent)),
             suspects: cell::RefCell::default(),
+            buffers: buffers::Buffers::new(size::Bytes(requests.buffer_bytes)),
             claims: claims::Claims::new(&settings.claims, clock.now()),
             rng: cell::RefCell::new(rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(incarnation)),
             store: store::HttpStore::new(client.clone(), settings.platform.store, timeout),
@@ -230,6 +234,7 @@
             "waiting_calls": self.calls.borrow().dump(),
             "retries": self.budget.borrow().dump(),
             "suspects": self.suspects.borrow().dump(),
+            "buffers": self.buffers.dump(),
             "claims": self.claims.dump(),
         })
     }
--- a/crates/chestnutpick_entry/src/run.rs
+++ b/crates/chestnutpick_entry/src/run.rs
@@ -106,6 +106,7 @@
     while !stop.is_cancelled() {
         dispatch::expire(&node);
         node.claims.tick(&node);
+        node.buffers.tick(node.now());
         let actions = node.members.borrow_mut().on_tick(node.now());
         hosts::apply(&node, actions);
         tokio::select! {
--- a/crates/chestnutpick_entry/src/settings.rs
+++ b/crates/chestnutpick_entry/src/settings.rs
@@ -85,6 +85,8 @@
     pub between_tokens_ms: u64,
     /// Endpoints of a kind in a zone that this entry holds at most.
     pub subset: usize,
+    /// Memory for answers that wait for slow readers, in bytes.
+    pub buffer_bytes: u64,
 }
 
 impl Default for Requests {
@@ -98,6 +100,7 @@
             first_token_ms: 10_000,
             between_tokens_ms: 5_000,
             subset: 64,
+            buffer_bytes: 32 << 20,
         }
     }
 }
@@ -173,6 +176,7 @@
         check::in_range("requests.retry_percent", self.retry_percent, 0..=10)?;
         check::in_range("requests.first_token_ms", self.first_token_ms, 10..=600_000)?;
         check::in_range("requests.between_tokens_ms", self.between_tokens_ms, 10..=600_000)?;
+        check::in_range("requests.buffer_bytes", self.buffer_bytes, 1 << 20..=1 << 40)?;
         check::in_range("requests.subset", self.subset, 1..=10_000)
     }
 }
--- a/crates/chestnutpick_entry/src/stream.rs
+++ b/crates/chestnutpick_entry/src/stream.rs
@@ -2,12 +2,15 @@
 
 use std::rc;
 
+use bytes::Bytes;
 use chestnutpick_http::{body, respond as http_respond};
 use chestnutpick_platform::client;
-use chestnutpick_streams::{relay, sse};
+use chestnutpick_routing::report;
+use chestnutpick_streams::{buffer, relay, sse};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{error, time};
 
+use crate::buffers;
 use crate::completions;
 use crate::dispatch;
 use crate::node;
@@ -15,12 +18,20 @@
 /// Longest wait for progress when the relay names no deadline of its own.
 const IDLE: time::Millis = time::Millis::from_secs(60);
 
+/// Longest wait for an endpoint that continues a stream.
+const FIND: time::Millis = time::Millis::from_secs(10);
+
 struct Stream {
     node: rc::Rc<node::Node>,
     completion: completions::Completion,
     relay: relay::Relay,
     sender: body::Sender,
+    buffer: buffers::Handle,
     source: Option<Source>,
+    /// The buffer is full; the source is not read until it has drained.
+    paused: bool,
+    /// The last frame is in the buffer.
+    ending: bool,
     _in_flight: node::InFlight,
 }
 
@@ -43,6 +54,7 @@
 pub fn respond(
     node: rc::Rc<node::Node>,
     in_flight: node::InFlight,
+    buffer: buffers::Handle,
     completion: completions::Completion,
     started: completions::Started,
 ) -> http_respond::Response {
@@ -58,7 +70,17 @@
     let mut relay = relay::Relay::new(node.now(), config, started.attempt.clone(), started.digest);
     let actions = head(&node, &mut relay, &started.attempt, &started.response);
     let source = Some(Source::from(started));
-    let stream = Stream { node, completion, relay, sender, source, _in_flight: in_flight };
+    let stream = Stream {
+        node,
+        completion,
+        relay,
+        sender,
+        buffer,
+        source,
+        paused: false,
+        ending: false,
+        _in_flight: in_flight,
+    };
     actix_rt::spawn(stream.run(actions));
     response
 }
@@ -81,51 +103,110 @@
     }
 }
 
-/// Whether the stream goes on.
-enum Next {
-    Go,
-    End,
+/// What a stream waits for.
+enum Event {
+    /// The caller has gone away.
+    Gone,
+    /// The budget of the buffers asks for a step.
+    Step(buffer::Step),
+    /// The connection has taken what it had room for.
+    Written,
+    /// The source brought something, or broke.
+    Piece(Result<Option<Bytes>, client::CallError>),
+    /// The relay's deadline has passed.
+    Deadline,
 }
 
 impl Stream {
     async fn run(mut self, first: Vec<relay::Action>) {
         let mut actions = first;
         loop {
-            if let Next::End = self.apply(actions).await {
+            self.apply(actions).await;
+            if self.ending && self.buffer.is_empty() {
                 return;
             }
-            let Some(more) = self.read().await else {
-                event::Event::new("caller_gone")
-                    .with("delivered", self.relay.resume_index())
-                    .info();
-                return;
+            actions = match self.next().await {
+                Event::Gone => {
+                    event::Event::new("caller_gone")
+                        .with("delivered", self.relay.resume_index())
+                        .info();
+                    return;
+                }
+                Event::Written => Vec::new(),
+                Event::Step(buffer::Step::Fail(refusal)) => {
+                    self.log_failure(&refusal);
+                    return;
+                }
+                Event::Step(step) => self.on_step(step).await,
+                Event::Piece(piece) => self.on_piece(piece),
+                Event::Deadline => self.relay.tick(self.node.now()),
             };
-            actions = more;
         }
     }
 
-    /// Waits for the next piece of the source; `None` when the caller is gone.
-    async fn read(&mut self) -> Option<Vec<relay::Action>> {
-        let now = self.node.now();
-        let wait = self.relay.next_deadline().map_or(IDLE, |deadline| deadline.since(now));
-        let Some(source) = &mut self.source else {
-            actix_rt::time::sleep(wait.to_duration()).await;
-            return Some(self.relay.tick(self.node.now()));
-        };
-        let piece = tokio::select! {
-            () = self.sender.closed() => return None,
-            piece = source.response.next(wait) => piece,
-        };
+    async fn next(&mut self) -> Event {
+        let deadline = self.relay.next_deadline();
+        let wait = deadline.map_or(IDLE, |deadline| deadline.since(self.node.now()));
+        let waiting = !self.buffer.is_empty();
+        let reading = !self.paused && !self.ending;
+        tokio::select! {
+            biased;
+            Some(step) = self.buffer.step() => Event::Step(step),
+            () = self.sender.closed() => Event::Gone,
+            permit = self.sender.reserve(), if waiting => match permit {
+                Ok(permit) => {
+                    permit.send(self.buffer.take());
+                    Event::Written
+                }
+                Err(body::Closed) => Event::Gone,
+            },
+            piece = read(&mut self.source, wait), if reading => Event::Piece(piece),
+            () = actix_rt::time::sleep(wait.to_duration()) => Event::Deadline,
+        }
+    }
+
+    fn on_piece(&mut self, piece: Result<Option<Bytes>, client::CallError>) -> Vec<relay::Action> {
         let now = self.node.now();
-        Some(match piece {
+        let Some(source) = &mut self.source else { return Vec::new() };
+        match piece {
             Ok(Some(bytes)) => feed(&mut self.relay, source, now, &bytes),
-            Ok(None) => self.relay.on_loss(now, &source.attempt, relay::Loss::Broken),
             Err(client::CallError::Timeout { .. }) => self.relay.tick(now),
-            Err(_) => self.relay.on_loss(now, &source.attempt, relay::Loss::Broken),
-        })
+            Ok(None) | Err(_) => self.relay.on_loss(now, &source.attempt, relay::Loss::Broken),
+        }
+    }
+
+    async fn on_step(&mut self, step: buffer::Step) -> Vec<relay::Action> {
+        match step {
+            buffer::Step::Pause => {
+                self.paused = true;
+                self.relay.pause();
+                Vec::new()
+            }
+            buffer::Step::Flow => {
+                self.paused = false;
+                self.relay.flow(self.node.now());
+                Vec::new()
+            }
+            buffer::Step::Park { offset } => {
+                event::Event::new("stream_parked").with("delivered", offset).info();
+                metrics::counter!("entry_streams_parked_total").increment(1);
+                let actions = self.relay.park(offset);
+                // The endpoint did nothing wrong; its capacity is free for others.
+                self.source = None;
+                self.paused = true;
+                actions
+            }
+            buffer::Step::Resume { offset } => {
+                event::Event::new("stream_resumed").with("delivered", offset).info();
+                self.paused = false;
+                self.completion.attempts = 0;
+                self.attempt(offset).await
+            }
+            buffer::Step::Fail(_) => Vec::new(),
+        }
     }
 
-    async fn apply(&mut self, actions: Vec<relay::Action>) -> Next {
+    async fn apply(&mut self, actions: Vec<relay::Action>) {
         let mut pending = actions;
         while !pending.is_empty() {
             let mut more = Vec::new();
@@ -133,19 +214,16 @@
                 match action {
                     relay::Action::Deliver { index, text } => {
                         metrics::counter!("entry_tokens_total").increment(1);
-                        if !self.deliver(&sse::Event::Token { index, text }).await {
-                            return Next::End;
-                        }
+                        self.buffer.push(index, sse::Event::Token { index, text }.encode());
                     }
                     relay::Action::Finish => {
                         metrics::counter!("entry_completions_total", "outcome" => "whole")
                             .increment(1);
-                        self.deliver(&sse::Event::Done).await;
-                        return Next::End;
+                        self.end(&sse::Event::Done);
                     }
                     relay::Action::Fail(refusal) => {
-                        self.fail(&refusal).await;
-                        return Next::End;
+                        self.log_failure(&refusal);
+                        self.end(&sse::Event::Error(refusal));
                     }
                     // The agent cancels at the engine when its connection closes.
                     relay::Action::Cancel { .. } => self.drop_source(),
@@ -154,14 +232,16 @@
             }
             pending = more;
         }
-        Next::Go
     }
 
-    async fn deliver(&self, event: &sse::Event) -> bool {
-        self.sender.send(event.encode()).await.is_ok()
+    /// Adds the last frame; the source has done its part.
+    fn end(&mut self, last: &sse::Event) {
+        self.buffer.finish(last.encode());
+        self.source = None;
+        self.ending = true;
     }
 
-    async fn fail(&self, refusal: &error::Refusal) {
+    fn log_failure(&self, refusal: &error::Refusal) {
         metrics::counter!("entry_completions_total", "outcome" => refusal.kind.to_string())
             .increment(1);
         event::Event::new("stream_failed")
@@ -169,7 +249,6 @@
             .with("message", &refusal.message)
             .with("delivered", self.relay.resume_index())
             .warn();
-        self.deliver(&sse::Event::Error(refusal.clone())).await;
     }
 
     fn drop_source(&mut self) {
@@ -188,15 +267,25 @@
     /// Finds another endpoint with the same weights that continues after the tokens already delivered.
     async fn resume(&mut self, from: u64) -> Vec<relay::Action> {
         self.drop_source();
-        let digest = self.relay.digest();
-        self.completion.ask.targets = vec![chestnutpick_routing::report::Target::Weights(digest)];
         if !completions::may_retry(&self.node, &self.completion, error::ErrorKind::EndpointLost) {
             let message = "the endpoint was lost and no further attempt is allowed";
             return self
                 .relay
                 .give_up(error::Refusal::new(error::ErrorKind::EndpointLost, message));
         }
-        match completions::start(&self.node, &mut self.completion, from).await {
+        self.attempt(from).await
+    }
+
+    /// Begins an attempt at token `from` with the weights that began the answer.
+    async fn attempt(&mut self, from: u64) -> Vec<relay::Action> {
+        let digest = self.relay.digest();
+        self.completion.ask.targets = vec![report::Target::Weights(digest)];
+        self.completion.ask.deadline = self.node.now() + FIND;
+        let started = tokio::select! {
+            () = self.sender.closed() => return Vec::new(),
+            started = completions::start(&self.node, &mut self.completion, from) => started,
+        };
+        match started {
             Ok(started) => {
                 event::Event::new("stream_continued")
                     .with("host", &started.placement.host)
@@ -213,6 +302,17 @@
     }
 }
 
+/// Waits for the next piece of the source, for ever if there is none.
+async fn read(
+    source: &mut Option<Source>,
+    wait: time::Millis,
+) -> Result<Option<Bytes>, client::CallError> {
+    match source {
+        Some(source) => source.response.next(wait).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn feed(
     relay: &mut relay::Relay,
     source: &mut Source,
--- a/crates/chestnutpick_http/src/body.rs
+++ b/crates/chestnutpick_http/src/body.rs
@@ -7,8 +7,9 @@
 use futures::stream;
 use tokio::sync::mpsc;
 
-/// Number of pieces that may wait between the producer and the connection.
-const CHANNEL_PIECES: usize = 4;
+/// Number of pieces that may wait between the producer and the connection. One is enough to keep a connection busy; more
+/// would hold memory outside the budget of the producer.
+const CHANNEL_PIECES: usize = 1;
 
 /// The producing side of a streamed body.
 ///
@@ -30,17 +31,13 @@
         self.0.send(piece).await.map_err(|_| Closed)
     }
 
-    /// Hands `piece` to the connection if there is room; returns it otherwise.
+    /// Waits for room for one piece.
     ///
     /// # Errors
     ///
     /// Returns [`Closed`] when the reader is gone.
-    pub fn try_send(&self, piece: Bytes) -> Result<Option<Bytes>, Closed> {
-        match self.0.try_send(piece) {
-            Ok(()) => Ok(None),
-            Err(mpsc::error::TrySendError::Full(piece)) => Ok(Some(piece)),
-            Err(mpsc::error::TrySendError::Closed(_)) => Err(Closed),
-        }
+    pub async fn reserve(&self) -> Result<Permit<'_>, Closed> {
+        self.0.reserve().await.map(Permit).map_err(|_| Closed)
     }
 
     /// Waits until the reader is gone.
@@ -54,6 +51,16 @@
     }
 }
 
+/// Room for one piece.
+pub struct Permit<'a>(mpsc::Permit<'a, Bytes>);
+
+impl Permit<'_> {
+    /// Hands `piece` to the connection.
+    pub fn send(self, piece: Bytes) {
+        self.0.send(piece);
+    }
+}
+
 /// Returns a sender and the body that it fills.
 ///
 /// ```
--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -20,6 +20,10 @@
 /// Time allowed for a request's head to arrive.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// Bytes of a response that a connection holds beyond what the operating system has taken. The default of 32 KiB would
+/// cost 64 MB for 2,000 slow readers.
+const WRITE_BUFFER: usize = 8 << 10;
+
 /// Pause after a failed accept, most often for lack of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -124,6 +128,7 @@
         // A caller that closes its side has gone away; its request must not keep a place in a queue.
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
+        .h1_write_buffer_size(WRITE_BUFFER)
         .finish(service)
         .tcp();
     if let Ok(service) = factory.new_service(()).await {
