Point at the word also when the document rejects a change

Cause: only errors of the parser pointed at the word; a rejected change gave one line without it.

Change: error::rejected shows the command with carets under the word that the change error names. When a name is spelt like an earlier word of the command, it points at the last of them.

--- a/crates/chestnutpick_language/src/error.rs
+++ b/crates/chestnutpick_language/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use chestnutpick_config::change;
+
 use crate::name;
 
 /// Words that differ by more edits than this are not suggested.
@@ -56,11 +58,38 @@
         if self.text.trim().is_empty() {
             return f.write_str(&self.message());
         }
-        let before = self.text.get(..self.offset).unwrap_or(&self.text).chars().count();
-        let carets = self.found.chars().count().max(1);
-        let shown: String =
-            self.text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
-        write!(f, "{}\n  {shown}\n  {}{}", self.message(), " ".repeat(before), "^".repeat(carets))
+        write!(f, "{}\n{}", self.message(), point(&self.text, self.offset, &self.found))
+    }
+}
+
+/// Returns the text and a line with carets under the word at the offset, or behind the text if words are missing.
+fn point(text: &str, offset: usize, word: &str) -> String {
+    let before = text.get(..offset).unwrap_or(text).chars().count();
+    let carets = word.chars().count().max(1);
+    let shown: String = text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
+    format!("  {shown}\n  {}{}", " ".repeat(before), "^".repeat(carets))
+}
+
+/// Returns the message for a command whose change the document does not allow, pointing at the word at fault.
+///
+/// ```
+/// use chestnutpick_config::change;
+/// use chestnutpick_language::error;
+/// let reason = change::ChangeError::LastZone { word: "lima".to_owned() };
+/// let message = error::rejected("take out zone lima", &reason);
+/// assert!(message.ends_with("\n  take out zone lima\n                ^^^^"));
+/// ```
+pub fn rejected(text: &str, reason: &change::ChangeError) -> String {
+    let word = reason.word();
+    let is_edge = |c: Option<char>| c.is_none_or(|c| c.is_whitespace() || "/=%".contains(c));
+    let whole = |&(offset, _): &(usize, &str)| {
+        let (before, rest) = text.split_at(offset);
+        is_edge(before.chars().next_back()) && is_edge(rest[word.len()..].chars().next())
+    };
+    // Names stand behind keywords, so that the last occurrence is the name when both are spelt the same.
+    match text.match_indices(word).filter(whole).last() {
+        Some((offset, _)) => format!("{reason}\n{}", point(text, offset, word)),
+        None => reason.to_string(),
     }
 }
 
--- a/crates/chestnutpick_language/tests/commands.rs
+++ b/crates/chestnutpick_language/tests/commands.rs
@@ -7,6 +7,7 @@
 
 use chestnutpick_config::change::Stamp;
 use chestnutpick_language::complete::complete;
+use chestnutpick_language::error::rejected;
 use chestnutpick_language::parse::parse;
 use chestnutpick_language::query;
 use chestnutpick_language::table::Table;
@@ -34,7 +35,7 @@
         };
         match change.apply(&view.document, &stamp) {
             Ok(next) => view.document = Arc::new(next),
-            Err(error) => output += &format!("{line}: {error}\n"),
+            Err(reason) => output += &format!("{}\n", rejected(line, &reason)),
         }
     }
     output + &format!("revision {}\n", view.document.revision)
