--- a/crates/chestnutpick_membership/src/members.rs
+++ b/crates/chestnutpick_membership/src/members.rs
@@ -102,35 +102,110 @@
 impl Member {
     /// Returns where the host is.
     ///
-    /// See [`Members`] for an example.
+    /// ```
+    /// # use chestnutpick_membership::{list, members, suspicion};
+    /// # use chestnutpick_types::time;
+    /// # let place = list::Place {
+    /// #     host: "agent-1".parse().unwrap(),
+    /// #     zone: "lima".parse().unwrap(),
+    /// #     region: "peru".parse().unwrap(),
+    /// #     kind: list::Kind::Agent,
+    /// #     addresses: vec![],
+    /// # };
+    /// # let host = place.host.clone();
+    /// let mut members = members::Members::new(suspicion::Settings::default());
+    /// let beat = members::Beat { place, incarnation: 7, leaving: false };
+    /// members.on_beat(time::Millis(0), beat);
+    /// assert_eq!(members.get(&host).unwrap().place().zone.as_str(), "lima");
+    /// ```
     pub fn place(&self) -> &list::Place {
         &self.place
     }
 
     /// Returns the host's incarnation, 0 until its first heartbeat.
     ///
-    /// See [`Members`] for an example.
+    /// ```
+    /// # use chestnutpick_membership::{list, members, suspicion};
+    /// # use chestnutpick_types::time;
+    /// # let place = list::Place {
+    /// #     host: "agent-1".parse().unwrap(),
+    /// #     zone: "lima".parse().unwrap(),
+    /// #     region: "peru".parse().unwrap(),
+    /// #     kind: list::Kind::Agent,
+    /// #     addresses: vec![],
+    /// # };
+    /// # let host = place.host.clone();
+    /// let mut members = members::Members::new(suspicion::Settings::default());
+    /// let beat = members::Beat { place, incarnation: 7, leaving: false };
+    /// members.on_beat(time::Millis(0), beat);
+    /// assert_eq!(members.get(&host).unwrap().incarnation(), 7);
+    /// ```
     pub fn incarnation(&self) -> u64 {
         self.incarnation
     }
 
     /// Returns whether the host is leaving and gets no new work.
     ///
-    /// See [`Members`] for an example.
+    /// ```
+    /// # use chestnutpick_membership::{list, members, suspicion};
+    /// # use chestnutpick_types::time;
+    /// # let place = list::Place {
+    /// #     host: "agent-1".parse().unwrap(),
+    /// #     zone: "lima".parse().unwrap(),
+    /// #     region: "peru".parse().unwrap(),
+    /// #     kind: list::Kind::Agent,
+    /// #     addresses: vec![],
+    /// # };
+    /// # let host = place.host.clone();
+    /// let mut members = members::Members::new(suspicion::Settings::default());
+    /// let beat = members::Beat { place, incarnation: 7, leaving: false };
+    /// members.on_beat(time::Millis(0), members::Beat { leaving: true, ..beat });
+    /// assert!(members.get(&host).unwrap().is_leaving());
+    /// ```
     pub fn is_leaving(&self) -> bool {
         self.announced || self.listed_leaving
     }
 
     /// Returns the judgement; hosts without heartbeats to this process count as alive.
     ///
-    /// See [`Members`] for an example.
+    /// ```
+    /// # use chestnutpick_membership::{list, members, suspicion};
+    /// # use chestnutpick_types::time;
+    /// # let place = list::Place {
+    /// #     host: "agent-1".parse().unwrap(),
+    /// #     zone: "lima".parse().unwrap(),
+    /// #     region: "peru".parse().unwrap(),
+    /// #     kind: list::Kind::Agent,
+    /// #     addresses: vec![],
+    /// # };
+    /// # let host = place.host.clone();
+    /// let mut members = members::Members::new(suspicion::Settings::default());
+    /// let beat = members::Beat { place, incarnation: 7, leaving: false };
+    /// members.on_beat(time::Millis(0), beat);
+    /// assert_eq!(members.get(&host).unwrap().state(), suspicion::State::Alive);
+    /// ```
     pub fn state(&self) -> suspicion::State {
         self.suspicion.as_ref().map_or(suspicion::State::Alive, suspicion::Suspicion::state)
     }
 
     /// Returns whether the host may get new work: it is neither leaving nor suspect nor dead.
     ///
-    /// See [`Members`] for an example.
+    /// ```
+    /// # use chestnutpick_membership::{list, members, suspicion};
+    /// # use chestnutpick_types::time;
+    /// # let place = list::Place {
+    /// #     host: "agent-1".parse().unwrap(),
+    /// #     zone: "lima".parse().unwrap(),
+    /// #     region: "peru".parse().unwrap(),
+    /// #     kind: list::Kind::Agent,
+    /// #     addresses: vec![],
+    /// # };
+    /// # let host = place.host.clone();
+    /// let mut members = members::Members::new(suspicion::Settings::default());
+    /// let beat = members::Beat { place, incarnation: 7, leaving: false };
+    /// members.on_beat(time::Millis(0), beat);
+    /// assert!(members.get(&host).unwrap().is_usable());
+    /// ```
     pub fn is_usable(&self) -> bool {
         let state = self.state();
         !self.is_leaving() && matches!(state, suspicion::State::Alive | suspicion::State::Slow)
@@ -173,7 +248,13 @@
 }
 
 impl Members {
-    /// Returns an empty set of hosts. See [`Members`] for an example.
+    /// Returns an empty set of hosts.
+    ///
+    /// ```
+    /// use chestnutpick_membership::{members, suspicion};
+    /// let members = members::Members::new(suspicion::Settings::default());
+    /// assert_eq!(members.next_deadline(), None);
+    /// ```
     pub fn new(settings: suspicion::Settings) -> Self {
         Self {
             settings,
@@ -185,7 +266,24 @@
         }
     }
 
-    /// Returns a host. See [`Members`] for an example.
+    /// Returns a host.
+    ///
+    /// ```
+    /// # use chestnutpick_membership::{list, members, suspicion};
+    /// # use chestnutpick_types::time;
+    /// # let place = list::Place {
+    /// #     host: "agent-1".parse().unwrap(),
+    /// #     zone: "lima".parse().unwrap(),
+    /// #     region: "peru".parse().unwrap(),
+    /// #     kind: list::Kind::Agent,
+    /// #     addresses: vec![],
+    /// # };
+    /// # let host = place.host.clone();
+    /// let mut members = members::Members::new(suspicion::Settings::default());
+    /// let beat = members::Beat { place, incarnation: 7, leaving: false };
+    /// members.on_beat(time::Millis(0), beat);
+    /// assert!(members.get(&host).is_some());
+    /// ```
     pub fn get(&self, host: &id::HostId) -> Option<&Member> {
         self.members.get(host)
     }
@@ -275,7 +373,24 @@
     /// Handles a heartbeat, or a host's announcement that it is leaving.
     ///
     /// A lower incarnation than the known one is ignored; a higher one is a new host state. Leaving, once announced,
-    /// lasts until the incarnation changes. See [`Members`] for an example.
+    /// lasts until the incarnation changes.
+    ///
+    /// ```
+    /// # use chestnutpick_membership::{list, members, suspicion};
+    /// # use chestnutpick_types::time;
+    /// # let place = list::Place {
+    /// #     host: "agent-1".parse().unwrap(),
+    /// #     zone: "lima".parse().unwrap(),
+    /// #     region: "peru".parse().unwrap(),
+    /// #     kind: list::Kind::Agent,
+    /// #     addresses: vec![],
+    /// # };
+    /// # let host = place.host.clone();
+    /// let mut members = members::Members::new(suspicion::Settings::default());
+    /// let beat = members::Beat { place, incarnation: 7, leaving: false };
+    /// let actions = members.on_beat(time::Millis(0), beat);
+    /// assert!(matches!(actions[..], [members::Action::Notify { incarnation: 7, .. }]));
+    /// ```
     pub fn on_beat(&mut self, now: time::Millis, beat: Beat) -> Vec<Action> {
         let mut actions = Vec::new();
         let host = beat.place.host.clone();
--- a/crates/chestnutpick_membership/src/suspicion.rs
+++ b/crates/chestnutpick_membership/src/suspicion.rs
@@ -133,7 +133,12 @@
 
     /// Returns the state.
     ///
-    /// See [`Suspicion::new`] for an example.
+    /// ```
+    /// use chestnutpick_membership::suspicion;
+    /// use chestnutpick_types::time;
+    /// let host = suspicion::Suspicion::new(time::Millis(0), &suspicion::Settings::default());
+    /// assert_eq!(host.state().to_string(), "alive");
+    /// ```
     pub fn state(&self) -> State {
         self.state
     }
