--- a/crates/chestnutpick_config/src/watch.rs
+++ b/crates/chestnutpick_config/src/watch.rs
@@ -14,11 +14,12 @@
 /// How much later than [`WATCH_WAIT`] the answer may come before the connection counts as silent.
 pub const GRACE: time::Millis = time::Millis(1_000);
 
-/// Rate at which a reader takes documents from the store, in bytes a second: what remains of the control budget of
-/// 9 KB/s after heartbeats. A watch returns the whole document, and with 19,000 changes a day one comes every 4.5 s.
+/// Highest rate at which a reader takes documents from the store, in bytes a second: what remains of the control budget
+/// of 9 KB/s after heartbeats. A watch returns the whole document, and with 19,000 changes a day one comes every 4.5 s.
 pub const READ_RATE: u64 = 6_000;
 
-/// Longest pause for [`READ_RATE`]. A change must be in force everywhere within 13 s, of which this is the largest part.
+/// Longest pause for [`READ_RATE`], before it is spread by up to half. A change must be in force everywhere within 13 s,
+/// of which 9 s is the largest part for a zone that is on its own.
 pub const MAX_PAUSE: time::Millis = time::Millis(6_000);
 
 /// First wait after a failed watch; doubled after each further one.
@@ -143,7 +144,7 @@
             Answer::Changed { version, document, size } => {
                 self.failures = 0;
                 self.version = version;
-                self.state = State::Waiting { until: now + pause(size) };
+                self.state = State::Waiting { until: now + self.pause(size) };
                 vec![Action::Offer(document)]
             }
             Answer::Unchanged => {
@@ -157,6 +158,30 @@
         }
     }
 
+    /// Returns the pause after a document. It differs between readers and from call to call: readers that all paused
+    /// together would delay the next change for everyone, whereas one that watches is enough, as others learn from it.
+    fn pause(&self, size: size::Bytes) -> time::Millis {
+        let full = (size.0 * 1_000 / READ_RATE).min(MAX_PAUSE.0);
+        let mixed = digest::Digest::of(format!("{}/{}", self.seed, self.call).as_bytes()).prefix();
+        time::Millis(full + mixed % (full / 2 + 1))
+    }
+
+    /// Tells that the replica has reached this version of the value through a peer, so that the next watch does not
+    /// fetch it again. Only for a store whose version of the value equals the document's revision; a version that the
+    /// store never had makes the next watch return at once.
+    ///
+    /// ```
+    /// use chestnutpick_config::watch;
+    /// use chestnutpick_types::time;
+    /// let mut watcher = watch::Watcher::new(&"entry-1".parse().unwrap());
+    /// watcher.advance(7);
+    /// let actions = watcher.set_reader(time::Millis(0), true);
+    /// assert!(matches!(actions[..], [watch::Action::Watch { version: 7, .. }]));
+    /// ```
+    pub fn advance(&mut self, version: u64) {
+        self.version = self.version.max(version);
+    }
+
     fn fail(&mut self, now: time::Millis) {
         self.failures = self.failures.saturating_add(1);
         let full = (FIRST_WAIT.0 << self.failures.min(10)).min(MAX_WAIT.0);
@@ -229,7 +254,3 @@
         })
     }
 }
-
-fn pause(size: size::Bytes) -> time::Millis {
-    time::Millis(size.0 * 1_000 / READ_RATE).min(MAX_PAUSE)
-}
--- a/crates/chestnutpick_config/src/writer.rs
+++ b/crates/chestnutpick_config/src/writer.rs
@@ -214,7 +214,21 @@
         }
     }
 
-    /// Starts the writer. See [`Writer::new`] for an example.
+    /// Starts the writer.
+    ///
+    /// ```
+    /// # use chestnutpick_config::{change, writer};
+    /// # use chestnutpick_types::time;
+    /// # let stamp = change::Stamp {
+    /// #     id: "change-1".parse().unwrap(),
+    /// #     operator: "ana".into(),
+    /// #     command: "create model m".into(),
+    /// #     at: time::Millis(0),
+    /// # };
+    /// # let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let mut writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// assert_eq!(writer.start(time::Millis(0)), vec![writer::Action::Read]);
+    /// ```
     pub fn start(&mut self, _now: time::Millis) -> Vec<Action> {
         match self.state {
             State::Idle => self.read(),
@@ -235,7 +249,20 @@
 
     /// Returns when [`Writer::on_tick`] is due.
     ///
-    /// See [`Writer::on_tick`] for an example.
+    /// ```
+    /// # use chestnutpick_config::{change, writer};
+    /// # use chestnutpick_types::time;
+    /// # let stamp = change::Stamp {
+    /// #     id: "change-1".parse().unwrap(),
+    /// #     operator: "ana".into(),
+    /// #     command: "create model m".into(),
+    /// #     at: time::Millis(0),
+    /// # };
+    /// # let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let mut writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// writer.start(time::Millis(0));
+    /// assert_eq!(writer.next_deadline(), Some(time::Millis(5_000)));
+    /// ```
     pub fn next_deadline(&self) -> Option<time::Millis> {
         match self.state {
             State::Finished => None,
@@ -299,7 +326,23 @@
         time::Millis(full - spread)
     }
 
-    /// Handles the answer to a read. See [`Writer::new`] for an example.
+    /// Handles the answer to a read.
+    ///
+    /// ```
+    /// # use chestnutpick_config::{change, writer};
+    /// # use chestnutpick_types::time;
+    /// # let stamp = change::Stamp {
+    /// #     id: "change-1".parse().unwrap(),
+    /// #     operator: "ana".into(),
+    /// #     command: "create model m".into(),
+    /// #     at: time::Millis(0),
+    /// # };
+    /// # let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let mut writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// writer.start(time::Millis(0));
+    /// let actions = writer.on_read(time::Millis(1), writer::Read::Absent);
+    /// assert!(matches!(actions[..], [writer::Action::Write { expected: 0, .. }]));
+    /// ```
     pub fn on_read(&mut self, now: time::Millis, answer: Read) -> Vec<Action> {
         if self.state != State::Reading {
             return Vec::new();
@@ -367,7 +410,24 @@
         }
     }
 
-    /// Handles the answer to a write. See [`Writer::new`] for an example.
+    /// Handles the answer to a write.
+    ///
+    /// ```
+    /// # use chestnutpick_config::{change, writer};
+    /// # use chestnutpick_types::time;
+    /// # let stamp = change::Stamp {
+    /// #     id: "change-1".parse().unwrap(),
+    /// #     operator: "ana".into(),
+    /// #     command: "create model m".into(),
+    /// #     at: time::Millis(0),
+    /// # };
+    /// # let change = change::Change::CreateModel { model: "m".parse().unwrap() };
+    /// let mut writer = writer::Writer::new(change, stamp, None, time::Millis(5_000));
+    /// writer.start(time::Millis(0));
+    /// writer.on_read(time::Millis(1), writer::Read::Absent);
+    /// let actions = writer.on_write(time::Millis(2), writer::Written::Mismatch);
+    /// assert_eq!(actions, vec![writer::Action::Read]);
+    /// ```
     pub fn on_write(&mut self, now: time::Millis, answer: Written) -> Vec<Action> {
         if self.state != State::Writing {
             return Vec::new();
