Gate loading by the rollout order, and confirm the fencing epoch

Cause: every agent loaded a new version as soon as it had the chunks, so a roll could take all engines through their load at once, and a paused agent that had been replaced could still give an order to an engine that ignores fencing numbers.

Ruled out: agents polling each other's status (quadratic in the zone's size; entries hold the reports already).

Change: entries evaluate the rollout policy every 200 ms and send permits with their heartbeats; agents download ahead and load on a permit of a live entry; without engine fencing the epoch is read back before each order.

--- a/crates/chestnutpick_admission/src/table.rs
+++ b/crates/chestnutpick_admission/src/table.rs
@@ -471,6 +471,34 @@
         self.load.slots == 0
     }
 
+    /// Returns the digests that the gate is open for.
+    ///
+    /// ```
+    /// # use chestnutpick_admission::{limits::Limits, table};
+    /// # use chestnutpick_types::{size::Tokens, time::Millis};
+    /// # let full = Limits { slots: 1, memory: Tokens(100) };
+    /// # let settings = table::Settings { full, cold: full, incarnation: 1 };
+    /// let table = table::Table::<()>::new(Millis(0), settings);
+    /// assert!(table.loaded().is_empty());
+    /// ```
+    pub fn loaded(&self) -> Vec<digest::Digest> {
+        self.gate.loaded().collect()
+    }
+
+    /// Returns the number of attempts in flight.
+    ///
+    /// ```
+    /// # use chestnutpick_admission::{limits::Limits, table};
+    /// # use chestnutpick_types::{size::Tokens, time::Millis};
+    /// # let full = Limits { slots: 1, memory: Tokens(100) };
+    /// # let settings = table::Settings { full, cold: full, incarnation: 1 };
+    /// let table = table::Table::<()>::new(Millis(0), settings);
+    /// assert_eq!(table.in_flight(), 0);
+    /// ```
+    pub const fn in_flight(&self) -> u32 {
+        self.load.slots
+    }
+
     /// Returns the next report to entries.
     ///
     /// ```
--- a/crates/chestnutpick_agent/src/control.rs
+++ b/crates/chestnutpick_agent/src/control.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use chestnutpick_admission::{attempt, ramp};
 use chestnutpick_config::{replica, update};
-use chestnutpick_routing::suspects;
 use chestnutpick_rpc::{message, server};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
@@ -11,15 +10,10 @@
 use crate::node;
 
 impl server::Handler for node::Node {
-    fn heartbeat(
-        &self,
-        sender: id::HostId,
-        _revision: u64,
-        suspects: Vec<suspects::Record>,
-    ) -> message::Report {
-        let now = self.now();
-        self.entries.borrow_mut().insert(sender, now);
-        self.suspects.borrow_mut().merge(time::unix_now(), suspects);
+    fn heartbeat(&self, beat: message::Beat) -> message::Report {
+        let entry = node::Heard { at: self.now(), permits: beat.permits };
+        self.entries.borrow_mut().insert(beat.sender, entry);
+        self.suspects.borrow_mut().merge(time::unix_now(), beat.suspects);
         self.report()
     }
 
--- a/crates/chestnutpick_agent/src/fence.rs
+++ b/crates/chestnutpick_agent/src/fence.rs
@@ -33,6 +33,31 @@
     }
 }
 
+/// Returns whether this incarnation may give an order to its engine now.
+///
+/// An engine that refuses old fencing numbers protects itself. For one that does not, the epoch is read back first, so that
+/// an agent that was paused and replaced gives no order after it wakes; without the store it gives none.
+pub async fn may_order(node: &node::Node) -> bool {
+    let Some(own) = node.epoch.get() else { return false };
+    if node.settings.endpoint.fencing {
+        return true;
+    }
+    let key = format!("fence/{}", node.settings.host).into();
+    match node.store.get(key).await {
+        Ok(Some(value)) if parse(&value.bytes) == own => true,
+        Ok(found) => {
+            let epoch = found.map_or(0, |value| parse(&value.bytes));
+            event::Event::new("fence_lost").with("own", own).with("found", epoch).error();
+            node.epoch.set(None);
+            false
+        }
+        Err(reason) => {
+            event::Event::new("fence_unconfirmed").with("reason", reason).warn();
+            false
+        }
+    }
+}
+
 async fn increment(node: &node::Node, key: &std_sync::Arc<str>) -> Result<u64, store::StoreError> {
     let current = node.store.get(std_sync::Arc::clone(key)).await?;
     let (revision, epoch) = current.map_or((0, 0), |value| (value.revision, parse(&value.bytes)));
--- a/crates/chestnutpick_agent/src/node.rs
+++ b/crates/chestnutpick_agent/src/node.rs
@@ -29,6 +29,18 @@
     pub body: Bytes,
 }
 
+/// The last heartbeat of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    /// When it came.
+    pub at: time::Millis,
+    /// Versions that it permitted to load.
+    pub permits: Vec<digest::Digest>,
+}
+
+/// Age at which a heartbeat's permits lapse.
+const PERMIT_AGE: time::Millis = time::Millis(2_000);
+
 /// The agent.
 pub struct Node {
     /// Its settings.
@@ -47,8 +59,8 @@
     pub chunks: cell::RefCell<chunks::Chunks>,
     /// The last host list.
     pub hosts: cell::RefCell<Vec<hosts::HostRecord>>,
-    /// Senders of heartbeats and when they were last heard.
-    pub entries: cell::RefCell<collections::BTreeMap<id::HostId, time::Millis>>,
+    /// The last heartbeat of each entry.
+    pub entries: cell::RefCell<collections::BTreeMap<id::HostId, Heard>>,
     /// Fencing epoch of this incarnation, once the store has granted it.
     pub epoch: cell::Cell<Option<u64>>,
     /// Shared HTTP client.
@@ -124,6 +136,19 @@
         self.leaving.get()
     }
 
+    /// Returns the versions that the engine serves.
+    pub fn loaded(&self) -> Vec<digest::Digest> {
+        self.table.borrow().loaded()
+    }
+
+    /// Returns whether a live entry permits to load a version now.
+    pub fn is_permitted(&self, version: &digest::Digest) -> bool {
+        let now = self.now();
+        let entries = self.entries.borrow();
+        let live = entries.values().filter(|heard| now.since(heard.at) < PERMIT_AGE);
+        live.flat_map(|heard| &heard.permits).any(|permit| permit == version)
+    }
+
     /// Returns how a fingerprint may run here.
     pub fn standing(&self, fingerprint: &digest::Digest) -> attempt::Standing {
         match self.suspects.borrow().standing(time::unix_now(), fingerprint) {
@@ -204,7 +229,7 @@
         if self.is_leaving() {
             return Some("leaving");
         }
-        if self.is_engine() && self.table.borrow_mut().report().loaded.is_empty() {
+        if self.is_engine() && self.loaded().is_empty() {
             return Some("no weights loaded");
         }
         None
@@ -224,7 +249,7 @@
             "suspects": self.suspects.borrow().dump(),
             "weights": self.chunks.borrow().dump(),
             "hosts": self.hosts.borrow().len(),
-            "entries": self.entries.borrow().iter().map(|(host, at)| (host.to_string(), json!(at)))
+            "entries": self.entries.borrow().iter().map(|(host, heard)| (host.to_string(), json!(heard.at)))
                 .collect::<serde_json::Map<_, _>>(),
         })
     }
--- a/crates/chestnutpick_agent/src/settings.rs
+++ b/crates/chestnutpick_agent/src/settings.rs
@@ -81,6 +81,9 @@
     /// Attempts that it bears at once at the beginning of a cold start.
     #[serde(default = "defaults::cold_slots")]
     pub cold_slots: u32,
+    /// Whether it refuses orders with an old fencing number. If not, the agent confirms its epoch before each order.
+    #[serde(default)]
+    pub fencing: bool,
     /// Time without a piece of a response after which an attempt is given up, in milliseconds.
     #[serde(default = "defaults::progress_timeout_ms")]
     pub progress_timeout_ms: u64,
--- a/crates/chestnutpick_agent/src/transfer.rs
+++ b/crates/chestnutpick_agent/src/transfer.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync;
 
+use crate::fence;
 use crate::node;
 
 /// Interval at which the wanted versions are compared with the loaded ones.
@@ -60,7 +61,7 @@
     let member = own_member(&node);
     node.chunks.borrow_mut().start_uploads(node.now(), &node.settings.weights, member);
     while !stop.is_cancelled() {
-        let in_flight = u64::from(node.table.borrow_mut().report().load.slots);
+        let in_flight = u64::from(node.table.borrow().in_flight());
         node.chunks.borrow_mut().on_tick(node.now(), in_flight);
         if let Some(want) = next_want(&node) {
             bring(&node, &want, &stop).await;
@@ -85,7 +86,7 @@
 /// Returns the first version that is declared and not loaded.
 fn next_want(node: &node::Node) -> Option<Want> {
     let config = node.config.borrow();
-    let loaded = node.table.borrow_mut().report().loaded;
+    let loaded = node.loaded();
     let missing = config.index().holds().keys().find(|digest| !loaded.contains(digest)).copied()?;
     find(config.document(), missing)
 }
@@ -118,18 +119,25 @@
 }
 
 async fn load(node: &rc::Rc<node::Node>, want: &Want) {
+    if !node.is_permitted(&want.digest) || !fence::may_order(node).await {
+        return;
+    }
     let Some(epoch) = node.epoch.get() else { return };
     let Some(pieces) = node.chunks.borrow().all(want.digest) else { return };
     match node.engine.load(want.digest, epoch, pieces).await {
-        Ok(()) => event::Event::new("load_ordered")
-            .with("digest", want.digest)
-            .with("epoch", epoch)
-            .info(),
+        Ok(()) => {
+            event::Event::new("load_ordered")
+                .with("digest", want.digest)
+                .with("epoch", epoch)
+                .info();
+        }
         // The status of the engine settles what became of the order.
-        Err(reason) => event::Event::new("load_failed")
-            .with("digest", want.digest)
-            .with("reason", reason)
-            .warn(),
+        Err(reason) => {
+            event::Event::new("load_failed")
+                .with("digest", want.digest)
+                .with("reason", reason)
+                .warn();
+        }
     }
     wait_for_gate(node, want.digest).await;
 }
@@ -138,7 +146,7 @@
 async fn wait_for_gate(node: &node::Node, digest: digest::Digest) {
     const TRIES: u32 = 20;
     for _ in 0..TRIES {
-        if node.table.borrow_mut().report().loaded.contains(&digest) {
+        if node.loaded().contains(&digest) {
             return;
         }
         actix_rt::time::sleep(POLL).await;
@@ -146,32 +154,32 @@
 }
 
 /// Unloads versions that no workspace sees any more, once nothing runs here.
-async fn unload_unwanted(node: &node::Node) {
+async fn unload_unwanted(node: &rc::Rc<node::Node>) {
+    let Some(digest) = unwanted(node) else { return };
     let Some(epoch) = node.epoch.get() else { return };
-    let report = node.table.borrow_mut().report();
-    let unwanted = {
-        let config = node.config.borrow();
-        if config.revision() == 0 || report.load.slots > 0 {
-            return;
-        }
-        let wanted = config.index().holds();
-        let served = wanted.keys().all(|digest| report.loaded.contains(digest));
-        if !served {
-            return;
-        }
-        report.loaded.into_iter().find(|digest| !wanted.contains_key(digest))
-    };
-    if let Some(digest) = unwanted {
-        match node.engine.unload(digest, epoch).await {
-            Ok(()) => event::Event::new("unload_ordered").with("digest", digest).info(),
-            Err(reason) => event::Event::new("unload_failed")
-                .with("digest", digest)
-                .with("reason", reason)
-                .warn(),
+    if !fence::may_order(node).await {
+        return;
+    }
+    match node.engine.unload(digest, epoch).await {
+        Ok(()) => event::Event::new("unload_ordered").with("digest", digest).info(),
+        Err(reason) => {
+            event::Event::new("unload_failed").with("digest", digest).with("reason", reason).warn();
         }
     }
 }
 
+/// Returns a loaded version that no workspace sees, once everything that is declared is loaded and nothing runs here.
+fn unwanted(node: &node::Node) -> Option<digest::Digest> {
+    let config = node.config.borrow();
+    if config.revision() == 0 || node.table.borrow().in_flight() > 0 {
+        return None;
+    }
+    let wanted = config.index().holds();
+    let loaded = node.loaded();
+    let complete = wanted.keys().all(|digest| loaded.contains(digest));
+    loaded.into_iter().find(|digest| complete && !wanted.contains_key(digest))
+}
+
 async fn download(
     node: &rc::Rc<node::Node>,
     want: &Want,
--- a/crates/chestnutpick_entry/src/control.rs
+++ b/crates/chestnutpick_entry/src/control.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use chestnutpick_config::{replica, update};
-use chestnutpick_routing::suspects;
 use chestnutpick_rpc::{message, server};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
@@ -10,13 +9,8 @@
 use crate::node;
 
 impl server::Handler for node::Node {
-    fn heartbeat(
-        &self,
-        _sender: id::HostId,
-        _revision: u64,
-        suspects: Vec<suspects::Record>,
-    ) -> message::Report {
-        self.suspects.borrow_mut().merge(time::unix_now(), suspects);
+    fn heartbeat(&self, beat: message::Beat) -> message::Report {
+        self.suspects.borrow_mut().merge(time::unix_now(), beat.suspects);
         self.report()
     }
 
--- a/crates/chestnutpick_entry/src/lib.rs
+++ b/crates/chestnutpick_entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hosts;
 pub mod link;
 pub mod node;
+pub mod rollout;
 pub mod run;
 pub mod services;
 pub mod settings;
--- a/crates/chestnutpick_entry/src/link.rs
+++ b/crates/chestnutpick_entry/src/link.rs
@@ -56,9 +56,13 @@
             }
         },
     };
-    let suspects = node.suspects.borrow().list(time::unix_now());
-    let revision = node.config.borrow().revision();
-    match connection.heartbeat(&node.settings.host, revision, &suspects).await {
+    let beat = message::Beat {
+        sender: node.settings.host.clone(),
+        revision: node.config.borrow().revision(),
+        suspects: node.suspects.borrow().list(time::unix_now()),
+        permits: node.permits.borrow().get(&record.host).cloned().unwrap_or_default(),
+    };
+    match connection.heartbeat(&beat).await {
         Ok(report) => {
             on_report(node, record, &report);
             match exchange_config(node, &connection, report.revision).await {
--- a/crates/chestnutpick_entry/src/node.rs
+++ b/crates/chestnutpick_entry/src/node.rs
@@ -19,6 +19,7 @@
 use crate::buffers;
 use crate::claims;
 use crate::dispatch;
+use crate::rollout;
 use crate::settings;
 
 /// The last report of a host.
@@ -50,6 +51,8 @@
     pub hosts: cell::RefCell<collections::BTreeMap<id::HostId, hosts::HostRecord>>,
     /// Last report of each host.
     pub seen: cell::RefCell<collections::BTreeMap<id::HostId, Seen>>,
+    /// Versions that each engine may load now.
+    pub permits: cell::RefCell<rollout::Permits>,
     /// Endpoints and their load.
     pub table: cell::RefCell<table::Table>,
     /// Completions that wait for an endpoint.
@@ -102,6 +105,7 @@
             members: cell::RefCell::new(members::Members::new(suspicion)),
             hosts: cell::RefCell::default(),
             seen: cell::RefCell::default(),
+            permits: cell::RefCell::default(),
             table: cell::RefCell::new(table::Table::new(1)),
             completions: cell::RefCell::new(queue::Queue::new(limits)),
             calls: cell::RefCell::new(queue::Queue::new(limits)),
@@ -228,6 +232,7 @@
             "config": self.config.borrow().dump(),
             "reader": self.is_reader(),
             "watch": self.watcher.borrow().dump(),
+            "permits": rollout::dump(&self.permits.borrow()),
             "members": self.members.borrow().dump(),
             "endpoints": self.table.borrow().dump(),
             "waiting_completions": self.completions.borrow().dump(),
--- /dev/null
+++ b/crates/chestnutpick_entry/src/rollout.rs
@@ -0,0 +1,88 @@
+//! Which engine may load which version now: the rollout order applied to what this entry sees.
+//!
+//! Every entry evaluates the same pure function, and an agent acts on the permit of any of them. An entry that sees the others
+//! with a lag permits too few hosts rather than too many.
+
+use std::collections;
+use std::rc;
+use std::time;
+
+use chestnutpick_config::lookup;
+use chestnutpick_platform::hosts;
+use chestnutpick_types::{digest, id};
+use chestnutpick_weights::{assignment, rollout};
+use tokio_util::sync;
+
+use crate::node;
+
+/// Interval at which permits are worked out.
+const INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Versions that each engine may load now.
+pub type Permits = collections::BTreeMap<id::HostId, Vec<digest::Digest>>;
+
+/// Works out permits until `stop` is cancelled.
+pub async fn watch(node: rc::Rc<node::Node>, stop: sync::CancellationToken) {
+    while !stop.is_cancelled() {
+        let permits = permits(&node);
+        *node.permits.borrow_mut() = permits;
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = actix_rt::time::sleep(INTERVAL) => {}
+        }
+    }
+}
+
+fn permits(node: &node::Node) -> Permits {
+    let mut permits = Permits::new();
+    let config = node.config.borrow();
+    for version in config.index().holds().keys() {
+        let Some(plan) = plan(config.index(), *version) else { continue };
+        for host in rollout::step(&plan, &seen(node, *version)).start {
+            permits.entry(host).or_default().push(*version);
+        }
+    }
+    permits
+}
+
+/// Returns the most careful settings of the workspaces that see the version.
+fn plan(index: &lookup::Index, target: digest::Digest) -> Option<rollout::Plan> {
+    let hold = index.holds().get(&target)?;
+    let rolls = || hold.workspaces.iter().filter_map(|id| index.target(id)).map(|found| found.roll);
+    let pace = rolls().map(|roll| roll.pace).min()?;
+    let min_serving = rolls().map(|roll| roll.min_serving).max()?;
+    let paused = rolls().all(|roll| roll.paused);
+    Some(rollout::Plan {
+        target,
+        pace: usize::try_from(pace).unwrap_or(usize::MAX),
+        min_serving: u64::from(min_serving),
+        paused,
+    })
+}
+
+fn seen(node: &node::Node, target: digest::Digest) -> Vec<rollout::Seen> {
+    let hosts = node.hosts.borrow();
+    let reports = node.seen.borrow();
+    let members = node.members.borrow();
+    let engines = hosts.values().filter(|record| record.role == hosts::Role::Engine);
+    let live = engines.filter(|record| members.get(&record.host).is_some_and(|m| m.is_usable()));
+    live.filter_map(|record| {
+        let report = &reports.get(&record.host)?.report;
+        let serving = match report.loaded.contains(&target) {
+            true => Some(target),
+            false => report.loaded.first().copied(),
+        };
+        let member = assignment::Member {
+            host: record.host.clone(),
+            zone: record.zone.clone(),
+            region: record.region.clone(),
+        };
+        Some(rollout::Seen { member, serving })
+    })
+    .collect()
+}
+
+/// Returns the permits for the state dump.
+pub fn dump(permits: &Permits) -> serde_json::Value {
+    permits.iter().map(|(host, versions)| (host.to_string(), serde_json::json!(versions))).collect()
+}
--- a/crates/chestnutpick_entry/src/run.rs
+++ b/crates/chestnutpick_entry/src/run.rs
@@ -20,6 +20,7 @@
 use crate::dispatch;
 use crate::hosts;
 use crate::node;
+use crate::rollout;
 use crate::services;
 use crate::settings;
 
@@ -98,6 +99,8 @@
     actix_rt::spawn(hosts::watch(watching, token));
     let (watching, token) = share();
     actix_rt::spawn(config::watch(watching, token));
+    let (rolling, token) = share();
+    actix_rt::spawn(rollout::watch(rolling, token));
     let (ticking, token) = share();
     actix_rt::spawn(tick(ticking, token));
 }
--- a/crates/chestnutpick_rpc/schema/node.capnp
+++ b/crates/chestnutpick_rpc/schema/node.capnp
@@ -51,7 +51,8 @@
 }
 
 interface Node {
-  heartbeat @0 (sender :Text, revision :UInt64, suspects :List(Suspect)) -> (report :Report);
+  # `permits` lists the versions that the receiver may load now.
+  heartbeat @0 (sender :Text, revision :UInt64, suspects :List(Suspect), permits :List(Data)) -> (report :Report);
   # Offers a configuration document; returns the revision in force afterwards.
   putConfig @1 (revision :UInt64, document :Data) -> (revision :UInt64);
   # Returns the document if its revision is higher than `known`, else an empty one.
--- a/crates/chestnutpick_rpc/src/client.rs
+++ b/crates/chestnutpick_rpc/src/client.rs
@@ -7,7 +7,6 @@
 use actix_rt::task;
 use bytes::Bytes;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use chestnutpick_routing::suspects;
 use chestnutpick_types::id;
 use chestnutpick_types::time as instant;
 use futures::AsyncReadExt;
@@ -96,17 +95,14 @@
     /// # Errors
     ///
     /// Returns [`CallError::Deadline`] or [`CallError::Failed`]; the connection must then be replaced.
-    pub async fn heartbeat(
-        &self,
-        sender: &id::HostId,
-        revision: u64,
-        suspects: &[suspects::Record],
-    ) -> Result<message::Report, CallError> {
+    pub async fn heartbeat(&self, beat: &message::Beat) -> Result<message::Report, CallError> {
         let mut request = self.node.heartbeat_request();
-        request.get().set_sender(sender.as_str());
-        request.get().set_revision(revision);
-        let count = u32::try_from(suspects.len()).unwrap_or(u32::MAX);
-        message::write_suspects(request.get().init_suspects(count), suspects);
+        request.get().set_sender(beat.sender.as_str());
+        request.get().set_revision(beat.revision);
+        let suspects = request.get().init_suspects(message::index(beat.suspects.len()));
+        message::write_suspects(suspects, &beat.suspects);
+        let permits = request.get().init_permits(message::index(beat.permits.len()));
+        message::write_digests(permits, &beat.permits);
         let response = self.within(request.send().promise).await?;
         let read = || message::read_report(response.get()?.get_report()?);
         read().map_err(|reason| self.failed(&reason))
--- a/crates/chestnutpick_rpc/src/message.rs
+++ b/crates/chestnutpick_rpc/src/message.rs
@@ -9,6 +9,19 @@
 
 use crate::node_capnp;
 
+/// What a heartbeat carries to its receiver.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    /// The sending host.
+    pub sender: id::HostId,
+    /// Revision of the configuration in force there.
+    pub revision: u64,
+    /// Fingerprints that crashes made suspect.
+    pub suspects: Vec<suspects::Record>,
+    /// Versions that the receiver may load now.
+    pub permits: Vec<digest::Digest>,
+}
+
 /// State that a process reports in answer to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -83,7 +96,17 @@
         .ok_or_else(|| capnp::Error::failed("a digest has 32 bytes".to_owned()))
 }
 
-fn index(position: usize) -> u32 {
+pub(crate) fn read_digests(list: capnp::data_list::Reader<'_>) -> Result<Vec<digest::Digest>> {
+    list.iter().map(|data| read_digest(data?)).collect()
+}
+
+pub(crate) fn write_digests(mut list: capnp::data_list::Builder<'_>, digests: &[digest::Digest]) {
+    for (position, digest) in digests.iter().enumerate() {
+        list.set(index(position), digest.as_bytes());
+    }
+}
+
+pub(crate) fn index(position: usize) -> u32 {
     u32::try_from(position).unwrap_or(u32::MAX)
 }
 
@@ -130,10 +153,7 @@
     to.set_chunks_total(report.chunks_total);
     to.set_origin_bytes(report.origin_bytes);
     to.set_suspect_running(report.suspect_running);
-    let mut loaded = to.reborrow().init_loaded(index(report.loaded.len()));
-    for (position, digest) in report.loaded.iter().enumerate() {
-        loaded.set(index(position), digest.as_bytes());
-    }
+    write_digests(to.reborrow().init_loaded(index(report.loaded.len())), &report.loaded);
     let mut services = to.reborrow().init_services(index(report.services.len()));
     for (position, service) in report.services.iter().enumerate() {
         services.set(index(position), service.as_str());
@@ -142,7 +162,6 @@
 }
 
 pub(crate) fn read_report(from: node_capnp::report::Reader<'_>) -> Result<Report> {
-    let loaded = from.get_loaded()?.iter().map(|data| read_digest(data?)).collect::<Result<_>>()?;
     let services = from.get_services()?.iter().map(|text| parse(text?)).collect::<Result<_>>()?;
     Ok(Report {
         host: parse(from.get_host()?)?,
@@ -156,7 +175,7 @@
         memory_used: from.get_memory_used(),
         memory_limit: from.get_memory_limit(),
         admit_limit: from.get_admit_limit(),
-        loaded,
+        loaded: read_digests(from.get_loaded()?)?,
         services,
         chunks_held: from.get_chunks_held(),
         chunks_total: from.get_chunks_total(),
--- a/crates/chestnutpick_rpc/src/node_capnp.rs
+++ b/crates/chestnutpick_rpc/src/node_capnp.rs
@@ -1795,6 +1795,17 @@
             pub fn has_suspects(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_permits(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_permits(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -1802,7 +1813,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1948,6 +1959,35 @@
             pub fn has_suspects(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_permits(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_permits(
+                &mut self,
+                value: ::capnp::data_list::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(2),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_permits(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(2),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_permits(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline {
@@ -1960,17 +2000,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 69] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 88] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(210, 143, 220, 69, 138, 3, 38, 196),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
@@ -1978,28 +2018,35 @@
                 ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
                 ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2030,12 +2077,25 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::node_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2054,9 +2114,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 1, 0, 2];
             pub(crate) const TYPE_ID: u64 = 0xc426_038a_45dc_8fd2;
         }
     }
--- a/crates/chestnutpick_rpc/src/server.rs
+++ b/crates/chestnutpick_rpc/src/server.rs
@@ -5,7 +5,6 @@
 use actix_rt::net;
 use bytes::Bytes;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use chestnutpick_routing::suspects;
 use chestnutpick_types::id;
 use chestnutpick_types::time;
 use futures::AsyncReadExt;
@@ -18,12 +17,7 @@
 /// The process behind the protocol. All calls answer at once from state in memory.
 pub trait Handler {
     /// Takes in what the sender knows and returns this process's report.
-    fn heartbeat(
-        &self,
-        sender: id::HostId,
-        revision: u64,
-        suspects: Vec<suspects::Record>,
-    ) -> message::Report;
+    fn heartbeat(&self, beat: message::Beat) -> message::Report;
 
     /// Takes in a configuration document and returns the revision in force afterwards.
     fn put_config(&self, revision: u64, document: Bytes) -> u64;
@@ -50,9 +44,13 @@
         mut results: node::HeartbeatResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let sender = message::parse(params.get_sender()?)?;
-        let suspects = message::read_suspects(params.get_suspects()?)?;
-        let report = self.0.heartbeat(sender, params.get_revision(), suspects);
+        let beat = message::Beat {
+            sender: message::parse(params.get_sender()?)?,
+            revision: params.get_revision(),
+            suspects: message::read_suspects(params.get_suspects()?)?,
+            permits: message::read_digests(params.get_permits()?)?,
+        };
+        let report = self.0.heartbeat(beat);
         message::write_report(results.get().init_report(), &report);
         Ok(())
     }
--- a/crates/chestnutpick_rpc/tests/calls.rs
+++ b/crates/chestnutpick_rpc/tests/calls.rs
@@ -38,19 +38,23 @@
     }
 }
 
+fn beat() -> message::Beat {
+    message::Beat {
+        sender: "entry-1".parse().unwrap(),
+        revision: 4,
+        suspects: report().suspects,
+        permits: vec![digest::Digest::of(b"v2")],
+    }
+}
+
 #[derive(Default)]
 struct Fake {
-    heard: cell::RefCell<Vec<(id::HostId, u64, usize)>>,
+    heard: cell::RefCell<Vec<message::Beat>>,
 }
 
 impl server::Handler for Fake {
-    fn heartbeat(
-        &self,
-        sender: id::HostId,
-        revision: u64,
-        suspects: Vec<suspects::Record>,
-    ) -> message::Report {
-        self.heard.borrow_mut().push((sender, revision, suspects.len()));
+    fn heartbeat(&self, beat: message::Beat) -> message::Report {
+        self.heard.borrow_mut().push(beat);
         report()
     }
 
@@ -80,10 +84,10 @@
     let fake = rc::Rc::new(Fake::default());
     let serving = actix_rt::spawn(server::serve(listener, stop.clone(), rc::Rc::clone(&fake)));
     let connection = client::Connection::open(address, DEADLINE).await.unwrap();
-    let sender = "entry-1".parse().unwrap();
-    let answer = connection.heartbeat(&sender, 4, &report().suspects).await.unwrap();
+    let beat = beat();
+    let answer = connection.heartbeat(&beat).await.unwrap();
     assert_eq!(answer, report());
-    assert_eq!(*fake.heard.borrow(), [(sender, 4, 1)]);
+    assert_eq!(*fake.heard.borrow(), [beat]);
     assert_eq!(connection.put_config(9, b"{}").await.unwrap(), 9);
     assert_eq!(connection.get_config(9).await.unwrap(), (10, Bytes::from_static(b"{}")));
     let verdict = connection
@@ -105,6 +109,6 @@
     let address = listener.local_addr().unwrap();
     let deadline = time::Duration::from_millis(50);
     let connection = client::Connection::open(address, deadline).await.unwrap();
-    let error = connection.heartbeat(&"entry-1".parse().unwrap(), 0, &[]).await.unwrap_err();
+    let error = connection.heartbeat(&beat()).await.unwrap_err();
     assert!(matches!(error, client::CallError::Deadline { .. }), "{error}");
 }
