--- a/crates/chestnutpick_claims/tests/random.rs
+++ b/crates/chestnutpick_claims/tests/random.rs
@@ -48,13 +48,16 @@
     check_safety(&world);
     assert_eq!(world.pending(), 0, "something is left to be written");
 
-    let recent = CALLS - 100..CALLS;
+    let recent = (CALLS - 100..CALLS).chain(0..20);
     let repeats: Vec<_> = recent.map(|key| (key, world.add_request(key, 0, 9, 0))).collect();
     world.run(world.now + 10_000);
     check_safety(&world);
     for (key, request) in repeats {
         let answer = world.requests[request].answer.as_ref();
+        let expired = matches!(answer, Some(event::Decision::Refuse(refusal))
+            if refusal.kind == error::ErrorKind::KeyExpired);
         assert!(answer.is_some(), "the repeat of key {key} has no answer");
+        assert_eq!(expired, key < 20, "key {key} was answered {answer:?}");
     }
     let ran = world.executions.len();
     let whole =
