Test streams and count parked responses

Ruled out: an index of parked responses; a count suffices while parking is rare.

Budget keeps the number of parked responses.

--- a/crates/chestnutpick_streams/src/buffer/budget.rs
+++ b/crates/chestnutpick_streams/src/buffer/budget.rs
@@ -24,6 +24,8 @@
     limits: Limits,
     buffers: BTreeMap<StreamId, Buffer>,
     used: size::Bytes,
+    /// Number of parked responses; while there are none, a read need not look for one to resume.
+    parked: usize,
     /// Fill at which the next response is parked.
     threshold: size::Bytes,
     peak: size::Bytes,
@@ -41,7 +43,7 @@
     pub fn new(limits: Limits) -> Self {
         let threshold = limits.soft;
         let buffers = BTreeMap::new();
-        Self { limits, buffers, used: size::Bytes(0), threshold, peak: size::Bytes(0) }
+        Self { limits, buffers, used: size::Bytes(0), parked: 0, threshold, peak: size::Bytes(0) }
     }
 
     /// Adds a response. Returns false, and adds nothing, while the fill is at `soft` or above; the request is then to be
@@ -87,7 +89,8 @@
         };
         let after = buffer.fill();
         self.account(before, after);
-        let mut out: Vec<_> = step.map(|step| Action { stream, step }).into_iter().collect();
+        let mut out = Vec::new();
+        self.note(stream, step, &mut out);
         self.relieve(now, &mut out);
         out
     }
@@ -132,7 +135,8 @@
         let (data, step) = buffer.read(now, &self.limits, max);
         let after = buffer.fill();
         self.account(before, after);
-        let mut out: Vec<_> = step.map(|step| Action { stream, step }).into_iter().collect();
+        let mut out = Vec::new();
+        self.note(stream, step, &mut out);
         self.resume(now, &mut out);
         (data, out)
     }
@@ -148,13 +152,29 @@
     /// ```
     pub fn close(&mut self, now: time::Millis, stream: StreamId) -> Vec<Action> {
         let mut out = Vec::new();
-        if let Some(buffer) = self.buffers.remove(&stream) {
-            self.account(buffer.fill(), size::Bytes(0));
+        if self.remove(stream) {
             self.resume(now, &mut out);
         }
         out
     }
 
+    fn remove(&mut self, stream: StreamId) -> bool {
+        let Some(buffer) = self.buffers.remove(&stream) else { return false };
+        self.account(buffer.fill(), size::Bytes(0));
+        self.parked -= usize::from(buffer.phase() == Phase::Parked);
+        true
+    }
+
+    /// Adds a step to `out` and keeps count of parked responses.
+    fn note(&mut self, stream: StreamId, step: Option<Step>, out: &mut Vec<Action>) {
+        match step {
+            Some(Step::Park { .. }) => self.parked += 1,
+            Some(Step::Resume { .. }) => self.parked -= 1,
+            _ => {}
+        }
+        out.extend(step.map(|step| Action { stream, step }));
+    }
+
     /// Handles deadlines that have passed.
     ///
     /// ```
@@ -164,18 +184,18 @@
     /// assert!(budget.tick(time::Millis(0)).is_empty());
     /// ```
     pub fn tick(&mut self, now: time::Millis) -> Vec<Action> {
+        let limits = &self.limits;
+        let steps: Vec<_> = self
+            .buffers
+            .iter_mut()
+            .filter_map(|(stream, buffer)| Some((*stream, buffer.tick(now, limits)?)))
+            .collect();
         let mut out = Vec::new();
-        for (stream, buffer) in &mut self.buffers {
-            let step = buffer.tick(now, &self.limits);
-            out.extend(step.map(|step| Action { stream: *stream, step }));
-        }
-        let failed = |action: &Action| matches!(action.step, Step::Fail(_));
-        let closed: Vec<_> =
-            out.iter().filter(|action| failed(action)).map(|action| action.stream).collect();
-        for stream in closed {
-            if let Some(buffer) = self.buffers.remove(&stream) {
-                self.account(buffer.fill(), size::Bytes(0));
+        for (stream, step) in steps {
+            if matches!(step, Step::Fail(_)) {
+                self.remove(stream);
             }
+            self.note(stream, Some(step), &mut out);
         }
         self.resume(now, &mut out);
         out
@@ -210,13 +230,16 @@
             .min();
         let Some((_, stream)) = slowest else { return };
         let step = self.buffers.get_mut(&stream).and_then(|buffer| buffer.park(now));
-        out.extend(step.map(|step| Action { stream, step }));
+        self.note(stream, step, out);
         let stage = (self.limits.hard.0.saturating_sub(self.limits.soft.0) / STAGES).max(1);
         self.threshold = self.used + size::Bytes(stage);
     }
 
     /// Resumes parked responses that have drained, in the order in which they may do so.
     fn resume(&mut self, now: time::Millis, out: &mut Vec<Action>) {
+        if self.parked == 0 {
+            return;
+        }
         let mut ready: Vec<_> = self
             .buffers
             .iter()
@@ -227,7 +250,7 @@
         ready.sort_unstable();
         for (_, stream) in ready {
             let step = self.buffers.get_mut(&stream).and_then(|buffer| buffer.resume(now));
-            out.extend(step.map(|step| Action { stream, step }));
+            self.note(stream, step, out);
         }
     }
 
@@ -305,11 +328,10 @@
             .iter()
             .map(|(stream, buffer)| (stream.0.to_string(), buffer.dump()))
             .collect();
-        let parked = self.buffers.values().filter(|buffer| buffer.phase() == Phase::Parked).count();
         serde_json::json!({
             "used": self.used.0,
             "peak": self.peak.0,
-            "parked": parked,
+            "parked": self.parked,
             "streams": streams,
         })
     }
--- /dev/null
+++ b/crates/chestnutpick_streams/tests/buffer.rs
@@ -0,0 +1,228 @@
+//! Buffers of slow readers, alone and within the budget of a process.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use chestnutpick_streams::buffer;
+use chestnutpick_streams::buffer::Step;
+use chestnutpick_types::error::ErrorKind;
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const FRAME: u64 = 10;
+
+fn limits() -> buffer::Limits {
+    buffer::Limits {
+        low: size::Bytes(20),
+        high: size::Bytes(50),
+        limit: size::Bytes(100),
+        soft: size::Bytes(200),
+        hard: size::Bytes(360),
+        patience: Millis(1_000),
+        rest: Millis(500),
+        idle: Millis(5_000),
+    }
+}
+
+fn frame(index: u64) -> Bytes {
+    format!("{index:010}").into()
+}
+
+fn filled(frames: u64) -> (buffer::Buffer, Vec<Step>) {
+    let mut buffer = buffer::Buffer::new(Millis(0));
+    let steps =
+        (0..frames).filter_map(|index| buffer.push(Millis(0), &limits(), index, frame(index)));
+    let steps = steps.collect();
+    (buffer, steps)
+}
+
+/// Guards against backpressure that starts late, or ends as soon as one frame was read.
+#[test]
+fn backpressure_has_hysteresis() {
+    let (mut buffer, steps) = filled(5);
+    assert_eq!(steps, [Step::Pause]);
+    let steps: Vec<_> =
+        (0..3).map(|_| buffer.read(Millis(1), &limits(), size::Bytes(FRAME)).1).collect();
+    assert_eq!(steps, [None, None, Some(Step::Flow)]);
+}
+
+/// Guards against taking more than the limit of one response, and against losing the frame that was not taken.
+#[test]
+fn frame_beyond_the_limit_is_not_taken() {
+    let (buffer, steps) = filled(12);
+    assert_eq!(steps, [Step::Pause, Step::Park { offset: 10 }]);
+    assert_eq!(buffer.fill(), size::Bytes(100));
+}
+
+/// Guards against an attempt held open without limit by backpressure.
+#[test]
+fn long_backpressure_parks() {
+    let (mut buffer, _) = filled(6);
+    assert_eq!(buffer.tick(Millis(999), &limits()), None);
+    assert_eq!(buffer.tick(Millis(1_000), &limits()), Some(Step::Park { offset: 6 }));
+}
+
+/// Guards against a parked response that is kept although its reader is gone, and against failing one that is read.
+#[rstest]
+#[case(0, Some(ErrorKind::ReaderTooSlow))]
+#[case(1, None)]
+fn parked_without_reads_fails(#[case] reads: u64, #[case] expected: Option<ErrorKind>) {
+    let (mut buffer, _) = filled(6);
+    buffer.park(Millis(0));
+    for _ in 0..reads {
+        buffer.read(Millis(4_000), &limits(), size::Bytes(1));
+    }
+    let kind = buffer.tick(Millis(5_000), &limits()).map(|step| match step {
+        Step::Fail(refusal) => refusal.kind,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(kind, expected);
+}
+
+/// Guards against a complete response that is held for ever for a reader that does not read.
+#[test]
+fn complete_without_reads_fails() {
+    let (mut buffer, _) = filled(6);
+    assert!(buffer.finish(Millis(10), "done".into()));
+    assert_eq!(buffer.park(Millis(11)), None, "nothing is left to cancel");
+    assert_eq!(buffer.next_deadline(&limits()), Some(Millis(5_000)));
+    assert!(matches!(buffer.tick(Millis(5_000), &limits()), Some(Step::Fail(_))));
+}
+
+/// Guards against parking a response whose reader keeps up instead of the slow one.
+#[test]
+fn slowest_reader_is_parked() {
+    let mut budget = buffer::Budget::new(buffer::Limits { high: size::Bytes(90), ..limits() });
+    let (fast, slow) = (buffer::StreamId(1), buffer::StreamId(2));
+    assert!(budget.open(Millis(0), fast) && budget.open(Millis(0), slow));
+    let mut parked = Vec::new();
+    for index in 0..40 {
+        let now = Millis(index * 100);
+        parked.extend(budget.push(now, fast, index, frame(index)));
+        if index % 4 == 0 {
+            parked.extend(budget.push(now, slow, index / 4, frame(index / 4)));
+        }
+        budget.read(now + Millis(50), fast, size::Bytes(FRAME));
+        budget.read(now + Millis(50), slow, size::Bytes(1));
+    }
+    assert!(parked.is_empty());
+    let other = buffer::StreamId(3);
+    budget.open(Millis(4_000), other);
+    for index in 0..9 {
+        parked.extend(budget.push(Millis(4_000), other, index, frame(index)));
+        parked.extend(budget.push(Millis(4_000), fast, 40 + index, frame(40 + index)));
+    }
+    let first = parked.iter().find(|action| matches!(action.step, Step::Park { .. }));
+    assert_eq!(first.map(|action| action.stream), Some(slow));
+}
+
+/// Guards against accepting responses that there is no memory for.
+#[test]
+fn full_budget_opens_nothing() {
+    let mut budget = buffer::Budget::new(limits());
+    for number in 0..3 {
+        let stream = buffer::StreamId(number);
+        assert!(budget.open(Millis(0), stream));
+        for index in 0..8 {
+            budget.push(Millis(0), stream, index, frame(index));
+        }
+    }
+    assert!(!budget.open(Millis(0), buffer::StreamId(9)));
+    budget.close(Millis(1), buffer::StreamId(0));
+    assert!(budget.open(Millis(1), buffer::StreamId(9)));
+}
+
+/// One response with a source that sends a frame each 10 ms, obeys steps late, and a reader of its own speed.
+struct Stream {
+    id: buffer::StreamId,
+    /// Milliseconds between two reads of one frame.
+    pace: u64,
+    next: u64,
+    running: bool,
+    paused: bool,
+    received: Vec<u8>,
+    parked: u64,
+}
+
+fn obey(streams: &mut BTreeMap<buffer::StreamId, Stream>, actions: Vec<buffer::Action>) {
+    for action in actions {
+        let Some(stream) = streams.get_mut(&action.stream) else { continue };
+        match action.step {
+            Step::Pause => stream.paused = true,
+            Step::Flow => stream.paused = false,
+            Step::Park { offset } => {
+                (stream.running, stream.paused) = (false, false);
+                stream.next = offset;
+                stream.parked += 1;
+            }
+            Step::Resume { offset } => {
+                assert_eq!(offset, stream.next);
+                stream.running = true;
+            }
+            Step::Fail(refusal) => panic!("{refusal}"),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against exceeding the memory of the process, against lost or repeated frames over parking and resuming,
+    /// against responses that never complete, and against parking that alternates quickly.
+    #[test]
+    fn responses_complete_within_the_budget(paces in prop::collection::vec(5_u64..400, 1..14)) {
+        let frames = 60;
+        let mut budget = buffer::Budget::new(limits());
+        let mut streams = BTreeMap::new();
+        for (number, pace) in paces.iter().enumerate() {
+            let id = buffer::StreamId(number as u64);
+            prop_assert!(budget.open(Millis(0), id));
+            let stream = Stream {
+                id, pace: *pace, next: 0, running: true, paused: false, received: Vec::new(), parked: 0,
+            };
+            streams.insert(id, stream);
+        }
+        let mut now = 0;
+        while !streams.is_empty() {
+            now += 5;
+            let mut actions = budget.tick(Millis(now));
+            for stream in streams.values_mut() {
+                if now % 10 == 0 && stream.running && !stream.paused {
+                    let frame = frame(stream.next);
+                    if stream.next < frames {
+                        stream.next += 1;
+                        actions.extend(budget.push(Millis(now), stream.id, stream.next - 1, frame));
+                    } else {
+                        stream.running = !budget.finish(Millis(now), stream.id, Bytes::new());
+                    }
+                }
+                if now % stream.pace < 5 {
+                    let (data, more) = budget.read(Millis(now), stream.id, size::Bytes(FRAME));
+                    stream.received.extend_from_slice(&data);
+                    actions.extend(more);
+                }
+            }
+            prop_assert!(budget.used() <= limits().hard);
+            obey(&mut streams, actions);
+            let done = |stream: &Stream| budget.get(stream.id).is_none_or(buffer::Buffer::is_drained);
+            let finished: Vec<_> = streams.values().filter(|s| done(s)).map(|s| s.id).collect();
+            for id in finished {
+                let Some(stream) = streams.remove(&id) else { continue };
+                let expected: Vec<u8> = (0..frames).flat_map(|index| frame(index).to_vec()).collect();
+                prop_assert_eq!(&stream.received, &expected);
+                prop_assert!(stream.parked <= now / limits().rest.0 + 1, "parked {} times", stream.parked);
+                let actions = budget.close(Millis(now), id);
+                obey(&mut streams, actions);
+            }
+            prop_assert!(now < 300_000, "{} responses do not complete", streams.len());
+        }
+        prop_assert_eq!(budget.used(), size::Bytes(0));
+    }
+}
