Stop new work to hosts that miss a heartbeat; ramp endpoints of a returning zone

Cause: membership suspects a silent host after seconds, during which requests waited for their first token there; endpoints of a zone that came back met full load with cold caches.

Change: a heartbeat without an answer takes the host out of routing until its next report; agents restart their ramp when their zone returns; an entry whose zone is out is not ready; first token within 5 s and next ones within 3 s by default.

--- a/crates/chestnutpick_agent/src/control.rs
+++ b/crates/chestnutpick_agent/src/control.rs
@@ -69,10 +69,12 @@
 
 impl node::Node {
     fn offer(&self, update: &update::Update) {
+        let was_out = self.is_zone_out();
         let offer = self.config.borrow_mut().offer_update(update);
         match offer {
             replica::Offer::Accepted(revision) => {
                 event::Event::new("config_in_force").with("revision", revision).info();
+                self.on_zone(was_out);
             }
             replica::Offer::Stale => {}
             replica::Offer::Invalid(reason) => {
@@ -84,6 +86,18 @@
         }
     }
 
+    fn is_zone_out(&self) -> bool {
+        self.config.borrow().index().is_out(&self.settings.zone)
+    }
+
+    /// An endpoint whose zone returns to service has lost its caches and meets full load at once; it ramps up as cold.
+    fn on_zone(&self, was_out: bool) {
+        if was_out && !self.is_zone_out() {
+            event::Event::new("zone_returned").with("zone", &self.settings.zone).info();
+            self.table.borrow_mut().restart_ramp();
+        }
+    }
+
     fn report(&self) -> message::Report {
         let report = self.table.borrow_mut().report();
         let (chunks_held, chunks_total) = self.chunks.borrow().progress();
--- a/crates/chestnutpick_entry/src/link.rs
+++ b/crates/chestnutpick_entry/src/link.rs
@@ -95,6 +95,9 @@
     event::Event::new("heartbeat_failed").with("host", &record.host).with("reason", reason).debug();
     let actions = node.members.borrow_mut().on_call(node.now(), &record.host, call);
     host_list::apply(node, actions);
+    // Membership takes seconds to suspect a host; new work stops at the first heartbeat without an answer and returns with
+    // the next report.
+    node.table.borrow_mut().on_unreachable(&record.host);
 }
 
 fn on_report(node: &node::Node, record: &hosts::HostRecord, report: &message::Report) {
--- a/crates/chestnutpick_entry/src/node.rs
+++ b/crates/chestnutpick_entry/src/node.rs
@@ -217,6 +217,9 @@
         if self.config.borrow().revision() == 0 {
             return Some("no configuration yet");
         }
+        if self.config.borrow().index().is_out(&self.settings.zone) {
+            return Some("zone is out of service");
+        }
         None
     }
 
--- a/crates/chestnutpick_entry/src/settings.rs
+++ b/crates/chestnutpick_entry/src/settings.rs
@@ -97,8 +97,8 @@
             queue_workspace: 256,
             queue_total: 2_048,
             retry_percent: 10,
-            first_token_ms: 10_000,
-            between_tokens_ms: 5_000,
+            first_token_ms: 5_000,
+            between_tokens_ms: 3_000,
             subset: 64,
             buffer_bytes: 32 << 20,
         }
