Pass the caller's idempotency key to the plain service

Cause: the service received the attempt id as key, so that its records could not be matched with the caller's, and a double execution under two attempts would have gone unnoticed.

--- a/crates/chestnutpick_entry/src/services.rs
+++ b/crates/chestnutpick_entry/src/services.rs
@@ -27,6 +27,7 @@
 
 #[derive(Clone)]
 struct Call {
+    key: Option<id::IdempotencyKey>,
     method: String,
     path: String,
     content_type: Option<String>,
@@ -60,15 +61,19 @@
             Some(request::required_header::<id::IdempotencyKey, _>(request, "idempotency-key")?)
         }
     };
-    let call = read(node, request).await?;
+    let call = read(node, request, key).await?;
     node.budget.borrow_mut().on_first(node.now());
-    match key {
+    match call.key.clone() {
         None => repeatable(node, &call).await,
         Some(key) => once(node, &call, key).await,
     }
 }
 
-async fn read(node: &node::Node, request: &mut http::Request) -> Result<Call, error::Refusal> {
+async fn read(
+    node: &node::Node,
+    request: &mut http::Request,
+    key: Option<id::IdempotencyKey>,
+) -> Result<Call, error::Refusal> {
     let workspace: id::WorkspaceId = request::required_header(request, "x-workspace")?;
     completions::check_workspace(node, &workspace)?;
     let path = request.path().strip_prefix("/v1/services/").unwrap_or_default();
@@ -87,6 +92,7 @@
         exclude: Vec::new(),
     };
     Ok(Call {
+        key,
         method: request.method().as_str().to_owned(),
         path,
         content_type: request::header(request, "content-type").map(str::to_owned),
@@ -227,7 +233,9 @@
     if let Some(claimed_at) = claimed {
         let age = time::unix_now().since(claimed_at);
         request.headers.push(("x-claim-age-ms".into(), age.0.to_string().into()));
-        request.headers.push(("x-idempotency-key".into(), attempt.as_str().into()));
+    }
+    if let Some(key) = &call.key {
+        request.headers.push(("x-idempotency-key".into(), key.as_str().into()));
     }
     let timeout = time::Millis(node.settings.requests.first_token_ms);
     let result = async {
