--- a/crates/chestnutpick_cli/src/api.rs
+++ b/crates/chestnutpick_cli/src/api.rs
@@ -108,13 +108,25 @@
             "command": command.text, "operator": command.operator, "dry_run": command.dry_run,
             "wait": command.wait, "base": command.base,
         });
-        let body = Bytes::from(body.to_string());
+        let mut request = client::Request::new("POST", "/admin/v1/commands");
+        request.body = vec![Bytes::from(body.to_string())];
+        self.exchange(request).await
+    }
+
+    /// Returns what each host last reported.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ApiError`].
+    pub async fn status(&self) -> Result<Answer, ApiError> {
+        self.exchange(client::Request::new("GET", "/admin/v1/status")).await
+    }
+
+    async fn exchange(&self, mut request: client::Request) -> Result<Answer, ApiError> {
+        request.headers.push(("authorization".into(), format!("Bearer {}", self.token).into()));
         let mut last = "no entry is given".to_owned();
         for entry in &self.entries {
-            let mut request = client::Request::new("POST", "/admin/v1/commands");
-            request.headers.push(("authorization".into(), format!("Bearer {}", self.token).into()));
-            request.body = vec![body.clone()];
-            match self.client.call(*entry, request, TIMEOUT).await {
+            match self.client.call(*entry, request.clone(), TIMEOUT).await {
                 Ok(response) => return read(response).await,
                 Err(reason) if reason.is_not_sent() => last = reason.to_string(),
                 Err(reason) => return LostSnafu { reason: reason.to_string() }.fail(),
--- a/crates/chestnutpick_cli/src/lib.rs
+++ b/crates/chestnutpick_cli/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod api;
 pub mod options;
 pub mod print;
+pub mod progress;
 pub mod session;
--- a/crates/chestnutpick_cli/src/main.rs
+++ b/crates/chestnutpick_cli/src/main.rs
@@ -54,7 +54,11 @@
     let api = api::Api::new(line.entry.clone(), token.trim());
     let session = session::Session { api, line, operator };
     let status = actix_rt::System::new().block_on(async {
-        if text.is_empty() { session.interactive().await } else { session.run(&text).await }
+        match text.as_str() {
+            _ if session.line.progress => session.progress().await,
+            "" => session.interactive().await,
+            text => session.run(text).await,
+        }
     });
     process::ExitCode::from(status)
 }
--- a/crates/chestnutpick_cli/src/options.rs
+++ b/crates/chestnutpick_cli/src/options.rs
@@ -59,6 +59,9 @@
     /// Repeat a query.
     #[options(help = "repeat a query every N seconds until interrupted", short = "r", meta = "N")]
     pub repeat: Option<u64>,
+    /// Show the distribution of weights until it is complete.
+    #[options(help = "show the distribution of weights until it is complete", no_short)]
+    pub progress: bool,
     /// Print a completion script.
     #[options(help = "print the completion script for bash or zsh", no_short, meta = "SHELL")]
     pub completion: Option<Shell>,
--- /dev/null
+++ b/crates/chestnutpick_cli/src/progress.rs
@@ -0,0 +1,92 @@
+//! A live line about the distribution of weights.
+
+use std::time;
+
+use serde_json::Value;
+
+/// Width of the bar, in characters.
+const WIDTH: usize = 30;
+
+/// How far the distribution is.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Engines that serve every declared version.
+    pub ready: usize,
+    /// Engines in all.
+    pub hosts: usize,
+    /// Chunks that engines hold of the versions in transfer.
+    pub held: u64,
+    /// Chunks to hold.
+    pub total: u64,
+    /// Bytes drawn from the origin.
+    pub origin: u64,
+}
+
+impl Progress {
+    /// Reads the answer of `GET /admin/v1/status`.
+    ///
+    /// ```
+    /// use chestnutpick_cli::progress;
+    /// let status = serde_json::json!({"wanted": ["d"], "hosts": [
+    ///     {"role": "engine", "loaded": ["d"], "chunks_held": 0, "chunks_total": 0, "origin_bytes": 5},
+    ///     {"role": "engine", "loaded": [], "chunks_held": 1, "chunks_total": 4, "origin_bytes": 7},
+    ///     {"role": "entry"},
+    /// ]});
+    /// let progress = progress::Progress::read(&status);
+    /// assert_eq!((progress.ready, progress.hosts, progress.origin), (1, 2, 12));
+    /// ```
+    pub fn read(status: &Value) -> Self {
+        let empty = Vec::new();
+        let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
+        let wanted = list(&status["wanted"]);
+        let mut progress = Self::default();
+        for host in status["hosts"].as_array().unwrap_or(&empty) {
+            if host["role"] != "engine" {
+                continue;
+            }
+            let loaded = list(&host["loaded"]);
+            let number = |key: &str| host[key].as_u64().unwrap_or_default();
+            progress.hosts += 1;
+            progress.origin += number("origin_bytes");
+            if wanted.iter().all(|digest| loaded.contains(digest)) {
+                progress.ready += 1;
+            } else {
+                progress.held += number("chunks_held");
+                progress.total += number("chunks_total");
+            }
+        }
+        progress
+    }
+
+    /// Returns whether every engine serves every declared version.
+    ///
+    /// ```
+    /// use chestnutpick_cli::progress;
+    /// let progress = progress::Progress { ready: 2, hosts: 2, ..Default::default() };
+    /// assert!(progress.is_complete());
+    /// ```
+    pub fn is_complete(&self) -> bool {
+        self.hosts > 0 && self.ready == self.hosts
+    }
+
+    /// Returns the line for a terminal; `before` is the progress `ago` earlier.
+    ///
+    /// ```
+    /// use chestnutpick_cli::progress;
+    /// let progress = progress::Progress { ready: 1, hosts: 2, held: 3, total: 12, origin: 1 << 20 };
+    /// let line = progress.line(&progress, std::time::Duration::from_secs(1));
+    /// assert!(line.contains("1/2 hosts"), "{line}");
+    /// ```
+    pub fn line(&self, before: &Self, ago: time::Duration) -> String {
+        let filled = (WIDTH * self.ready).checked_div(self.hosts).unwrap_or_default();
+        let bar = format!("[{}{}]", "#".repeat(filled), ".".repeat(WIDTH - filled));
+        let rate = self.held.saturating_sub(before.held) as f64 / ago.as_secs_f64().max(0.001);
+        let left = self.total.saturating_sub(self.held) as f64;
+        let left = if rate > 0.0 { format!("{:.0} s left", left / rate) } else { "-".to_owned() };
+        let mib = self.origin as f64 / f64::from(1 << 20);
+        format!(
+            "{bar} {}/{} hosts, chunks {}/{}, {mib:.1} MiB from the origin, {rate:.0} chunks/s, {left}",
+            self.ready, self.hosts, self.held, self.total
+        )
+    }
+}
--- a/crates/chestnutpick_cli/src/session.rs
+++ b/crates/chestnutpick_cli/src/session.rs
@@ -8,6 +8,7 @@
 use crate::api;
 use crate::options;
 use crate::print;
+use crate::progress;
 
 /// Exit status when a command was not accepted or is not in force everywhere.
 pub const NOT_DONE: u8 = 1;
@@ -15,6 +16,9 @@
 /// Exit status for a wrong command line or a command that cannot be parsed.
 pub const WRONG_USE: u8 = 2;
 
+/// Interval between two looks at the distribution of weights.
+const PROGRESS_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// Sends commands as the command line asks.
 pub struct Session {
     /// Where to.
@@ -63,6 +67,30 @@
         }
     }
 
+    /// Shows the distribution of weights until every engine serves every declared version; returns the exit status.
+    pub async fn progress(&self) -> u8 {
+        let mut before = progress::Progress::default();
+        loop {
+            let answer = match self.api.status().await {
+                Ok(answer) => answer,
+                Err(reason) => {
+                    eprintln!("{reason}");
+                    return NOT_DONE;
+                }
+            };
+            let now = progress::Progress::read(&answer.value);
+            print!("\r{}  ", now.line(&before, PROGRESS_INTERVAL));
+            // A terminal that has gone away ends the process by itself.
+            let _ = io::stdout().flush();
+            if now.is_complete() {
+                println!();
+                return 0;
+            }
+            before = now;
+            tokio::time::sleep(PROGRESS_INTERVAL).await;
+        }
+    }
+
     /// Reads commands from standard input, one a line, until its end or `exit`; returns the last status that was not 0.
     pub async fn interactive(&self) -> u8 {
         let mut status = 0;
--- a/crates/chestnutpick_entry/src/admin.rs
+++ b/crates/chestnutpick_entry/src/admin.rs
@@ -77,6 +77,7 @@
             let config = node.config.borrow();
             Ok(respond::json(200, config.document()))
         }
+        ("GET", "/admin/v1/status") => Ok(respond::json(200, &view::status(node))),
         ("POST", "/admin/v1/commands") => {
             let body = request::read_body(request, COMMAND_LIMIT).await?;
             let body: Body = serde_json::from_slice(&body).map_err(|reason| {
--- a/crates/chestnutpick_entry/src/view.rs
+++ b/crates/chestnutpick_entry/src/view.rs
@@ -3,6 +3,7 @@
 use chestnutpick_language::view;
 use chestnutpick_platform::hosts;
 use chestnutpick_rpc::message;
+use serde_json::json;
 
 use crate::node;
 
@@ -42,3 +43,31 @@
 fn temperature(report: &message::Report) -> view::Temperature {
     if report.cold { view::Temperature::Cold } else { view::Temperature::Warm }
 }
+
+/// Returns what each host last reported, with the progress of its transfer, for the administration API.
+pub fn status(node: &node::Node) -> serde_json::Value {
+    let hosts = node.hosts.borrow();
+    let seen = node.seen.borrow();
+    let config = node.config.borrow();
+    let row = |record: &hosts::HostRecord| {
+        let found = seen.get(&record.host);
+        let report = found.map(|seen| &seen.report);
+        json!({
+            "host": record.host,
+            "zone": record.zone,
+            "role": record.role,
+            "seen_ms": found.map(|seen| node.now().since(seen.at)),
+            "revision": report.map(|report| report.revision),
+            "leaving": report.map(|report| report.leaving),
+            "loaded": report.map(|report| &report.loaded),
+            "chunks_held": report.map(|report| report.chunks_held),
+            "chunks_total": report.map(|report| report.chunks_total),
+            "origin_bytes": report.map(|report| report.origin_bytes),
+        })
+    };
+    json!({
+        "revision": config.revision(),
+        "wanted": config.index().holds().keys().collect::<Vec<_>>(),
+        "hosts": hosts.values().map(row).collect::<Vec<_>>(),
+    })
+}
--- a/crates/chestnutpick_settings/src/file.rs
+++ b/crates/chestnutpick_settings/src/file.rs
@@ -24,7 +24,7 @@
         source: io::Error,
     },
     /// The file is not TOML, has an unknown or missing key, or a value of the wrong type.
-    #[snafu(display("{}:{line}: {text:?}: {message}", path.display()))]
+    #[snafu(display("{}:{line}: `{text}`: {message}", path.display()))]
     Parse {
         /// The file.
         path: path::PathBuf,
