--- a/crates/chestnutpick_cli/src/main.rs
+++ b/crates/chestnutpick_cli/src/main.rs
@@ -51,7 +51,7 @@
     let operator = line.operator.clone().or_else(|| std::env::var("USER").ok());
     let operator = operator.unwrap_or_else(|| "unnamed".to_owned());
     let text = line.words.join(" ");
-    let api = api::Api::new(line.entry.clone(), token.trim());
+    let api = api::Api::new(line.entry.iter().map(|entry| entry.0).collect(), token.trim());
     let session = session::Session { api, line, operator };
     let status = actix_rt::System::new().block_on(async {
         match text.as_str() {
--- a/crates/chestnutpick_cli/src/options.rs
+++ b/crates/chestnutpick_cli/src/options.rs
@@ -2,8 +2,30 @@
 
 use std::net;
 use std::path;
+use std::str;
 
 use gumdrop::Options;
+use snafu::Snafu;
+
+/// Reason why a text is not the address of an entry.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display("{text:?} is not an address such as 10.0.0.5:8080"))]
+pub struct AddressError {
+    /// The rejected text.
+    text: String,
+}
+
+/// Address of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Address(pub net::SocketAddr);
+
+impl str::FromStr for Address {
+    type Err = AddressError;
+
+    fn from_str(text: &str) -> Result<Self, AddressError> {
+        text.parse().map(Self).map_err(|_| AddressError { text: text.to_owned() })
+    }
+}
 
 /// Output formats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, strum::Display, strum::EnumString)]
@@ -37,7 +59,7 @@
     pub version: bool,
     /// Entries to send the command to, tried in order.
     #[options(help = "address of an entry, ip:port; repeat it for alternatives", meta = "ADDR")]
-    pub entry: Vec<net::SocketAddr>,
+    pub entry: Vec<Address>,
     /// File that holds the bearer token.
     #[options(help = "file that holds the bearer token", meta = "FILE")]
     pub token_file: Option<path::PathBuf>,
--- a/crates/chestnutpick_cli/tests/wrong_use.rs
+++ b/crates/chestnutpick_cli/tests/wrong_use.rs
@@ -13,7 +13,7 @@
 #[case::unknown_option(&["--shwo"], "see chestnutpick --help")]
 #[case::no_entry(&["show", "models"], "--entry ADDR is required")]
 #[case::no_token(&["--entry", "127.0.0.1:1", "show", "models"], "--token-file FILE is required")]
-#[case::bad_address(&["--entry", "here"], "here")]
+#[case::bad_address(&["--entry", "here"], "\"here\" is not an address such as")]
 fn wrong_use_ends_with_status_2(#[case] arguments: &[&str], #[case] hint: &str) {
     let output = run(arguments);
     let text = String::from_utf8_lossy(&output.stderr);
