Refuse attempt ids that are used twice, and test the fence of given-up claims

Cause: a request with the attempt id of an earlier request for the same key would have its claim written again and again, since a void attempt is never taken for the request's own claim. Trial changes that drop the fence of a given-up claim went unnoticed by the tests.

Ruled out: accepting the id again; its agent may have barred it.

Change: such a request is refused with Internal; two tests.

--- a/crates/chestnutpick_claims/src/flight.rs
+++ b/crates/chestnutpick_claims/src/flight.rs
@@ -84,6 +84,10 @@
     pub fn join(&mut self, ctx: Context<'_>, waiter: Waiter, out: &mut Vec<Effect>) {
         let token = waiter.token;
         match &self.stage {
+            // An attempt that is void, or another request's, would never be recognised as this request's claim.
+            _ if self.has_attempt(&waiter.call.attempt) => {
+                out.push(refuse(token, error::ErrorKind::Internal));
+            }
             Stage::Free => {
                 self.waiters.push(waiter);
                 self.stage = Stage::Claim { deadline: ctx.now + ctx.config.decide };
@@ -102,6 +106,11 @@
         }
     }
 
+    fn has_attempt(&self, attempt: &id::AttemptId) -> bool {
+        let waits = |waiter: &Waiter| waiter.call.attempt == *attempt;
+        self.void.contains(attempt) || self.waiters.iter().any(waits)
+    }
+
     fn body(&self) -> Option<chestnutpick_types::digest::Digest> {
         match &self.stage {
             Stage::Ask { record, .. } | Stage::Run { record } | Stage::Put { record } => {
@@ -393,6 +402,7 @@
         error::ErrorKind::OutcomeUnknown => {
             "the outcome is unknown or too large to replay; the call will not run again"
         }
+        error::ErrorKind::Internal => "the attempt id was used before",
         error::ErrorKind::EndpointUnreachable => "the endpoint did not run the call",
         _ => "the store did not accept the claim; the call was not sent",
     };
--- a/crates/chestnutpick_claims/tests/coordinator.rs
+++ b/crates/chestnutpick_claims/tests/coordinator.rs
@@ -240,6 +240,41 @@
     assert_eq!(bench.claims.pending(), 0);
 }
 
+/// Guards against forgetting a claim that was given up while its write can still take effect: it would block the key.
+#[test]
+fn given_up_claim_is_fenced() {
+    let mut bench = Bench::new(config());
+    let read = bench.begin(1, call("k", "a-1"));
+    let delayed = bench.tell(op(&read), StoreAnswer::Absent);
+    bench.tell(op(&delayed), StoreAnswer::Lost);
+    let mut answers = Vec::new();
+    while answers.is_empty() {
+        let at = bench.claims.next_deadline().unwrap().0;
+        let actions = bench.tick(at);
+        answers.extend(refused(&actions));
+        for action in &actions {
+            if let Action::Read { op, .. } = action {
+                bench.tell(*op, StoreAnswer::Down);
+            }
+        }
+    }
+    assert_eq!(answers, [(1, ErrorKind::ClaimPending)]);
+    assert!(bench.pass(20_000).is_empty());
+    assert_eq!(bench.apply(&delayed[0]).1, StoreAnswer::Conflict);
+    assert!(bench.record("k").is_none());
+    assert_eq!(bench.claims.pending(), 0);
+}
+
+/// Guards against a request that waits for ever, or a store that is written for ever, when an attempt id is used twice.
+#[test]
+fn reused_attempt_is_refused() {
+    let mut bench = Bench::new(config());
+    bench.begun(1, call("k", "a-1"));
+    assert_eq!(refused(&bench.begin(2, call("k", "a-1"))), [(2, ErrorKind::Internal)]);
+    bench.abandon(1, Ran::NotRun);
+    assert_eq!(refused(&bench.begin(3, call("k", "a-1"))), [(3, ErrorKind::Internal)]);
+}
+
 /// Guards against a repeat that is told to wait for a claim that this entry itself has given up.
 #[test]
 fn repeat_replaces_a_claim_given_up_here() {
