Test the bounds of the response budget and truth after parking

Cause: five trial changes went unnoticed by the tests: no bound on the memory of the process, resuming before the buffer has drained, resuming without room, parking without stages, and "not run" after parking.

Ruled out: relying on the random groups of readers, whose bounds are too wide for these.

Change: four tests, one for each rule (drain and room share one).

--- a/crates/chestnutpick_streams/tests/buffer.rs
+++ b/crates/chestnutpick_streams/tests/buffer.rs
@@ -134,6 +134,71 @@
     assert!(budget.open(Millis(1), buffer::StreamId(9)));
 }
 
+fn parks(actions: &[buffer::Action]) -> usize {
+    actions.iter().filter(|action| matches!(action.step, Step::Park { .. })).count()
+}
+
+/// Guards against exceeding the memory of the process when parking cannot free any, and against losing the frame.
+#[test]
+fn frame_beyond_the_budget_is_not_taken() {
+    let mut budget = buffer::Budget::new(buffer::Limits {
+        soft: size::Bytes(28),
+        hard: size::Bytes(30),
+        ..limits()
+    });
+    let (complete, other) = (buffer::StreamId(1), buffer::StreamId(2));
+    assert!(budget.open(Millis(0), complete) && budget.open(Millis(0), other));
+    budget.push(Millis(0), complete, 0, frame(0));
+    budget.push(Millis(0), complete, 1, frame(1));
+    budget.finish(Millis(0), complete, "5byte".into());
+    let actions = budget.push(Millis(0), other, 0, frame(0));
+    assert_eq!(actions, [buffer::Action { stream: other, step: Step::Park { offset: 0 } }]);
+    assert_eq!(budget.used(), size::Bytes(25));
+}
+
+/// Guards against parking every response at once, before parking the first could have an effect.
+#[test]
+fn responses_are_parked_by_stages() {
+    let mut budget = buffer::Budget::new(limits());
+    for number in 0..5 {
+        assert!(budget.open(Millis(0), buffer::StreamId(number)));
+    }
+    let (mut parked, stage) = (0, 10);
+    for index in 0..10 {
+        for number in 0..5 {
+            let stream = buffer::StreamId(number);
+            parked += parks(&budget.push(Millis(index), stream, index, "5byte".into())) as u64;
+            let beyond = budget.used().0.checked_sub(limits().soft.0);
+            assert_eq!(parked, beyond.map_or(0, |beyond| 1 + beyond / stage));
+        }
+    }
+    assert!(parked > 1);
+}
+
+/// Guards against resuming a response that has not drained, or for which the process has no room: it would be parked
+/// again at once.
+#[test]
+fn resuming_waits_for_drain_and_room() {
+    let mut budget = buffer::Budget::new(buffer::Limits { patience: Millis(1), ..limits() });
+    let (slow, other) = (buffer::StreamId(1), buffer::StreamId(2));
+    assert!(budget.open(Millis(0), slow) && budget.open(Millis(0), other));
+    for index in 0..6 {
+        budget.push(Millis(0), slow, index, frame(index));
+    }
+    assert_eq!(parks(&budget.tick(Millis(1))), 1);
+    assert!(budget.tick(Millis(2_000)).is_empty(), "60 bytes are left");
+    budget.push(Millis(2_000), other, 0, vec![0; 100].into());
+    budget.push(Millis(2_000), other, 1, Bytes::new());
+    budget.finish(Millis(2_000), other, vec![0; 40].into());
+    for _ in 0..4 {
+        assert!(budget.read(Millis(2_001), slow, size::Bytes(FRAME)).1.is_empty());
+    }
+    assert!(budget.tick(Millis(2_002)).is_empty(), "160 bytes are used of 200");
+    let (_, actions) = budget.read(Millis(2_003), other, size::Bytes(20));
+    let resumed = buffer::Action { stream: slow, step: Step::Resume { offset: 6 } };
+    assert_eq!(actions, [resumed]);
+}
+
 /// One response with a source that sends a frame each 10 ms, obeys steps late, and a reader of its own speed.
 struct Stream {
     id: buffer::StreamId,
--- a/crates/chestnutpick_streams/tests/relay.rs
+++ b/crates/chestnutpick_streams/tests/relay.rs
@@ -207,3 +207,12 @@
     }
     assert_eq!(relay.on_event(Millis(0), &attempt(10), token(3)).len(), 1);
 }
+
+/// Guards against "not run" for a response whose attempt was cancelled by parking before its first token.
+#[test]
+fn parked_attempt_may_have_run() {
+    let mut relay = flowing(0);
+    relay.park(0);
+    let end = relay.give_up(error::Refusal::new(ErrorKind::NoEndpoint, ""));
+    assert_eq!(failure(&end), Some(ErrorKind::EndpointLost));
+}
