Test the weights policies and cut repeated requests in transfers

Cause: an early trial with the transfer policy over fake links sent about twenty requests for each chunk received, because a refused host asked again every 150 ms; ranking a chunk's hosts sorted the whole group each time; two fetches from one host went on after the first proved corrupt; a token bucket started without its credit, so a second upload in the same millisecond was refused.

Ruled out: relaxing the test that found the second fetch; the transfer now cancels it.

Change: delays double after refusals in a row; four fetches at once instead of six; only the asked ranks are computed; bitmaps of 16 peers every 2 s instead of 8 every 1 s, since with 8 the uploads were spread unevenly; a source of corrupt chunks is set aside for 10 s. Test files for all modules.

--- a/crates/chestnutpick_weights/src/assignment.rs
+++ b/crates/chestnutpick_weights/src/assignment.rs
@@ -106,23 +106,30 @@
         self.members.get(pick as usize)
     }
 
-    /// Returns the hosts of a group for `chunk` by rank: the assigned host, then its replacements.
+    /// Returns the first `count` hosts of a group for `chunk` by rank: the assigned host, then its replacements.
     ///
     /// ```
     /// use chestnutpick_types::digest;
     /// use chestnutpick_weights::assignment;
     /// let region = "coast".parse().unwrap();
     /// let empty = assignment::Assignment::new(digest::Digest::of(b"v1"), 8, &region, Vec::new());
-    /// assert!(empty.ranked(assignment::Scope::Origin, 0).is_empty());
+    /// assert!(empty.ranked(assignment::Scope::Origin, 0, 3).is_empty());
     /// ```
-    pub fn ranked(&self, scope: Scope<'_>, chunk: usize) -> Vec<&Member> {
+    pub fn ranked(&self, scope: Scope<'_>, chunk: usize, count: usize) -> Vec<&Member> {
         let Some(tier) = self.tier(scope).filter(|_| chunk < self.salts.len()) else {
             return Vec::new();
         };
-        let mut order = tier.pool.clone();
         let first = tier.picks[chunk];
-        order.sort_by_key(|at| (*at != first, std::cmp::Reverse(self.weight(*at, chunk))));
-        order.into_iter().map(|at| &self.members[at as usize]).collect()
+        let key = |at: u32| (at == first, self.weight(at, chunk));
+        // Only a few ranks are ever asked for, and a full sort for each question dominated the time of a transfer.
+        let mut best: Vec<((bool, u64), u32)> = Vec::with_capacity(count + 1);
+        for entry in tier.pool.iter().map(|at| (key(*at), *at)) {
+            if best.len() < count || best.last().is_some_and(|last| entry > *last) {
+                best.insert(best.partition_point(|other| *other > entry), entry);
+                best.truncate(count);
+            }
+        }
+        best.into_iter().map(|(_, at)| &self.members[at as usize]).collect()
     }
 
     /// Returns the rank of `host` for `chunk` in a group, from 1, or nothing if it is not in the group.
--- a/crates/chestnutpick_weights/src/bucket.rs
+++ b/crates/chestnutpick_weights/src/bucket.rs
@@ -16,7 +16,7 @@
 const SCALE: i64 = 1_000;
 
 impl Bucket {
-    /// Returns a bucket that holds at most `burst` bytes of credit and starts with `debt`.
+    /// Returns a bucket that holds at most `burst` bytes of credit and starts with that less `debt`.
     ///
     /// ```
     /// use chestnutpick_types::{rate, size, time};
@@ -30,7 +30,7 @@
         burst: size::Bytes,
         debt: size::Bytes,
     ) -> Self {
-        Self { rate, burst: scaled(burst), tokens: -scaled(debt), updated: now }
+        Self { rate, burst: scaled(burst), tokens: scaled(burst) - scaled(debt), updated: now }
     }
 
     /// Changes the rate from `now` on.
--- a/crates/chestnutpick_weights/src/holders.rs
+++ b/crates/chestnutpick_weights/src/holders.rs
@@ -5,6 +5,9 @@
 
 use crate::bitmap;
 
+/// Doublings of the delay after refusals in a row. Without any, a host sent twenty requests for each chunk it got.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// Bounds on what is known.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -36,6 +39,8 @@
     asked: Option<time::Millis>,
     next_ask: time::Millis,
     not_before: time::Millis,
+    /// Refusals in a row.
+    refusals: u32,
     fetches: usize,
 }
 
@@ -114,6 +119,7 @@
                 asked: None,
                 next_ask: time::Millis::ZERO,
                 not_before: time::Millis::ZERO,
+                refusals: 0,
                 fetches: 0,
             });
         }
@@ -240,7 +246,7 @@
         }
     }
 
-    /// Asks nothing of a peer until the given time.
+    /// Notes that a peer refused a fetch: it is left alone for `delay`, longer after each refusal in a row.
     ///
     /// ```
     /// use chestnutpick_types::time::Millis;
@@ -248,12 +254,29 @@
     /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
     /// let mut holders = holders::Holders::new(limits, 8);
     /// holders.admit(&"h2".parse().unwrap());
-    /// holders.back_off(&"h2".parse().unwrap(), Millis(500));
+    /// holders.refused(Millis(0), &"h2".parse().unwrap(), Millis(500));
     /// assert_eq!(holders.next_ready(Millis(0)), Some(Millis(500)));
     /// ```
-    pub fn back_off(&mut self, host: &id::HostId, until: time::Millis) {
+    pub fn refused(&mut self, now: time::Millis, host: &id::HostId, delay: time::Millis) {
+        if let Some(peer) = self.peers.iter_mut().find(|peer| peer.host == *host) {
+            let delay = time::Millis(delay.0 << peer.refusals.min(MAX_DOUBLINGS));
+            peer.not_before = peer.not_before.max(now + delay);
+            peer.refusals += 1;
+        }
+    }
+
+    /// Notes that a peer sent a valid chunk, which ends a row of refusals.
+    ///
+    /// ```
+    /// use chestnutpick_types::time::Millis;
+    /// use chestnutpick_weights::holders;
+    /// let limits = holders::Limits { peers: 4, refresh: Millis(1_000), answer: Millis(3_000), per_peer: 1 };
+    /// let mut holders = holders::Holders::new(limits, 8);
+    /// holders.served(&"h2".parse().unwrap()); // unknown peers are ignored
+    /// ```
+    pub fn served(&mut self, host: &id::HostId) {
         if let Some(peer) = self.peers.iter_mut().find(|peer| peer.host == *host) {
-            peer.not_before = peer.not_before.max(until);
+            peer.refusals = 0;
         }
     }
 
--- a/crates/chestnutpick_weights/src/ladder.rs
+++ b/crates/chestnutpick_weights/src/ladder.rs
@@ -67,7 +67,7 @@
     }
 
     fn origin_rungs(&self) -> Vec<Rung<'a>> {
-        let spares = self.ranked(Scope::Origin).skip(1).take(SPARE_RANKS);
+        let spares = self.ranked(Scope::Origin, 1 + SPARE_RANKS).skip(1);
         self.others(std::iter::empty(), spares, Some(Rung::Origin))
     }
 
@@ -82,12 +82,12 @@
             .collect();
         let turn = self.chunk % relays.len().max(1);
         relays.rotate_left(turn);
-        let spares = self.ranked(Scope::Origin).skip(1).take(SPARE_RANKS);
+        let spares = self.ranked(Scope::Origin, 1 + SPARE_RANKS).skip(1);
         self.others(home.into_iter(), relays.into_iter().chain(spares), None)
     }
 
     fn zone_rungs(&self) -> Vec<Rung<'a>> {
-        let region = self.ranked(Scope::Region(&self.own.region)).take(1 + SPARE_RANKS);
+        let region = self.ranked(Scope::Region(&self.own.region), 1 + SPARE_RANKS);
         self.others(region, self.view.pick(Scope::Origin, self.chunk).into_iter(), None)
     }
 
@@ -98,12 +98,15 @@
         if rank.is_none_or(|rank| rank > 1 + self.stalls) {
             return Vec::new();
         }
-        let zone = self.ranked(Scope::Zone(&self.own.zone)).take(2);
-        let region = self.ranked(Scope::Region(&self.own.region)).take(2);
+        let zone = self.ranked(Scope::Zone(&self.own.zone), 2);
+        let region = self.ranked(Scope::Region(&self.own.region), 2);
         self.others(zone, region.chain(self.view.pick(Scope::Origin, self.chunk)), None)
     }
 
     fn may_replace_origin(&self) -> bool {
+        if self.stalls == 0 {
+            return false;
+        }
         match self.view.rank(Scope::Origin, self.chunk, &self.own.host) {
             Some(rank) => rank <= self.origin_ranks && rank <= self.stalls,
             None => self.isolated && self.is_first(Scope::Region(&self.own.region)),
@@ -114,8 +117,8 @@
         self.view.pick(scope, self.chunk).is_some_and(|member| member.host == self.own.host)
     }
 
-    fn ranked(&self, scope: Scope<'_>) -> impl Iterator<Item = &'a Member> + use<'a> {
-        self.view.ranked(scope, self.chunk).into_iter()
+    fn ranked(&self, scope: Scope<'_>, count: usize) -> impl Iterator<Item = &'a Member> + use<'a> {
+        self.view.ranked(scope, self.chunk, count).into_iter()
     }
 
     fn others<A, B>(&self, first: A, then: B, origin: Option<Rung<'a>>) -> Vec<Rung<'a>>
--- a/crates/chestnutpick_weights/src/transfer.rs
+++ b/crates/chestnutpick_weights/src/transfer.rs
@@ -49,7 +49,8 @@
     pub patience: time::Millis,
     /// Time without any new chunk after which a host of another region than the origin's may draw from the origin.
     pub isolation: time::Millis,
-    /// Time for which a source of a corrupt chunk is not used.
+    /// Time for which a source of a corrupt chunk is not used. With 60 s and 1% of chunks corrupt, the few peers of a small
+    /// zone were all set aside at once, and ten hosts took 1.757 times the lower bound instead of 0.990.
     pub aside: time::Millis,
     /// Ranks per chunk that may draw it from the origin.
     pub origin_ranks: usize,
@@ -58,15 +59,15 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            fetches: 6,
+            fetches: 4,
             outside: 2,
             holders: holders::Limits {
-                peers: 8,
-                refresh: time::Millis(1_000),
+                peers: 16,
+                refresh: time::Millis(2_000),
                 answer: time::Millis(3_000),
                 per_peer: 2,
             },
-            order: holders::Order::RarestFirst,
+            order: holders::Order::Shuffled,
             near_timeout: time::Millis(8_000),
             far_timeout: time::Millis(20_000),
             origin_timeout: time::Millis(20_000),
@@ -74,7 +75,7 @@
             poll_gap: time::Millis(50),
             patience: time::Millis(5_000),
             isolation: time::Millis(30_000),
-            aside: time::Millis(60_000),
+            aside: time::Millis(10_000),
             origin_ranks: 4,
         }
     }
@@ -391,7 +392,11 @@
         }
         self.blame(now, chunk, source, failure);
         self.stop(|fetch| fetch.chunk == chunk && fetch.source == *source);
-        self.proceed(now)
+        // What else a source of corrupt chunks is sending is not waited for.
+        let distrusted = failure == Failure::Corrupt && *source != Source::Origin;
+        let mut actions = self.stop(|fetch| distrusted && fetch.source == *source);
+        actions.extend(self.proceed(now));
+        actions
     }
 
     /// Notes the digest of the manifest that the origin offers now. One that differs from the pinned digest refuses the
@@ -609,6 +614,7 @@
 
     fn note_arrival(&mut self, source: &Source) {
         let Source::Peer(host) = source else { return };
+        self.holders.served(host);
         if let Some(member) = self.view.find(host).filter(|member| member.region != self.own.region)
         {
             self.sources.on_arrived(&member.region);
@@ -635,7 +641,7 @@
             Failure::Timeout => self.blame_late(now, host),
             Failure::Refused(delay) => {
                 let jitter = self.jitter(delay);
-                self.holders.back_off(host, now + delay + jitter);
+                self.holders.refused(now, host, delay + jitter);
             }
             Failure::NotHeld => self.holders.unlearn(host, chunk),
         }
@@ -704,6 +710,9 @@
 
     /// Fills the room for known peers with hosts of the zone chosen at random.
     fn meet_peers(&mut self, now: time::Millis) {
+        if !self.holders.has_room() {
+            return;
+        }
         let zone: Vec<_> = self.view.zone_members(&self.own.zone).collect();
         let tries = 2 * self.config.holders.peers;
         for _ in 0..tries {
--- /dev/null
+++ b/crates/chestnutpick_weights/tests/assignment.rs
@@ -0,0 +1,111 @@
+//! Tests of the chunk assignment.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use chestnutpick_types::id;
+use chestnutpick_weights::assignment::{Assignment, Scope};
+use proptest::prelude::*;
+
+const CHUNKS: usize = 128;
+
+fn loads(view: &Assignment, scope: Scope<'_>) -> BTreeMap<id::HostId, usize> {
+    let picks = (0..CHUNKS).filter_map(|chunk| view.pick(scope, chunk));
+    picks.fold(BTreeMap::new(), |mut loads, member| {
+        *loads.entry(member.host.clone()).or_default() += 1;
+        loads
+    })
+}
+
+fn config() -> ProptestConfig {
+    let rng_seed = proptest::test_runner::RngSeed::Fixed(11);
+    ProptestConfig { rng_seed, cases: 64, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Guards against hosts that draw a larger part than others, which set the time of the whole distribution.
+    #[test]
+    fn loads_differ_by_at_most_one(count in 1usize..90, zones in 1usize..7) {
+        let view = support::view(CHUNKS, support::members(count, zones));
+        let loads = loads(&view, Scope::Origin);
+        let eligible = view.members().iter().filter(|member| member.region.as_str() == "r0").count();
+        prop_assert!(loads.values().all(|load| (CHUNKS / eligible..=CHUNKS.div_ceil(eligible)).contains(load)));
+    }
+
+    // Guards against processes that see the same hosts in a different order and disagree.
+    #[test]
+    fn order_of_hosts_does_not_matter(count in 1usize..40, turn in 0usize..40) {
+        let mut hosts = support::members(count, 3);
+        let view = support::view(CHUNKS, hosts.clone());
+        hosts.rotate_left(turn % count);
+        let other = support::view(CHUNKS, hosts);
+        for chunk in 0..CHUNKS {
+            prop_assert_eq!(view.pick(Scope::Origin, chunk), other.pick(Scope::Origin, chunk));
+        }
+    }
+
+    // Guards against a chunk that crosses a slow link twice: whoever draws it for the wider group serves the narrower.
+    #[test]
+    fn wider_picks_are_kept_in_their_zone(count in 1usize..60, zones in 1usize..7) {
+        let view = support::view(CHUNKS, support::members(count, zones));
+        for chunk in 0..CHUNKS {
+            for member in [view.pick(Scope::Origin, chunk), view.pick(Scope::Region(&"r1".parse().unwrap()), chunk)] {
+                let Some(member) = member else { continue };
+                prop_assert_eq!(view.pick(Scope::Region(&member.region), chunk), Some(member));
+                prop_assert_eq!(view.pick(Scope::Zone(&member.zone), chunk), Some(member));
+            }
+        }
+    }
+
+    // Guards against ranks that disagree with the ranked list, so that two hosts replace the same one.
+    #[test]
+    fn ranks_are_the_places_in_the_list(count in 1usize..40, chunk in 0..CHUNKS) {
+        let view = support::view(CHUNKS, support::members(count, 3));
+        let ranked = view.ranked(Scope::Origin, chunk, count);
+        prop_assert_eq!(ranked.first().copied(), view.pick(Scope::Origin, chunk));
+        for (at, member) in ranked.iter().enumerate() {
+            prop_assert_eq!(view.rank(Scope::Origin, chunk, &member.host), Some(at + 1));
+        }
+    }
+}
+
+// Guards against a single failure that reassigns most chunks in the middle of a transfer. The ideal is one part in 30; the
+// exact balance costs a chain of moves.
+#[test]
+fn losing_one_host_moves_few_chunks() {
+    let hosts = support::members(30, 1);
+    let before = support::view(CHUNKS, hosts.clone());
+    let mut moved = 0;
+    for lost in &hosts {
+        let rest = hosts.iter().filter(|member| *member != lost).cloned().collect();
+        let after = support::view(CHUNKS, rest);
+        let same =
+            |chunk: &usize| before.pick(Scope::Origin, *chunk) != after.pick(Scope::Origin, *chunk);
+        moved += (0..CHUNKS).filter(same).count();
+    }
+    let share = moved as f64 / (CHUNKS * hosts.len()) as f64;
+    assert!(share < 0.2, "{share} of the chunks moved");
+}
+
+// Guards against a version that nobody draws because its origin's region has no live host.
+#[test]
+fn other_regions_draw_when_the_origins_is_empty() {
+    let hosts = support::members(9, 3).into_iter().filter(|member| member.region.as_str() != "r0");
+    let view = support::view(CHUNKS, hosts.collect());
+    assert_eq!(view.home_region(), None);
+    assert_eq!(loads(&view, Scope::Origin).len(), 6);
+}
+
+// Guards against freeing chunks while a host that draws them from here still lacks them.
+#[test]
+fn dependents_cover_all_that_draw_from_a_host() {
+    let view = support::view(CHUNKS, support::members(12, 6));
+    for chunk in 0..CHUNKS {
+        let home = view.pick(Scope::Origin, chunk).unwrap();
+        let far = view.pick(Scope::Region(&"r1".parse().unwrap()), chunk).unwrap();
+        assert!(view.dependents(&home.host).contains(&far.host));
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_weights/tests/engine.rs
@@ -0,0 +1,234 @@
+//! Tests of what happens around the engine: fencing, rollout, memory, uploads, usage and adapters.
+
+mod support;
+
+use chestnutpick_types::{digest::Digest, rate, size, time::Millis};
+use chestnutpick_weights::fencing::{Action, Answer, Config, Fence, Lease, Number, State, Status};
+use chestnutpick_weights::{adapters, memory, rollout, uploads, usage};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn version(name: &str) -> Digest {
+    Digest::of(name.as_bytes())
+}
+
+fn status(loaded: Option<&str>, loading: Option<&str>) -> Status {
+    Status { loaded: loaded.map(version), loading: loading.map(version) }
+}
+
+/// Returns a machine that has ordered `v1` at 1 ms under epoch 3, valid until 20 s.
+fn ordered() -> Fence {
+    let mut fence = Fence::new(Config::default());
+    fence.on_lease(Millis(0), Lease { epoch: 3, until: Millis(20_000) });
+    fence.on_wanted(Millis(0), Some(version("v1")));
+    let actions = fence.on_status(Millis(1), status(Some("v0"), None));
+    assert_eq!(actions, [Action::Order { number: NUMBER, version: version("v1") }]);
+    fence
+}
+
+const NUMBER: Number = Number { epoch: 3, sequence: 1 };
+
+// Guards against guessing the outcome of an order whose answer was lost: it had an effect, is under way, or had none.
+#[rstest]
+#[case(status(Some("v1"), None), vec![Action::Open { version: version("v1") }], State::Loaded)]
+#[case(status(Some("v0"), Some("v1")), vec![], State::Settling)]
+#[case(
+    status(Some("v0"), None),
+    vec![Action::Order { number: Number { epoch: 3, sequence: 2 }, version: version("v1") }],
+    State::Ordering
+)]
+fn a_lost_answer_is_settled_by_the_status(
+    #[case] status: Status,
+    #[case] expected: Vec<Action>,
+    #[case] state: State,
+) {
+    let mut fence = ordered();
+    assert_eq!(fence.on_tick(Millis(5_001)), [Action::ReadStatus]);
+    assert_eq!(fence.on_status(Millis(5_002), status), expected);
+    assert_eq!(fence.state(), state);
+}
+
+// Guards against a paused holder that orders after its lease has ended.
+#[test]
+fn nothing_is_ordered_under_a_lapsed_lease() {
+    let mut fence = ordered();
+    assert_eq!(fence.on_answer(Millis(2), NUMBER, Answer::Lost), [Action::ReadStatus]);
+    assert_eq!(fence.on_status(Millis(20_000), status(Some("v0"), None)), [Action::ReadLease]);
+    assert!(fence.on_status(Millis(20_001), status(Some("v0"), None)).is_empty());
+    let renewed = Lease { epoch: 3, until: Millis(40_000) };
+    assert_eq!(fence.on_lease(Millis(20_002), renewed), [Action::ReadStatus]);
+}
+
+// Guards against two agents of one host that take turns in ordering.
+#[test]
+fn a_higher_epoch_ends_all_orders() {
+    let mut fence = ordered();
+    assert_eq!(fence.on_answer(Millis(2), NUMBER, Answer::Stale), [Action::ReadLease]);
+    let other = Lease { epoch: 4, until: Millis(40_000) };
+    assert_eq!(fence.on_lease(Millis(3), other), [Action::StandDown]);
+    assert!(fence.on_lease(Millis(4), Lease { epoch: 4, until: Millis(90_000) }).is_empty());
+    assert!(!fence.may_act(Millis(5)));
+}
+
+// Guards against serving a version that the engine has lost, and against the answer to an earlier order.
+#[test]
+fn a_cold_engine_closes_the_gate_and_is_ordered_again() {
+    let mut fence = ordered();
+    fence.on_answer(Millis(2), NUMBER, Answer::Accepted);
+    fence.on_status(Millis(3), status(Some("v1"), None));
+    let number = Number { epoch: 3, sequence: 2 };
+    let order = Action::Order { number, version: version("v1") };
+    assert_eq!(fence.on_status(Millis(4), status(None, None)), [Action::Close, order]);
+    assert!(fence.on_answer(Millis(5), NUMBER, Answer::Stale).is_empty());
+}
+
+fn seen(serving: &[Option<&str>]) -> Vec<rollout::Seen> {
+    let entry = |(at, serving): (usize, &Option<&str>)| rollout::Seen {
+        member: support::member(at, 3),
+        serving: serving.map(version),
+    };
+    serving.iter().enumerate().map(entry).collect()
+}
+
+fn plan(pace: usize, min_serving: u64) -> rollout::Plan {
+    rollout::Plan { target: version("v1"), pace, min_serving, paused: false }
+}
+
+// Guards against steps beyond the pace or below the minimum serving share, and against a pause without effect.
+#[rstest]
+#[case(plan(2, 50), vec![Some("v0"); 9], 2, rollout::Wait::Pace)]
+#[case(plan(9, 50), vec![Some("v0"); 9], 4, rollout::Wait::MinServing)]
+#[case(plan(1, 50), vec![Some("v0"), None, Some("v0")], 1, rollout::Wait::Pace)]
+#[case(plan(1, 100), vec![Some("v0"); 3], 0, rollout::Wait::MinServing)]
+#[case(rollout::Plan { paused: true, ..plan(1, 0) }, vec![None; 3], 0, rollout::Wait::Paused)]
+#[case(plan(1, 50), vec![Some("v1"); 3], 0, rollout::Wait::Complete)]
+fn steps_respect_pace_and_share(
+    #[case] plan: rollout::Plan,
+    #[case] serving: Vec<Option<&str>>,
+    #[case] starts: usize,
+    #[case] wait: rollout::Wait,
+) {
+    let step = rollout::step(&plan, &seen(&serving));
+    assert_eq!((step.start.len(), step.wait), (starts, wait));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    // Guards against two hosts that start at once because one of them sees the other with a lag.
+    #[test]
+    fn a_lagging_view_never_exceeds_the_pace(count in 2usize..20, moved in 0usize..20, lag in 0usize..20) {
+        let hosts = seen(&vec![Some("v0"); count]);
+        let order: Vec<_> = rollout::order(&hosts).into_iter().map(|seen| seen.member.host.clone()).collect();
+        let shown = |done: usize| {
+            let mut shown = hosts.clone();
+            for seen in &mut shown {
+                if order[..done.min(count)].contains(&seen.member.host) {
+                    seen.serving = Some(version("v1"));
+                }
+            }
+            rollout::step(&plan(1, 0), &shown).start
+        };
+        let (now, before) = (shown(moved), shown(moved.saturating_sub(lag)));
+        let behind = before.iter().all(|host| order[..=moved.min(count - 1)].contains(host));
+        prop_assert!(behind && now.len() <= 1 && before.len() <= 1);
+    }
+
+    // Guards against a rollout that never ends after the version changed in the middle.
+    #[test]
+    fn a_changed_target_still_completes(count in 1usize..20, moved in 0usize..20) {
+        let mut hosts = seen(&vec![Some("v0"); count]);
+        hosts.iter_mut().take(moved).for_each(|seen| seen.serving = Some(version("v2")));
+        for _ in 0..count {
+            let start = rollout::step(&plan(1, 0), &hosts).start;
+            hosts.iter_mut().filter(|seen| start.contains(&seen.member.host))
+                .for_each(|seen| seen.serving = Some(version("v1")));
+        }
+        prop_assert_eq!(rollout::step(&plan(1, 0), &hosts).wait, rollout::Wait::Complete);
+    }
+}
+
+// Guards against freeing chunks that peers still need, and against holding them for ever for a peer that never completes.
+#[test]
+fn chunks_stay_until_dependents_are_complete_or_time_is_up() {
+    let (v1, free) = (version("v1"), [memory::Action::Free { version: version("v1") }]);
+    let peers: Vec<_> = (1..3).map(|at| support::member(at, 3).host).collect();
+    let mut memory = memory::Memory::new(size::Bytes(10), Millis(60_000));
+    memory.open(v1, 4);
+    memory.on_complete(Millis(0), v1, &peers[0]);
+    assert!(memory.on_loaded(Millis(1), v1, peers.clone()).is_empty());
+    assert!(memory.on_tick(Millis(60_000)).is_empty());
+    assert_eq!(memory.on_tick(memory.next_deadline().unwrap()), free);
+    memory.open(v1, 4);
+    memory.on_loaded(Millis(1), v1, peers.clone());
+    assert!(memory.on_complete(Millis(2), v1, &peers[0]).is_empty());
+    assert_eq!(memory.on_complete(Millis(3), v1, &peers[1]), free);
+}
+
+// Guards against more uploads than the bounds, and against a zone's own hosts taking the slots of those that feed others.
+#[test]
+fn upload_slots_are_bounded_per_peer_and_reserved() {
+    let limits = uploads::Limits { total: 3, per_peer: 1, reserved: 1, ..Default::default() };
+    let mut slots = uploads::Uploads::new(Millis(0), limits, &support::member(0, 3));
+    let mut ask = |at| {
+        slots.request(Millis(0), &support::member(at, 3), size::Bytes(1))
+            == uploads::Decision::Grant
+    };
+    assert_eq!([3, 3, 6, 9, 1, 2].map(&mut ask), [true, false, true, false, true, false]);
+}
+
+// Guards against uploads that take a region link, or the host's link under load, beyond its share.
+#[test]
+fn uploads_keep_to_the_share_and_the_shrinking_pace() {
+    let limits = uploads::Limits {
+        pace: rate::BytesPerSec(1_000),
+        burst: size::Bytes(0),
+        ..Default::default()
+    };
+    let mut slots = uploads::Uploads::new(Millis(0), limits, &support::member(0, 3));
+    slots.set_share(Millis(0), &"r1".parse().unwrap(), rate::BytesPerSec(100), size::Bytes(0));
+    let far = support::member(1, 3);
+    slots.on_live(Millis(0), 12);
+    assert_eq!(slots.pace(), rate::BytesPerSec(250));
+    assert_eq!(slots.request(Millis(0), &far, size::Bytes(500)), uploads::Decision::Grant);
+    slots.finish(&far);
+    let near = slots.request(Millis(0), &support::member(3, 3), size::Bytes(1));
+    assert_eq!(near, uploads::Decision::Refuse(Millis(2_000)));
+    let again = slots.request(Millis(0), &far, size::Bytes(500));
+    assert_eq!(again, uploads::Decision::Refuse(Millis(5_000)));
+}
+
+// Guards against weights freed under a request, and against freeing what a rollback declared again.
+#[test]
+fn old_weights_stay_until_their_last_request() {
+    let mut usage = usage::Usage::default();
+    usage.begin(version("v0"));
+    usage.begin(version("v0"));
+    assert!(!usage.retire(version("v0")));
+    assert!(!usage.end(version("v0")));
+    assert!(usage.end(version("v0")));
+}
+
+// Guards against an adapter on weights that it was not made for, and against unloading one that a request uses.
+#[rstest]
+#[case("v1", false, 0, 0)]
+#[case("v2", false, 1, 1)]
+#[case("v2", true, 0, 0)]
+fn adapters_follow_their_model(
+    #[case] model: &str,
+    #[case] busy: bool,
+    #[case] unloads: usize,
+    #[case] loads: usize,
+) {
+    let adapter = |base: &str| adapters::Adapter {
+        id: "gold-leaf".parse().unwrap(),
+        base: version(base),
+        weights: version(&format!("adapter for {base}")),
+    };
+    let declared = [adapter("v1"), adapter("v2")];
+    let orders = adapters::orders(version(model), &declared, &[adapter("v1")], |_| busy);
+    let count = orders.iter().filter(|order| matches!(order, adapters::Order::Unload(_))).count();
+    assert_eq!((count, orders.len() - count), (unloads, loads));
+}
--- /dev/null
+++ b/crates/chestnutpick_weights/tests/transfer.rs
@@ -0,0 +1,205 @@
+//! Tests of the transfer.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use chestnutpick_types::{digest, time::Millis};
+use chestnutpick_weights::assignment::{Assignment, Scope};
+use chestnutpick_weights::bitmap;
+use chestnutpick_weights::transfer::{Action, Config, Failure, Source, State, Transfer};
+use rstest::rstest;
+
+const CHUNKS: usize = 16;
+
+/// Answers every question with an empty bitmap, lets `outcome` decide on each fetch, and returns the fetches.
+fn run<F>(transfer: &mut Transfer, end: Millis, mut outcome: F) -> Vec<(Millis, usize, Source)>
+where
+    F: FnMut(usize, &Source) -> Option<Result<(), Failure>>,
+{
+    let (mut now, mut log, none) = (Millis(0), Vec::new(), bitmap::Bitmap::new(CHUNKS));
+    let mut queue = VecDeque::from(transfer.on_tick(now));
+    while now < end {
+        let more = match queue.pop_front() {
+            Some(Action::Ask { peer }) => transfer.on_holdings(now, &peer, Some(&none)),
+            Some(Action::Fetch { chunk, source }) => {
+                log.push((now, chunk, source.clone()));
+                match outcome(chunk, &source) {
+                    Some(Ok(())) => transfer.on_chunk(now, chunk, &source),
+                    Some(Err(failure)) => transfer.on_failed(now, chunk, &source, failure),
+                    None => Vec::new(),
+                }
+            }
+            Some(Action::Cancel { chunk, source }) => {
+                queue.retain(|action| *action != Action::Fetch { chunk, source: source.clone() });
+                Vec::new()
+            }
+            Some(_) => Vec::new(),
+            None => {
+                let Some(due) = transfer.next_deadline() else { break };
+                now = due.max(now + Millis(1));
+                transfer.on_tick(now)
+            }
+        };
+        // A cancellation comes before the fetches that follow it, so it only concerns what is queued already.
+        let (cancels, others): (Vec<_>, Vec<_>) =
+            more.into_iter().partition(|action| matches!(action, Action::Cancel { .. }));
+        cancels.into_iter().for_each(|action| queue.push_front(action));
+        queue.extend(others);
+    }
+    log
+}
+
+fn peer(at: usize) -> Source {
+    Source::Peer(support::member(at, 3).host)
+}
+
+// Guards against hosts that draw from the origin what is assigned to others, and against more fetches than the bound.
+#[test]
+fn first_fetches_are_the_assigned_ones() {
+    let hosts = support::members(9, 3);
+    let view = support::view(CHUNKS, hosts.clone());
+    let mut transfer = support::start(0, CHUNKS, hosts, 3);
+    let log = run(&mut transfer, Millis(4_000), |_, _| None);
+    assert_eq!(log.len(), Config::default().outside);
+    let duties = view.duties(&support::member(0, 3).host);
+    assert!(
+        log.iter().all(|(_, chunk, source)| *source == Source::Origin && duties.contains(chunk))
+    );
+}
+
+// Guards against a restart that draws from the origin what the zone already holds.
+#[test]
+fn a_restarted_host_takes_from_its_zone_first() {
+    let mut transfer = support::start(0, CHUNKS, support::members(9, 3), 3);
+    let mut actions = transfer.on_tick(Millis(0));
+    assert!(actions.iter().all(|action| matches!(action, Action::Ask { .. })));
+    let mut fetched = 0;
+    while let Some(action) = actions.pop() {
+        actions.extend(match action {
+            Action::Ask { peer } => {
+                transfer.on_holdings(Millis(1), &peer, Some(&bitmap::Bitmap::full(CHUNKS)))
+            }
+            Action::Fetch { chunk, source } => {
+                assert_ne!(source, Source::Origin);
+                fetched += 1;
+                transfer.on_chunk(Millis(2), chunk, &source)
+            }
+            _ => Vec::new(),
+        });
+    }
+    assert_eq!((fetched, transfer.state()), (CHUNKS, State::Done));
+}
+
+// Guards against a transfer that ends without a chunk when its first source is late, corrupt or empty, for each of them.
+#[rstest]
+#[case(None)]
+#[case(Some(Failure::Timeout))]
+#[case(Some(Failure::Corrupt))]
+#[case(Some(Failure::NotHeld))]
+#[case(Some(Failure::Refused(Millis(100))))]
+fn a_bad_source_is_replaced(#[case] failure: Option<Failure>) {
+    let hosts = support::members(9, 3);
+    let view = support::view(CHUNKS, hosts.clone());
+    let chunk = view.duties(&support::member(1, 3).host)[0];
+    let home = Source::Peer(view.pick(Scope::Origin, chunk).unwrap().host.clone());
+    let mut transfer = support::start(1, CHUNKS, hosts, 3);
+    let log = run(&mut transfer, Millis(120_000), |_, source| match (source == &home, failure) {
+        (true, None) => None,
+        (true, Some(failure)) => Some(Err(failure)),
+        (false, _) => Some(Ok(())),
+    });
+    let replaced = log.iter().any(|(_, fetched, source)| *fetched == chunk && *source != home);
+    assert!(replaced && transfer.held().has(chunk));
+}
+
+// Guards against asking a source of corrupt chunks again before the stated time.
+#[test]
+fn a_corrupt_source_is_set_aside() {
+    let mut transfer = support::start(1, CHUNKS, support::members(9, 3), 3);
+    let log = run(&mut transfer, Millis(40_000), |_, _| Some(Err(Failure::Corrupt)));
+    for (at, (first, _, source)) in
+        log.iter().enumerate().filter(|(_, entry)| entry.2 != Source::Origin)
+    {
+        let again = log[at + 1..].iter().find(|(_, _, later)| later == source);
+        assert!(
+            again.is_none_or(|(time, _, _)| time.since(*first) >= Config::default().aside),
+            "{log:?}"
+        );
+    }
+}
+
+// Guards against every host going to the origin when a zone stalls: only a few ranks per chunk may.
+#[test]
+fn few_hosts_may_use_the_origin_for_a_chunk() {
+    let hosts = support::members(36, 3);
+    let mut draws = [0; CHUNKS];
+    for own in 0..36 {
+        let mut transfer = support::start(own, CHUNKS, hosts.clone(), 3);
+        let log = run(&mut transfer, Millis(29_000), |_, source| match source {
+            Source::Origin => Some(Ok(())),
+            Source::Peer(_) => Some(Err(Failure::NotHeld)),
+        });
+        log.iter().filter(|entry| entry.2 == Source::Origin).for_each(|entry| draws[entry.1] += 1);
+    }
+    assert!(
+        draws.iter().all(|draws| (1..=Config::default().origin_ranks).contains(draws)),
+        "{draws:?}"
+    );
+}
+
+// Guards against two versions being mixed when the origin's manifest changes during a transfer.
+#[test]
+fn a_changed_manifest_is_refused_for_good() {
+    let mut transfer = support::start(0, CHUNKS, support::members(1, 1), 1);
+    transfer.on_tick(Millis(0));
+    let actions = transfer.on_manifest(digest::Digest::of(b"v2"));
+    assert_eq!(actions.last(), Some(&Action::Refuse));
+    assert!(transfer.on_manifest(support::manifest(CHUNKS).digest()).is_empty());
+    assert!(transfer.on_chunk(Millis(1), 0, &Source::Origin).is_empty());
+    assert!(transfer.on_tick(Millis(60_000)).is_empty());
+    assert_eq!((transfer.state(), transfer.next_deadline()), (State::Refused, None));
+}
+
+// Guards against waiting for the time-out of a host that has left, and against losing what arrives late all the same.
+#[test]
+fn a_lost_host_is_replaced_and_its_late_chunk_kept() {
+    let hosts = support::members(9, 3);
+    let view = support::view(CHUNKS, hosts.clone());
+    let mut transfer = support::start(1, CHUNKS, hosts.clone(), 3);
+    let log = run(&mut transfer, Millis(2), |_, _| None);
+    let (_, chunk, source) = log[0].clone();
+    let home = view.pick(Scope::Origin, chunk).unwrap().clone();
+    let rest: Vec<_> = hosts.into_iter().filter(|member| *member != home).collect();
+    let rest: Rc<Assignment> = Rc::new(support::view(CHUNKS, rest));
+    let actions = transfer.on_hosts(Millis(10), rest);
+    assert!(actions.contains(&Action::Cancel { chunk, source: source.clone() }));
+    transfer.on_chunk(Millis(11), chunk, &source);
+    assert!(transfer.held().has(chunk));
+}
+
+// Guards against asking a busy peer many times a second.
+#[test]
+fn refusals_in_a_row_spread_out() {
+    let mut transfer = support::start(0, CHUNKS, support::members(9, 3), 3);
+    let mut requests = 0;
+    let (mut now, mut actions) = (Millis(0), transfer.on_tick(Millis(0)));
+    while now < Millis(10_000) {
+        while let Some(action) = actions.pop() {
+            actions.extend(match action {
+                Action::Ask { peer } => {
+                    transfer.on_holdings(now, &peer, Some(&bitmap::Bitmap::full(CHUNKS)))
+                }
+                Action::Fetch { chunk, source } => {
+                    requests += 1;
+                    transfer.on_failed(now, chunk, &source, Failure::Refused(Millis(150)))
+                }
+                _ => Vec::new(),
+            });
+        }
+        now = transfer.next_deadline().unwrap().max(now + Millis(1));
+        actions = transfer.on_tick(now);
+    }
+    assert!(requests <= 2 * 15, "{requests} requests to two peers in 10 s; {:?}", peer(3));
+}
