Do not refuse by an unmeasured rate of the queue

Cause: entries refused completions with deadline_too_short 0.9 s after the first engines of a new workspace opened their gates, with deadlines 29 s away. With no request served yet, the rate counted as one token in the time waited so far, so 52 tokens ahead after 600 ms of waiting gave an expected wait of 31 s. Ruled out: full queues (the kind would be queue_full) and agents' refusals (the kind would be endpoint_cold). Change: the expected wait is zero until a first request has been served, as its documentation says. Queue limits and deadlines still apply. Conclusion: refusals by the expected wait begin with the first measurement.

--- a/crates/chestnutpick_routing/src/rate.rs
+++ b/crates/chestnutpick_routing/src/rate.rs
@@ -34,13 +34,14 @@
         self.served = self.served.saturating_add(cost.0);
     }
 
-    /// Returns the expected time to serve `ahead`, zero while nothing is known.
+    /// Returns the expected time to serve `ahead`, zero while nothing is known: before the first request is served, any
+    /// assumed rate is a guess, and a guess must not refuse requests that have time to wait.
     pub(crate) fn time_for(&self, now: time::Millis, ahead: size::Tokens) -> time::Millis {
         let busy = self.busy + self.since.map_or(0, |since| now.since(since).0);
-        if ahead.0 == 0 || busy < MIN_BUSY.0 {
+        if ahead.0 == 0 || self.served == 0 || busy < MIN_BUSY.0 {
             return time::Millis::ZERO;
         }
-        let wait = u128::from(ahead.0) * u128::from(busy) / u128::from(self.served.max(1));
+        let wait = u128::from(ahead.0) * u128::from(busy) / u128::from(self.served);
         time::Millis(u64::try_from(wait).unwrap_or(u64::MAX))
     }
 }
