Add the demonstration

Cause: the README needs one command that shows weights on 12 engines and a zone change under live requests, on a fresh clone. Change: chestnutpick-demo builds the programs, starts 45 processes in three zones, checks every token, sends each purchase through two entries at once, and ends with a table and status 1 if a must is broken. Live requests run on a thread of their own. Children have their own process groups, so that Ctrl-C reaches only the demonstration, which ends them in order. A caller tells entries that could not be reached from answers that were cut. Ruled out: one thread for requests and control, because starting and waiting for processes block it.

--- a/crates/chestnutpick_scenario/src/caller.rs
+++ b/crates/chestnutpick_scenario/src/caller.rs
@@ -29,7 +29,13 @@
         /// The message.
         message: String,
     },
-    /// The connection failed, or the stream ended without its end marker.
+    /// The entry could not be reached; nothing was sent.
+    #[snafu(display("unreachable: {reason}"))]
+    Unreachable {
+        /// What happened.
+        reason: String,
+    },
+    /// The connection broke, or the stream ended without its end marker.
     #[snafu(display("cut after {tokens} tokens: {reason}"))]
     Cut {
         /// Tokens received.
@@ -77,8 +83,7 @@
     let body = json!({ "prompt": ask.prompt, "max_tokens": ask.tokens });
     request.body = vec![Bytes::from(body.to_string())];
     let cut = |tokens, reason: String| CallerError::Cut { tokens, reason };
-    let mut response =
-        client.call(entry, request, TIMEOUT).await.map_err(|reason| cut(0, reason.to_string()))?;
+    let mut response = client.call(entry, request, TIMEOUT).await.map_err(lost)?;
     if response.status != 200 {
         let body = response.read(LIMIT).await.unwrap_or_default();
         return Err(refused(&body));
@@ -127,6 +132,13 @@
     MixedSnafu { index, found: text.to_owned(), expected: expected.to_string() }.fail()
 }
 
+fn lost(reason: client::CallError) -> CallerError {
+    if reason.is_not_sent() {
+        return CallerError::Unreachable { reason: reason.to_string() };
+    }
+    CallerError::Cut { tokens: 0, reason: reason.to_string() }
+}
+
 fn refused(body: &[u8]) -> CallerError {
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
     let text = |key: &str| value[key].as_str().unwrap_or_default().to_owned();
@@ -154,12 +166,10 @@
     if !body.is_empty() {
         request.body = vec![Bytes::from(body.to_owned())];
     }
-    let cut =
-        |reason: client::CallError| CallerError::Cut { tokens: 0, reason: reason.to_string() };
-    let mut response = client.call(entry, request, TIMEOUT).await.map_err(cut)?;
+    let mut response = client.call(entry, request, TIMEOUT).await.map_err(lost)?;
     let replayed = response.header("x-replayed").is_some();
     let status = response.status;
-    let body = response.read(LIMIT).await.map_err(cut)?;
+    let body = response.read(LIMIT).await.map_err(lost)?;
     let value: Value = serde_json::from_slice(&body).unwrap_or_default();
     if value.get("ran").is_some() && status >= 400 {
         return Err(refused(&body));
--- /dev/null
+++ b/crates/chestnutpick_scenario/src/demo.rs
@@ -0,0 +1,471 @@
+//! The demonstration: new weights on every engine and an availability zone taken out and back, under live requests.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, IsTerminal, Write};
+use std::path;
+use std::process;
+use std::time;
+
+use chestnutpick_types::digest;
+use gumdrop::Options;
+use serde_json::Value;
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::fleet;
+use crate::plan;
+use crate::traffic;
+
+const ZONES: [&str; 3] = ["lima", "cusco", "arequipa"];
+
+/// The zone that is taken out; the origin's region stays in service.
+const CHANGED_ZONE: &str = "cusco";
+
+const SERVICES: [&str; 2] = ["ledger", "certificates"];
+
+/// Size of a version, in bytes.
+const SIZE: u64 = 64 << 20;
+
+/// Size of a chunk, in bytes.
+const CHUNK: u64 = 1 << 20;
+
+/// Design bound of the time until a zone that was taken out gets no new work.
+const OUT_BOUND: time::Duration = time::Duration::from_secs(3);
+
+/// Time for which the zone that was taken out is observed after [`OUT_BOUND`].
+const OUT_OBSERVED: time::Duration = time::Duration::from_secs(2);
+
+/// Longest wait for any step.
+const DEADLINE: time::Duration = time::Duration::from_secs(120);
+
+/// Longest wait for a process to end.
+const END_DEADLINE: time::Duration = time::Duration::from_secs(40);
+
+const POLL: time::Duration = time::Duration::from_millis(50);
+
+/// Exit status after Ctrl-C, as shells report it.
+const INTERRUPTED: u8 = 130;
+
+/// The command line.
+#[derive(Debug, Options)]
+pub struct CommandLine {
+    /// Print the usage and exit.
+    #[options(help = "print this help and exit")]
+    pub help: bool,
+    /// Print the version and exit.
+    #[options(help = "print the version and exit", short = "V")]
+    pub version: bool,
+    /// Keep settings and logs.
+    #[options(help = "keep the directory of settings and logs")]
+    pub keep: bool,
+    /// Least duration of live requests.
+    #[options(help = "keep requests flowing for at least N seconds", meta = "N", default = "20")]
+    pub seconds: u64,
+}
+
+/// Why the demonstration did not come to its end.
+#[derive(Debug, Snafu)]
+enum DemoError {
+    #[snafu(display("building the programs: {source}"))]
+    Build { source: io::Error },
+    #[snafu(display("building the programs failed: {status}"))]
+    NotBuilt { status: process::ExitStatus },
+    #[snafu(display("signals: {source}"))]
+    Signals { source: io::Error },
+    #[snafu(context(false), display("{source}"))]
+    Fleet { source: fleet::FleetError },
+    #[snafu(display("the origin answered without a digest: {answer}"))]
+    NoDigest { answer: Value },
+}
+
+type Result<T> = std::result::Result<T, DemoError>;
+
+/// What is shown at the end.
+#[derive(Debug, Default)]
+struct Findings {
+    replicas: usize,
+    /// Time until every engine served, and copies drawn from the origin, by version.
+    versions: Vec<(&'static str, time::Duration, f64)>,
+    counts: traffic::Counts,
+    requests: time::Duration,
+    once: usize,
+    twice: usize,
+    work_out: u64,
+    back: time::Duration,
+    processes: usize,
+    bad_ends: Vec<(String, i32)>,
+}
+
+impl Findings {
+    /// Returns the rows: what was measured, the value, and whether a must is kept, if there is one.
+    fn rows(&self) -> Vec<(String, String, Option<bool>)> {
+        let counts = &self.counts;
+        let none = |what: &str, count: u64| (what.to_owned(), count.to_string(), Some(count == 0));
+        let mut rows = Vec::new();
+        for (version, time, copies) in &self.versions {
+            let what = format!("{version}: time to {} replicas", self.replicas);
+            rows.push((what, format!("{:.2} s", time.as_secs_f64()), None));
+            let what = format!("{version}: drawn from the origin");
+            rows.push((what, format!("{copies:.2} copies"), Some(*copies <= 4.0)));
+        }
+        let seconds = self.requests.as_secs_f64();
+        let kinds = [
+            ("completions, every token checked", counts.completions),
+            ("ledger and certificate reads", counts.reads),
+            ("answers to purchases", counts.answers),
+        ];
+        let served = format!("{} in {seconds:.1} s", counts.served());
+        rows.push(("requests served".to_owned(), served, Some(counts.served() > 0)));
+        rows.extend(kinds.map(|(what, count)| (format!("  {what}"), count.to_string(), None)));
+        rows.push(none("requests refused or failed", counts.refused()));
+        rows.push(none("answers cut", counts.cut));
+        rows.push(none("answers mixed", counts.mixed));
+        let asked = counts.purchases.len();
+        rows.push((
+            "purchases asked, each through two entries".to_owned(),
+            asked.to_string(),
+            None,
+        ));
+        rows.push(("  recorded once".to_owned(), self.once.to_string(), Some(self.once == asked)));
+        rows.push(none("  recorded twice", u64::try_from(self.twice).unwrap_or(u64::MAX)));
+        let what = format!(
+            "new work in {CHANGED_ZONE} later than {} s after it was taken out",
+            OUT_BOUND.as_secs()
+        );
+        rows.push(none(&what, self.work_out));
+        let what = format!("{CHANGED_ZONE} served again after its return");
+        rows.push((what, format!("{:.2} s", self.back.as_secs_f64()), None));
+        let ended = self.processes - self.bad_ends.len();
+        let what = "processes ended with status 0".to_owned();
+        rows.push((what, format!("{ended} of {}", self.processes), Some(self.bad_ends.is_empty())));
+        rows
+    }
+
+    fn is_kept(&self) -> bool {
+        self.rows().iter().all(|(_, _, kept)| *kept != Some(false))
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rows = self.rows();
+        let width = rows.iter().map(|(what, _, _)| what.len()).max().unwrap_or_default();
+        for (what, value, kept) in rows {
+            let verdict = match kept {
+                Some(true) => "ok",
+                Some(false) => "BROKEN",
+                None => "",
+            };
+            writeln!(f, "{}", format!("{what:<width$}  {value:>18}  {verdict}").trim_end())?;
+        }
+        for failure in &self.counts.failures {
+            writeln!(f, "failure: {failure}")?;
+        }
+        for (name, status) in &self.bad_ends {
+            writeln!(f, "{name} ended with status {status}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs the demonstration; returns the exit status.
+pub fn run(line: &CommandLine) -> u8 {
+    let outcome = build().and_then(|()| actix_rt::System::new().block_on(in_fleet(line)));
+    match outcome {
+        Ok(Some(findings)) => {
+            println!("\n{findings}");
+            u8::from(!findings.is_kept())
+        }
+        Ok(None) => INTERRUPTED,
+        Err(reason) => {
+            eprintln!("chestnutpick-demo: {reason}");
+            1
+        }
+    }
+}
+
+/// Builds the other programs of the workspace in the profile of this one.
+fn build() -> Result<()> {
+    let manifest = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.toml");
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = process::Command::new(cargo);
+    command.args(["build", "--quiet", "--workspace", "--bins", "--locked", "--manifest-path"]);
+    command.arg(manifest);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    if let Some(target) = fleet::programs().parent() {
+        command.arg("--target-dir").arg(target);
+    }
+    println!("building the programs");
+    let status = command.status().context(BuildSnafu)?;
+    if status.success() { Ok(()) } else { NotBuiltSnafu { status }.fail() }
+}
+
+/// Starts the fleet, and ends it in any case.
+async fn in_fleet(line: &CommandLine) -> Result<Option<Findings>> {
+    use tokio::signal::unix;
+    // Installed before the first process starts, so that a signal never leaves one behind.
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).context(SignalsSnafu)?;
+    let mut terminate = unix::signal(unix::SignalKind::terminate()).context(SignalsSnafu)?;
+    let started = time::Instant::now();
+    let mut fleet = fleet::Fleet::start(plan(), &fleet::programs()).await?;
+    if line.keep {
+        println!("settings and logs are in {}", fleet.keep().display());
+    }
+    let processes = fleet.names().len();
+    println!("{processes} processes run after {:.1} s", started.elapsed().as_secs_f64());
+    let mut findings = Findings { processes, ..Findings::default() };
+    let outcome = tokio::select! {
+        outcome = show(&fleet, line, &mut findings) => outcome.map(|()| true),
+        _ = interrupt.recv() => Ok(false),
+        _ = terminate.recv() => Ok(false),
+    };
+    Progress.clear();
+    println!("ending {processes} processes");
+    findings.bad_ends = fleet.end(END_DEADLINE)?;
+    if outcome? {
+        return Ok(Some(findings));
+    }
+    println!("interrupted; {} processes did not end with status 0", findings.bad_ends.len());
+    Ok(None)
+}
+
+fn plan() -> plan::Plan {
+    let mut plan = plan::Plan::even(&ZONES, 2, 4);
+    for zone in &mut plan.zones {
+        zone.services = SERVICES.map(str::to_owned).to_vec();
+    }
+    plan
+}
+
+async fn show(fleet: &fleet::Fleet, line: &CommandLine, findings: &mut Findings) -> Result<()> {
+    let entry = format!("entry-{}-1", ZONES[0]);
+    findings.replicas = fleet.runners().len();
+    configure(fleet, &entry).await?;
+    let first = publish(fleet, &entry, "v1", 1).await?;
+    println!("declaring v1, {} MiB", SIZE >> 20);
+    let declared = time::Instant::now();
+    fleet.command(&entry, "declare gilder/v1 to bench", false).await?;
+    let waited = Watched {
+        fleet,
+        entry: &entry,
+        version: "v1",
+        replicas: findings.replicas,
+        since: declared,
+        drawn: 0,
+    };
+    waited.until(1, None).await?;
+    let traffic = traffic::Traffic::start(requests(), targets(fleet, vec![first]));
+    let begun = time::Instant::now();
+    findings.versions.push(waited.until(findings.replicas, Some(&traffic)).await?);
+    let second = publish(fleet, &entry, "v2", 2).await?;
+    if let Ok(mut targets) = traffic.targets.lock() {
+        targets.contents.push(second);
+    }
+    println!("rolling v2, {} MiB, to {} engines", SIZE >> 20, findings.replicas);
+    let drawn = sum(fleet, "origin", "bytes").await?;
+    let rolled = time::Instant::now();
+    fleet.command(&entry, "roll bench to v2", false).await?;
+    let waited = Watched { version: "v2", since: rolled, drawn, ..waited };
+    findings.versions.push(waited.until(findings.replicas, Some(&traffic)).await?);
+    change_zone(fleet, &entry, &traffic, findings).await?;
+    while begun.elapsed() < time::Duration::from_secs(line.seconds) {
+        Progress.print(&format!("all zones serve; {}", live(&traffic)));
+        actix_rt::time::sleep(POLL).await;
+    }
+    findings.counts = traffic.stop();
+    findings.requests = begun.elapsed();
+    (findings.once, findings.twice) = records(fleet, &findings.counts).await?;
+    Ok(())
+}
+
+async fn configure(fleet: &fleet::Fleet, entry: &str) -> Result<()> {
+    let mut commands = Vec::new();
+    for zone in ZONES {
+        commands.push(format!("create region {zone}-region"));
+        commands.push(format!("create zone {zone} in {zone}-region"));
+    }
+    commands.extend(SERVICES.map(|service| format!("create service {service}")));
+    commands.extend(["create model gilder".to_owned(), "create workspace bench".to_owned()]);
+    for command in commands {
+        fleet.command(entry, &command, false).await?;
+    }
+    Ok(())
+}
+
+async fn publish(
+    fleet: &fleet::Fleet,
+    entry: &str,
+    version: &str,
+    seed: u64,
+) -> Result<(digest::Digest, digest::Digest)> {
+    let answer = fleet.publish("gilder", version, SIZE, CHUNK, seed).await?;
+    let read = |key: &str| answer[key].as_str().and_then(|text| text.parse().ok());
+    let digest: digest::Digest =
+        read("digest").context(NoDigestSnafu { answer: answer.clone() })?;
+    let content = read("content").context(NoDigestSnafu { answer: answer.clone() })?;
+    let command = format!("create version {version} of gilder digest {digest}");
+    fleet.command(entry, &command, true).await?;
+    Ok((digest, content))
+}
+
+fn requests() -> traffic::Settings {
+    traffic::Settings {
+        workspace: "bench".to_owned(),
+        completions: 6,
+        tokens: 40,
+        reads: 2,
+        purchases: 2,
+        services: SERVICES.map(str::to_owned).to_vec(),
+        pause: time::Duration::from_millis(20),
+    }
+}
+
+fn targets(
+    fleet: &fleet::Fleet,
+    contents: Vec<(digest::Digest, digest::Digest)>,
+) -> traffic::Targets {
+    traffic::Targets { entries: fleet.entries(), contents }
+}
+
+/// Returns the sum of a counter over the stand-ins whose names begin with `prefix`.
+async fn sum(fleet: &fleet::Fleet, prefix: &str, counter: &str) -> Result<u64> {
+    let mut sum = 0;
+    for name in fleet.names().iter().filter(|name| name.starts_with(prefix)) {
+        let stats = fleet.json("GET", name, "/stats", None).await?;
+        sum += stats[counter].as_u64().unwrap_or_default();
+    }
+    Ok(sum)
+}
+
+struct Watched<'a> {
+    fleet: &'a fleet::Fleet,
+    entry: &'a str,
+    version: &'static str,
+    replicas: usize,
+    since: time::Instant,
+    /// Bytes drawn from the origin before.
+    drawn: u64,
+}
+
+impl Watched<'_> {
+    /// Waits until `count` engines serve the version; returns version, time, and copies drawn from the origin.
+    async fn until(
+        &self,
+        count: usize,
+        traffic: Option<&traffic::Traffic>,
+    ) -> Result<(&'static str, time::Duration, f64)> {
+        let (version, wanted) = (self.version, u64::try_from(count).unwrap_or(u64::MAX));
+        let mut last = String::new();
+        while self.since.elapsed() < DEADLINE {
+            let query = format!("show served where version = {version}");
+            let shown = self.fleet.command(self.entry, &query, false).await?;
+            let row = &shown["rows"][0];
+            let cell = |column: &str| row[column].as_u64().unwrap_or_default();
+            let serving = cell("warm") + cell("cold");
+            let time = self.since.elapsed();
+            let drawn = sum(self.fleet, "origin", "bytes").await?;
+            let copies = drawn.saturating_sub(self.drawn) as f64 / SIZE as f64;
+            if serving >= wanted {
+                Progress.clear();
+                return Ok((version, time, copies));
+            }
+            let requests = traffic.map(live).unwrap_or_default();
+            last = format!("{version}: {serving} of {} engines serve it", self.replicas);
+            Progress.print(&format!("{last}, {copies:.2} copies drawn; {requests}"));
+            actix_rt::time::sleep(POLL).await;
+        }
+        let what = format!("{version} on {count} engines");
+        Ok(fleet::DeadlineSnafu { what, deadline: DEADLINE, last }.fail()?)
+    }
+}
+
+fn live(traffic: &traffic::Traffic) -> String {
+    let counts = traffic.counts();
+    let failed = counts.refused() + counts.cut + counts.mixed;
+    format!("{} requests served, {failed} not", counts.served())
+}
+
+/// Takes the zone out and back, and counts the work that its endpoints are given in between.
+async fn change_zone(
+    fleet: &fleet::Fleet,
+    entry: &str,
+    traffic: &traffic::Traffic,
+    findings: &mut Findings,
+) -> Result<()> {
+    println!("taking out zone {CHANGED_ZONE}");
+    fleet.command(entry, &format!("take out zone {CHANGED_ZONE}"), false).await?;
+    observe(OUT_BOUND, "taken out", traffic).await;
+    let before = work(fleet).await?;
+    observe(OUT_OBSERVED, "out", traffic).await;
+    findings.work_out = work(fleet).await? - before;
+    Progress.clear();
+    println!("bringing back zone {CHANGED_ZONE}");
+    let returned = time::Instant::now();
+    fleet.command(entry, &format!("bring back zone {CHANGED_ZONE}"), false).await?;
+    let before = work(fleet).await?;
+    while work(fleet).await? == before && returned.elapsed() < DEADLINE {
+        actix_rt::time::sleep(POLL).await;
+    }
+    findings.back = returned.elapsed();
+    observe(OUT_OBSERVED, "back", traffic).await;
+    Ok(())
+}
+
+async fn observe(span: time::Duration, state: &str, traffic: &traffic::Traffic) {
+    let start = time::Instant::now();
+    while start.elapsed() < span {
+        Progress.print(&format!("{CHANGED_ZONE} is {state}; {}", live(traffic)));
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
+/// Returns the requests that the endpoints of the changed zone have received.
+async fn work(fleet: &fleet::Fleet) -> Result<u64> {
+    let mut work = sum(fleet, &format!("engine-runner-{CHANGED_ZONE}"), "accepted").await?;
+    for service in SERVICES {
+        let name = format!("service-{service}-{CHANGED_ZONE}");
+        work += sum(fleet, &name, "calls").await? + sum(fleet, &name, "lists").await?;
+    }
+    Ok(work)
+}
+
+/// Returns how many purchases are recorded once, and how many more often.
+async fn records(fleet: &fleet::Fleet, counts: &traffic::Counts) -> Result<(usize, usize)> {
+    let mut recorded: BTreeMap<(String, String), usize> = BTreeMap::new();
+    for service in SERVICES {
+        for zone in ZONES {
+            let path = format!("/v1/{service}/records");
+            let list = fleet.json("GET", &format!("service-{service}-{zone}"), &path, None).await?;
+            for record in list.as_array().into_iter().flatten() {
+                // The body of a purchase is its key; the service is given the attempt's id as its key.
+                let key = record["body"].as_str().unwrap_or_default();
+                *recorded.entry((service.to_owned(), key.to_owned())).or_default() += 1;
+            }
+        }
+    }
+    let once = counts.purchases.iter().filter(|purchase| recorded.get(*purchase) == Some(&1));
+    Ok((once.count(), recorded.values().filter(|count| **count > 1).count()))
+}
+
+/// The line that shows how far a step is; nothing is shown where standard error is not a terminal.
+struct Progress;
+
+impl Progress {
+    fn print(&self, text: &str) {
+        Self::write(&format!("\r\x1b[K{text}"));
+    }
+
+    fn clear(&self) {
+        Self::write("\r\x1b[K");
+    }
+
+    fn write(text: &str) {
+        let mut out = io::stderr();
+        if out.is_terminal() {
+            // Progress that cannot be shown does not stop the demonstration.
+            let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        }
+    }
+}
--- a/crates/chestnutpick_scenario/src/fleet.rs
+++ b/crates/chestnutpick_scenario/src/fleet.rs
@@ -242,6 +242,41 @@
         self.names().into_iter().filter(|name| name.starts_with("runner-")).collect()
     }
 
+    /// Leaves the directory of settings and logs in place, and returns it.
+    pub fn keep(&mut self) -> path::PathBuf {
+        self.directory.disable_cleanup(true);
+        self.directory.path().to_owned()
+    }
+
+    /// Ends all processes gracefully, each kind before those that it needs; returns those that did not end with status 0.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] when a process cannot be signalled or does not end.
+    pub fn end(&mut self, deadline: time::Duration) -> Result<Vec<(String, i32)>> {
+        let rank = |process: &process::Process| match process.program() {
+            "chestnutpick-entry" => 0,
+            "chestnutpick-agent" => 1,
+            _ => 2,
+        };
+        let mut failed = Vec::new();
+        for turn in 0..3 {
+            let ranked = self.processes.iter().filter(|(_, process)| rank(process) == turn);
+            let names: Vec<_> = ranked.map(|(name, _)| name.clone()).collect();
+            for name in &names {
+                // One that has ended before is found by its status.
+                let _ = self.signal(name, process::Signal::Terminate);
+            }
+            for name in names {
+                match self.wait(&name, deadline)? {
+                    0 => {}
+                    status => failed.push((name, status)),
+                }
+            }
+        }
+        Ok(failed)
+    }
+
     /// Sends a signal to a process.
     ///
     /// # Errors
--- a/crates/chestnutpick_scenario/src/lib.rs
+++ b/crates/chestnutpick_scenario/src/lib.rs
@@ -2,6 +2,8 @@
 //! small test language.
 
 pub mod caller;
+pub mod demo;
 pub mod fleet;
 pub mod plan;
 pub mod process;
+pub mod traffic;
--- a/crates/chestnutpick_scenario/src/process.rs
+++ b/crates/chestnutpick_scenario/src/process.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io;
 use std::net;
-use std::os::unix::process::ExitStatusExt;
+use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path;
 use std::process;
 use std::thread;
@@ -104,6 +104,8 @@
         let mut child = process::Command::new(&command.program)
             .arg("--settings")
             .arg(&settings)
+            // Ctrl-C at the terminal goes to the parent only, which ends its children in order.
+            .process_group(0)
             .stdin(process::Stdio::null())
             .stdout(process::Stdio::null())
             .stderr(log)
@@ -126,6 +128,11 @@
         &self.command.name
     }
 
+    /// Returns the file name of its program.
+    pub fn program(&self) -> &str {
+        self.command.program.file_name().and_then(|name| name.to_str()).unwrap_or_default()
+    }
+
     /// Returns its process id.
     pub fn id(&self) -> u32 {
         self.child.id()
