--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -196,6 +196,7 @@
             Ok(None) => return true,
             Err(reason) => {
                 event::Event::new("stream_broken").with("reason", reason).warn();
+                node.look.notify_one();
                 return false;
             }
         }
--- a/crates/chestnutpick_agent/src/engine.rs
+++ b/crates/chestnutpick_agent/src/engine.rs
@@ -43,6 +43,7 @@
         }
         tokio::select! {
             () = stop.cancelled() => {}
+            () = node.look.notified() => {}
             () = actix_rt::time::sleep(POLL) => {}
         }
     }
--- a/crates/chestnutpick_agent/src/node.rs
+++ b/crates/chestnutpick_agent/src/node.rs
@@ -14,6 +14,7 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, error, id, size, time};
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::chunks;
 use crate::settings;
@@ -75,6 +76,8 @@
     pub store: store::HttpStore,
     /// The host list.
     pub list: hosts::HttpHostList,
+    /// Signalled when the engine's status should be read at once.
+    pub look: Notify,
     leaving: cell::Cell<bool>,
 }
 
@@ -109,6 +112,7 @@
             origin: origin::HttpOrigin::new(client.clone(), settings.platform.origin, timeout),
             store: store::HttpStore::new(client.clone(), settings.platform.store, timeout),
             list: hosts::HttpHostList::new(client.clone(), settings.platform.hosts, timeout),
+            look: Notify::new(),
             leaving: cell::Cell::new(false),
             client,
             settings,
--- a/crates/chestnutpick_entry/src/claims.rs
+++ b/crates/chestnutpick_entry/src/claims.rs
@@ -56,6 +56,8 @@
 
     /// Lets timers act.
     pub fn tick(&self, node: &rc::Rc<node::Node>) {
+        // The wall clock may be set while the process runs.
+        self.coordinator.borrow_mut().set_epoch(time::unix_now().since(node.now()));
         let due = self.coordinator.borrow().next_deadline().is_some_and(|at| at <= node.now());
         if due {
             let actions = self.coordinator.borrow_mut().tick(node.now());
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -29,6 +29,9 @@
 /// endpoint that runs it must not reach a third one.
 const MAX_LOST: usize = 2;
 
+/// Time within which the records of a crash arrive by heartbeat.
+const RECORDS_LAG: time::Millis = time::Millis::from_secs(3);
+
 /// Most attempts for one request, lost or refused.
 const MAX_ATTEMPTS: usize = 8;
 
@@ -203,6 +206,10 @@
     node: &node::Node,
     fingerprint: &digest::Digest,
 ) -> Result<Option<u64>, error::Refusal> {
+    node.refused.borrow_mut().retain(|_, until| *until > node.now());
+    if node.refused.borrow().contains_key(fingerprint) {
+        return Err(quarantined());
+    }
     match node.suspects.borrow().standing(time::unix_now(), fingerprint) {
         suspects::Standing::Clear => Ok(None),
         suspects::Standing::Suspect => Ok(Some(fingerprint.prefix())),
@@ -227,13 +234,9 @@
 ) -> Result<Started, error::Refusal> {
     loop {
         if completion.attempts > 0 {
-            completion.ask.suspect = match completion.lost {
-                0 => check_standing(node, &completion.fingerprint)?,
-                _ => {
-                    check_standing(node, &completion.fingerprint)?;
-                    Some(completion.fingerprint.prefix())
-                }
-            };
+            let standing = check_standing(node, &completion.fingerprint)?;
+            let lost = (completion.lost > 0).then(|| completion.fingerprint.prefix());
+            completion.ask.suspect = standing.or(lost);
         }
         let placement = dispatch::place(node, completion.ask.clone()).await?;
         completion.attempts += 1;
@@ -243,7 +246,7 @@
             Err(refusal) => refusal,
         };
         event::Event::new("attempt_failed").with("host", &host).with("reason", &refusal).info();
-        note_failure(completion, host, refusal.kind);
+        note_failure(node, completion, host, refusal.kind);
         if !may_retry(node, completion, refusal.kind) {
             return Err(refusal);
         }
@@ -251,10 +254,18 @@
 }
 
 /// Notes that an attempt did not bring the answer.
-pub fn note_failure(completion: &mut Completion, host: id::HostId, kind: error::ErrorKind) {
+pub fn note_failure(
+    node: &node::Node,
+    completion: &mut Completion,
+    host: id::HostId,
+    kind: error::ErrorKind,
+) {
     if kind == error::ErrorKind::EndpointLost {
         completion.lost += 1;
     }
+    if completion.lost >= MAX_LOST {
+        node.refused.borrow_mut().insert(completion.fingerprint, node.now() + RECORDS_LAG);
+    }
     if kind.answer().ran != error::Ran::NotRun && !completion.ask.exclude.contains(&host) {
         completion.ask.exclude.push(host);
     }
--- a/crates/chestnutpick_entry/src/control.rs
+++ b/crates/chestnutpick_entry/src/control.rs
@@ -71,7 +71,7 @@
         let out = config.index().zones_out().iter().cloned().collect();
         self.table.borrow_mut().set_zones_out(out);
         let document = config.document();
-        for queue in [&self.completions, &self.calls] {
+        for queue in self.queues() {
             let mut queue = queue.borrow_mut();
             for (id, workspace) in &document.workspaces {
                 queue.set_weight(id, workspace.weight);
--- a/crates/chestnutpick_entry/src/dispatch.rs
+++ b/crates/chestnutpick_entry/src/dispatch.rs
@@ -85,6 +85,7 @@
 fn queue_of<'a>(node: &'a node::Node, ask: &Ask) -> &'a cell::RefCell<queue::Queue<Waiting>> {
     match ask.targets.first() {
         Some(Target::Service(_)) => &node.calls,
+        Some(Target::Weights(_)) if ask.suspect.is_some() => &node.isolated,
         Some(Target::Weights(_)) | None => &node.completions,
     }
 }
@@ -176,7 +177,7 @@
 
 /// Gives free endpoints to waiting requests.
 pub fn pump(node: &node::Node) {
-    for queue in [&node.completions, &node.calls] {
+    for queue in node.queues() {
         while let Some((waiting, (host, target, address))) = pop(node, queue) {
             let placement = reserve(&waiting.node, &waiting.ask, host, target, address);
             // A caller that has gone away drops the placement, which frees the capacity.
@@ -201,7 +202,7 @@
 
 /// Refuses the requests whose deadline has passed in the queue.
 pub fn expire(node: &node::Node) {
-    for queue in [&node.completions, &node.calls] {
+    for queue in node.queues() {
         let expired = queue.borrow_mut().expire(node.now());
         for waiting in expired {
             event::Event::new("queue_expired").with("workspace", &waiting.ask.workspace).info();
--- a/crates/chestnutpick_entry/src/node.rs
+++ b/crates/chestnutpick_entry/src/node.rs
@@ -11,7 +11,7 @@
 use chestnutpick_routing::{budget, queue, suspects, table};
 use chestnutpick_rpc::message;
 use chestnutpick_telemetry::event;
-use chestnutpick_types::{id, size, time};
+use chestnutpick_types::{digest, id, size, time};
 use rand_core::SeedableRng;
 use serde_json::json;
 use tokio::sync::Notify;
@@ -59,6 +59,11 @@
     pub completions: cell::RefCell<queue::Queue<dispatch::Waiting>>,
     /// Calls of plain services that wait for an endpoint; apart from completions, so that neither blocks the other.
     pub calls: cell::RefCell<queue::Queue<dispatch::Waiting>>,
+    /// Completions that are suspected of crashing endpoints; each waits for one endpoint and must not hold up others.
+    pub isolated: cell::RefCell<queue::Queue<dispatch::Waiting>>,
+    /// Fingerprints that lost two endpoints here, and until when they are refused; bridges the time until the crash
+    /// records arrive by heartbeat.
+    pub refused: cell::RefCell<collections::HashMap<digest::Digest, time::Millis>>,
     /// Retry budget.
     pub budget: cell::RefCell<budget::RetryBudget>,
     /// Fingerprints that were in flight at crashes.
@@ -109,6 +114,8 @@
             table: cell::RefCell::new(table::Table::new(1)),
             completions: cell::RefCell::new(queue::Queue::new(limits)),
             calls: cell::RefCell::new(queue::Queue::new(limits)),
+            isolated: cell::RefCell::new(queue::Queue::new(limits)),
+            refused: cell::RefCell::default(),
             budget: cell::RefCell::new(budget::RetryBudget::new(requests.retry_percent)),
             suspects: cell::RefCell::default(),
             buffers: buffers::Buffers::new(size::Bytes(requests.buffer_bytes)),
@@ -130,6 +137,11 @@
         self.clock.now()
     }
 
+    /// Returns the queues of waiting requests.
+    pub fn queues(&self) -> [&cell::RefCell<queue::Queue<dispatch::Waiting>>; 3] {
+        [&self.completions, &self.calls, &self.isolated]
+    }
+
     /// Turns readiness off.
     pub fn leave(&self) {
         self.leaving.set(true);
@@ -240,6 +252,7 @@
             "endpoints": self.table.borrow().dump(),
             "waiting_completions": self.completions.borrow().dump(),
             "waiting_calls": self.calls.borrow().dump(),
+            "waiting_suspects": self.isolated.borrow().dump(),
             "retries": self.budget.borrow().dump(),
             "suspects": self.suspects.borrow().dump(),
             "buffers": self.buffers.dump(),
--- a/crates/chestnutpick_entry/src/services.rs
+++ b/crates/chestnutpick_entry/src/services.rs
@@ -19,6 +19,9 @@
 /// Memory units that a call counts as. Agents use the same.
 const CALL_COST: size::Tokens = size::Tokens(1);
 
+/// Age from which an agent can vouch for claims: twice the clock difference that claims allow for.
+const ESTABLISHED: time::Millis = time::Millis::from_secs(4);
+
 /// Most attempts of one call.
 const MAX_ATTEMPTS: usize = 4;
 
@@ -165,6 +168,7 @@
     let body = body_digest(call);
     for attempts in 1.. {
         let placement = dispatch::place(node, ask.clone()).await?;
+        wait_until_established(node, &placement.host).await;
         let (host, attempt) = (placement.host.clone(), id::AttemptId::random());
         let claim = claim::Call {
             workspace: ask.workspace.clone(),
@@ -204,6 +208,18 @@
     Err(error::Refusal::new(error::ErrorKind::NoEndpoint, "no endpoint took the call"))
 }
 
+/// Waits until the agent is older than the clock difference that claims allow for. A younger one cannot tell a claim made
+/// after its start from one that an earlier incarnation may have barred, and answers that the outcome is unknown.
+async fn wait_until_established(node: &node::Node, host: &id::HostId) {
+    let started = node.seen.borrow().get(host).map(|seen| time::Millis(seen.report.incarnation));
+    let established = started.map_or(time::Millis::ZERO, |started| started + ESTABLISHED);
+    let wait = established.since(time::unix_now()).min(ESTABLISHED);
+    if wait > time::Millis::ZERO {
+        event::Event::new("agent_young").with("host", host).with("wait", wait).info();
+        actix_rt::time::sleep(wait.to_duration()).await;
+    }
+}
+
 /// The key stands for method, path and body together; another call under the same key is an error of the caller.
 fn body_digest(call: &Call) -> digest::Digest {
     let mut hasher = digest::Hasher::default();
--- a/crates/chestnutpick_entry/src/settings.rs
+++ b/crates/chestnutpick_entry/src/settings.rs
@@ -109,7 +109,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Claims {
-    /// Shard documents in the store; the same on every entry.
+    /// Shard documents in the store; the same on every entry. Sustained claims a second are bounded by 2,000 records a
+    /// shard over the retention period: 5.9 with the defaults.
     pub shards: u32,
     /// Claims and results in one write.
     pub batch: usize,
@@ -119,7 +120,7 @@
 
 impl Default for Claims {
     fn default() -> Self {
-        Self { shards: 64, batch: 64, retention_ms: 24 * 3_600 * 1_000 }
+        Self { shards: 256, batch: 64, retention_ms: 24 * 3_600 * 1_000 }
     }
 }
 
--- a/crates/chestnutpick_entry/src/stream.rs
+++ b/crates/chestnutpick_entry/src/stream.rs
@@ -259,7 +259,7 @@
                 .with("attempt", &source.attempt)
                 .info();
             let kind = error::ErrorKind::EndpointLost;
-            completions::note_failure(&mut self.completion, host, kind);
+            completions::note_failure(&self.node, &mut self.completion, host, kind);
             source.placement.fail(kind);
         }
     }
