Test a transfer through an outage of the origin

Cause: no test showed that a transfer neither gives up nor asks without pause while the origin is down.

Ruled out: a fixed delay between tries, which the policy does not have; the delay doubles up to 8 s.

Change: one test in which the first hundred requests to the origin time out.

--- a/crates/chestnutpick_weights/tests/transfer.rs
+++ b/crates/chestnutpick_weights/tests/transfer.rs
@@ -203,3 +203,17 @@
     }
     assert!(requests <= 2 * 15, "{requests} requests to two peers in 10 s; {:?}", peer(3));
 }
+
+// Guards against a transfer that gives up, or asks all the time, while the origin is down.
+#[test]
+fn an_origin_outage_is_survived_with_few_requests() {
+    let mut transfer = support::start(0, CHUNKS, support::members(1, 1), 1);
+    let mut requests = 0;
+    let log = run(&mut transfer, Millis(300_000), |_, _| {
+        requests += 1;
+        Some(if requests <= 100 { Err(Failure::Timeout) } else { Ok(()) })
+    });
+    assert_eq!(transfer.state(), State::Done);
+    let early = log.iter().filter(|(at, _, _)| *at < Millis(20_000)).count();
+    assert!(early <= 8 * CHUNKS, "{early} requests in 20 s for {CHUNKS} chunks");
+}
