Adapt the lag test to the engine's report lag, and the load tool to the control protocol

Cause: load_of_others_counts_but_lag_does_not spaced the engine's statuses 1 ms apart and expected the load of others after two of them; since the window became one second of time (an engine that lags by 500 ms blocked a cold endpoint's only slot) the test failed with "left: Load { slots: 0 }, right: Load { slots: 8 }".

Change: the test now also asserts that nothing is counted just before the lag has passed, and that it is after three lags.

--- a/crates/chestnutpick_admission/tests/table.rs
+++ b/crates/chestnutpick_admission/tests/table.rs
@@ -210,8 +210,12 @@
     }
     run(&mut table, 10..14);
     done(&mut table, (4..8).chain(10..14));
-    for ms in 8..11 {
-        table.on_engine_status(time::Millis(ms), &status::Status { load: all, ..status(1) });
+    let late = time::Millis(table::REPORT_LAG.0 - 1);
+    table.on_engine_status(late, &status::Status { load: all, ..status(1) });
+    assert_eq!(table.report().load, limits::Load::default());
+    for lags in 1..=3 {
+        let now = time::Millis(7 + lags * table::REPORT_LAG.0);
+        table.on_engine_status(now, &status::Status { load: all, ..status(1) });
     }
     assert_eq!(table.report().load, all);
     assert_eq!(refusal(&mut table, &request(20, 1)), Some(error::ErrorKind::EndpointFull));
--- a/crates/chestnutpick_load/src/run.rs
+++ b/crates/chestnutpick_load/src/run.rs
@@ -106,6 +106,9 @@
             caller::CallerError::Refused { kind, ran, .. } => {
                 *self.refused.entry(format!("{kind}/{ran}")).or_default() += 1;
             }
+            caller::CallerError::Unreachable { .. } => {
+                *self.refused.entry("unreachable/not_run".to_owned()).or_default() += 1;
+            }
             caller::CallerError::Cut { .. } => self.cut += 1,
             caller::CallerError::Mixed { .. } => self.mixed += 1,
         }
--- a/crates/chestnutpick_load/src/slopes/wire.rs
+++ b/crates/chestnutpick_load/src/slopes/wire.rs
@@ -33,7 +33,7 @@
 }
 
 impl server::Handler for Peer {
-    fn heartbeat(&self, _: id::HostId, _: u64, _: Vec<suspects::Record>) -> message::Report {
+    fn heartbeat(&self, _: message::Beat) -> message::Report {
         self.cpu.store(process::thread_cpu_ns(), atomic::Ordering::Relaxed);
         self.report.clone()
     }
@@ -137,8 +137,14 @@
     known: &[suspects::Record],
     times: u64,
 ) -> Result<(), String> {
+    let beat = message::Beat {
+        sender: host.clone(),
+        revision: 19_000,
+        suspects: known.to_vec(),
+        permits: Vec::new(),
+    };
     for _ in 0..times {
-        connection.heartbeat(host, 19_000, known).await.map_err(text)?;
+        connection.heartbeat(&beat).await.map_err(text)?;
     }
     Ok(())
 }
