--- a/crates/chestnutpick_config/src/watch.rs
+++ b/crates/chestnutpick_config/src/watch.rs
@@ -77,6 +77,8 @@
     seed: u64,
     state: State,
     version: u64,
+    /// Size of the last document read.
+    size: size::Bytes,
     call: u64,
     failures: u32,
     silent: u64,
@@ -92,7 +94,15 @@
     /// ```
     pub fn new(host: &id::HostId) -> Self {
         let seed = digest::Digest::of(host.as_str().as_bytes()).prefix();
-        Self { seed, state: State::Idle, version: 0, call: 0, failures: 0, silent: 0 }
+        Self {
+            seed,
+            state: State::Idle,
+            version: 0,
+            size: size::Bytes(0),
+            call: 0,
+            failures: 0,
+            silent: 0,
+        }
     }
 
     /// Tells whether the process is a reader now.
@@ -144,7 +154,10 @@
             Answer::Changed { version, document, size } => {
                 self.failures = 0;
                 self.version = version;
-                self.state = State::Waiting { until: now + self.pause(size) };
+                self.size = size;
+                let full = self.full_pause();
+                let pause = time::Millis(full + self.spread(full / 2));
+                self.state = State::Waiting { until: now + pause };
                 vec![Action::Offer(document)]
             }
             Answer::Unchanged => {
@@ -158,28 +171,43 @@
         }
     }
 
-    /// Returns the pause after a document. It differs between readers and from call to call: readers that all paused
-    /// together would delay the next change for everyone, whereas one that watches is enough, as others learn from it.
-    fn pause(&self, size: size::Bytes) -> time::Millis {
-        let full = (size.0 * 1_000 / READ_RATE).min(MAX_PAUSE.0);
-        let mixed = digest::Digest::of(format!("{}/{}", self.seed, self.call).as_bytes()).prefix();
-        time::Millis(full + mixed % (full / 2 + 1))
+    /// Returns the longest pause for documents of the last size.
+    fn full_pause(&self) -> u64 {
+        (self.size.0 * 1_000 / READ_RATE).min(MAX_PAUSE.0)
+    }
+
+    /// Returns a number below `limit` that differs between readers and versions. Readers that all paused together would
+    /// delay the next change for everyone, whereas one that watches is enough, as others learn from it.
+    fn spread(&self, limit: u64) -> u64 {
+        let text = format!("{}/{}", self.seed, self.version);
+        digest::Digest::of(text.as_bytes()).prefix() % limit.max(1)
     }
 
     /// Tells that the replica has reached this version of the value through a peer, so that the next watch does not
-    /// fetch it again. Only for a store whose version of the value equals the document's revision; a version that the
-    /// store never had makes the next watch return at once.
+    /// fetch it again. A pause is prolonged as well, to between a third and one and a half of the full pause from now:
+    /// the replica is as fresh as after reading. While changes reach a reader through peers it hardly reads from the store.
+    ///
+    /// Only for a store whose version of the value equals the document's revision; a version that the store never had
+    /// makes the next watch return at once.
     ///
     /// ```
     /// use chestnutpick_config::watch;
     /// use chestnutpick_types::time;
     /// let mut watcher = watch::Watcher::new(&"entry-1".parse().unwrap());
-    /// watcher.advance(7);
+    /// watcher.advance(time::Millis(0), 7);
     /// let actions = watcher.set_reader(time::Millis(0), true);
     /// assert!(matches!(actions[..], [watch::Action::Watch { version: 7, .. }]));
     /// ```
-    pub fn advance(&mut self, version: u64) {
-        self.version = self.version.max(version);
+    pub fn advance(&mut self, now: time::Millis, version: u64) {
+        if version <= self.version {
+            return;
+        }
+        self.version = version;
+        let full = self.full_pause();
+        let fresh = now + time::Millis(full / 3 + self.spread(full + full / 6));
+        if let State::Waiting { until } = &mut self.state {
+            *until = fresh.max(*until);
+        }
     }
 
     fn fail(&mut self, now: time::Millis) {
--- a/crates/chestnutpick_config/tests/readers.rs
+++ b/crates/chestnutpick_config/tests/readers.rs
@@ -139,15 +139,25 @@
     assert!(distinct.last().unwrap().since(*distinct.first().unwrap()) > Millis(2_000));
 }
 
-/// Guards against a reader fetching from the store what it has from a peer.
+/// Guards against a reader fetching from the store what it has from a peer, and against a pause that outlasts the bound for
+/// a change in force.
 #[test]
 fn known_version_is_not_fetched() {
     let mut watcher = watching();
-    watcher.on_answer(Millis(0), 1, changed(3, 600));
-    watcher.advance(5);
-    watcher.advance(4);
+    watcher.on_answer(Millis(0), 1, changed(3, 900_000));
+    let first = watcher.next_deadline().unwrap();
+    for version in 4..20 {
+        let now = Millis(version * 1_000);
+        watcher.advance(now, version);
+        watcher.advance(now, version - 1);
+        let due = watcher.next_deadline().unwrap();
+        assert!(due >= first && due.since(now).0 <= MAX_PAUSE.0 * 3 / 2);
+        assert!(version < 10 || due.since(now).0 >= MAX_PAUSE.0 / 3);
+    }
     let due = watcher.next_deadline().unwrap();
-    assert!(matches!(watcher.on_tick(due)[..], [Action::Watch { version: 5, .. }]));
+    assert!(matches!(watcher.on_tick(due)[..], [Action::Watch { version: 19, .. }]));
+    watcher.advance(due, 20);
+    assert_eq!(watcher.next_deadline(), Some(due + WATCH_WAIT + GRACE), "a watch goes on");
 }
 
 /// Guards against a reader that waits forever on a silent connection, and against the answers of abandoned calls.
