Work out the capacity at the target from measured slopes

Histograms were clipped at 2 us at first because saturating_record does not resize; they now have a fixed range.

--- a/crates/chestnutpick_load/src/cli.rs
+++ b/crates/chestnutpick_load/src/cli.rs
@@ -47,7 +47,11 @@
     #[options(help = "print this help and exit")]
     pub help: bool,
     /// Entries to load.
-    #[options(help = "address of an entry, ip:port; repeat it for several", meta = "ADDR")]
+    #[options(
+        help = "address of an entry, ip:port; repeat it for several",
+        meta = "ADDR",
+        parse(try_from_str = "address")
+    )]
     pub entry: Vec<net::SocketAddr>,
     /// Version and content digests that answers may come from.
     #[options(
@@ -137,7 +141,8 @@
     /// Parts.
     #[options(
         help = "only this part: table, wire, config, idle, traffic, claims; repeatable",
-        meta = "PART"
+        meta = "PART",
+        parse(try_from_str = "part")
     )]
     pub part: Vec<slopes::Part>,
 }
@@ -157,6 +162,15 @@
     }
 }
 
+// The errors of the standard parsers do not name the value.
+fn address(text: &str) -> Result<net::SocketAddr, String> {
+    text.parse().map_err(|_| format!("{text:?} is not an address, ip:port"))
+}
+
+fn part(text: &str) -> Result<slopes::Part, String> {
+    text.parse().map_err(|_| format!("{text:?} is not a part that can be measured"))
+}
+
 /// Runs the command of `arguments`; returns the exit status, [`WRONG_USE`] for wrong use.
 ///
 /// ```
--- a/crates/chestnutpick_load/src/latency.rs
+++ b/crates/chestnutpick_load/src/latency.rs
@@ -27,9 +27,9 @@
     /// assert_eq!(chestnutpick_load::latency::Latency::new().count(), 0);
     /// ```
     pub fn new() -> Self {
-        let mut histogram = Histogram::new(DIGITS).unwrap_or_else(|_| unreachable!("3 is valid"));
-        histogram.auto(true);
-        Self(histogram)
+        // Neither limit can be refused: the highest is at least 2 and there are at most 5 digits.
+        let histogram = Histogram::new_with_max(HIGHEST_US, DIGITS);
+        Self(histogram.unwrap_or_else(|_| unreachable!("valid limits")))
     }
 
     /// Records the time from `due` to `done`. A request that was due at 0 s, sent late at 2 s and answered at 3 s counts
--- a/crates/chestnutpick_load/src/setup.rs
+++ b/crates/chestnutpick_load/src/setup.rs
@@ -1,5 +1,6 @@
 //! A fleet that is configured and serves.
 
+use std::cell;
 use std::net;
 use std::time;
 
@@ -11,6 +12,10 @@
 /// Longest wait for a fleet to serve; generous, because the machine may be busy.
 const DEADLINE: time::Duration = time::Duration::from_secs(90);
 
+/// Age from which agents run claimed calls: one that is younger than the clock skew that claims allow for
+/// (`chestnutpick_claims::config`) answers that the outcome is unknown, because it cannot rule out an earlier attempt.
+const AGENT_AGE: time::Duration = time::Duration::from_secs(6);
+
 /// Bytes of the published weights and of a chunk; small, because transfers are not measured here.
 const WEIGHTS: (u64, u64) = (1 << 20, 256 << 10);
 
@@ -53,6 +58,7 @@
     pub contents: Vec<(digest::Digest, digest::Digest)>,
     /// Addresses of its entries.
     pub entries: Vec<net::SocketAddr>,
+    probes: cell::Cell<u64>,
 }
 
 /// Returns a plan of a size; every engine bears `slots` requests from the beginning.
@@ -114,8 +120,12 @@
         done.map_err(|reason| format!("{command}: {reason}"))?;
     }
     let entries = fleet.entries();
-    let ready = Ready { fleet, contents: vec![(version, content)], entries };
+    let ready =
+        Ready { fleet, contents: vec![(version, content)], entries, probes: cell::Cell::new(0) };
     ready.wait(slots).await?;
+    if ready.fleet.names().iter().any(|name| name.starts_with("service-")) {
+        actix_rt::time::sleep(AGENT_AGE).await;
+    }
     Ok(ready)
 }
 
@@ -154,6 +164,7 @@
     /// Agents are cold at first and their limit grows with completed work, so the probe is also what warms them.
     async fn probe(&self, slots: u32) -> Result<(), String> {
         let mut open = true;
+        self.probes.set(self.probes.get() + 1);
         for entry in self.fleet.names().iter().filter(|name| name.starts_with("entry-")) {
             let address = self.fleet.address(entry).map_err(|reason| reason.to_string())?;
             let tries = (0..16).map(|number| self.ask(address, number));
@@ -169,7 +180,8 @@
     async fn ask(&self, address: net::SocketAddr, number: usize) -> Result<(), String> {
         let ask = caller::Ask {
             workspace: "bench".to_owned(),
-            prompt: format!("warm-up {number}"),
+            // The same prompts again would go to the endpoints that have cached them and leave the others cold.
+            prompt: format!("{} warm-up {number}", self.probes.get()),
             tokens: 2,
             contents: self.contents.clone(),
         };
--- a/crates/chestnutpick_load/src/slopes/idle.rs
+++ b/crates/chestnutpick_load/src/slopes/idle.rs
@@ -27,6 +27,10 @@
 
 pub(super) async fn measure(runs: usize) -> Result<(), String> {
     let usual = fleet(USUAL_MS).await?;
+    let list = usual.fleet.json("GET", "hosts", "/v1/hosts", None).await.map_err(text)?;
+    let hosts = list.as_array().map_or(0, Vec::len).max(1);
+    let bytes = list.to_string().len() as f64 / hosts as f64;
+    print("host_list_bytes_per_host", &[bytes].into_iter().collect(), "B");
     let shares = watch(&usual, runs, true).await?;
     print("idle_entry_17_agents_cpu", &shares.entry, "% of a core");
     print("idle_agent_cpu", &shares.agent, "% of a core");
