Bound what slow readers hold in the kernel and in parked buffers

Ruled out: dropping a parked stream's frames (its engine would generate them again for every rest).

Change: accepted connections ask for 64 KiB of send buffer; a response's buffer is 12 KiB before backpressure, 24 KiB at most and resumes at 4 KiB, so that 2,000 parked streams stay below the soft limit of 24 MiB.

--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -24,6 +24,10 @@
 /// cost 64 MB for 2,000 slow readers.
 const WRITE_BUFFER: usize = 8 << 10;
 
+/// Size asked of the operating system for a connection's send buffer. Left alone, Linux took 2.2 to 2.8 MB for each slow
+/// reader on loopback before the process noticed that it was slow. 64 KiB holds 1 MB/s over a round trip of 60 ms.
+const SEND_BUFFER: usize = 64 << 10;
+
 /// Pause after a failed accept, most often for lack of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -111,6 +115,8 @@
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
 {
+    // A failure leaves the system's default, which costs memory only.
+    let _ = rustix::net::sockopt::set_socket_send_buffer_size(&connection, SEND_BUFFER);
     let service = fn_service(move |request: http::Request| {
         let response = handler(request);
         let stop = stop.clone();
--- a/crates/chestnutpick_streams/src/buffer.rs
+++ b/crates/chestnutpick_streams/src/buffer.rs
@@ -44,9 +44,9 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            low: size::Bytes(16 << 10),
-            high: size::Bytes(64 << 10),
-            limit: size::Bytes(128 << 10),
+            low: size::Bytes(4 << 10),
+            high: size::Bytes(12 << 10),
+            limit: size::Bytes(24 << 10),
             soft: size::Bytes::from_mib(24),
             hard: size::Bytes::from_mib(32),
             patience: time::Millis::from_secs(5),
