--- a/crates/chestnutpick_scenario/tests/scenarios.rs
+++ b/crates/chestnutpick_scenario/tests/scenarios.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 
 /// Fleets at a time; more of them delay each other so much that their timeouts pass.
-const FLEETS: usize = 2;
+const FLEETS: usize = 4;
 
 static RUNNING: (sync::Mutex<usize>, sync::Condvar) = (sync::Mutex::new(0), sync::Condvar::new());
 
