Lose at most two engines to a request that crashes them

Cause: scenario crashing_request printed "actual: 3" (then 4) engines lost instead of at most 2. The agent ended an attempt as lost when its stream broke, before the crash was noticed, so its fingerprint was not in the crash record; an engine that is down closes connections without an answer, which the agent did not take for a crash until the restart a second later; and the caller learnt of the failure before the records reached the other entry, through which it sent the request again.

--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -90,7 +90,12 @@
     };
     match node.engine.generate(generate).await {
         Ok(response) => relay_or_refuse(node, head, running, response).await,
-        Err(reason) => Err(not_started(running, &reason)),
+        Err(reason) => {
+            if !reason.is_not_sent() {
+                node.on_broken(head.fingerprint);
+            }
+            Err(not_started(running, &reason))
+        }
     }
 }
 
@@ -170,34 +175,49 @@
     respond::set_header(&mut response, "x-attempt-id", head.attempt.as_str());
     respond::set_header(&mut response, "x-weights-digest", &head.digest.to_string());
     actix_rt::spawn(async move {
-        if forward(&node, &sender, upstream).await {
-            running.end(attempt::Outcome::Done(node::Stored::default()));
-        } else {
-            cancel(&node, head.attempt);
+        match forward(&node, &sender, upstream).await {
+            Ended::Whole => running.end(attempt::Outcome::Done(node::Stored::default())),
+            Ended::Unwanted => cancel(&node, head.attempt),
+            Ended::Broken => {
+                node.on_broken(head.fingerprint);
+                cancel(&node, head.attempt);
+            }
         }
     });
     response
 }
 
-/// Forwards the stream; returns whether the engine ended it by itself.
-async fn forward(node: &node::Node, sender: &body::Sender, mut upstream: client::Response) -> bool {
+/// How a stream ended.
+enum Ended {
+    /// The engine ended it by itself.
+    Whole,
+    /// The entry went away.
+    Unwanted,
+    /// The engine broke it off or fell silent.
+    Broken,
+}
+
+async fn forward(
+    node: &node::Node,
+    sender: &body::Sender,
+    mut upstream: client::Response,
+) -> Ended {
     let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
     loop {
         let piece = tokio::select! {
-            () = sender.closed() => return false,
+            () = sender.closed() => return Ended::Unwanted,
             piece = upstream.next(timeout) => piece,
         };
         match piece {
             Ok(Some(piece)) => {
                 if sender.send(piece).await.is_err() {
-                    return false;
+                    return Ended::Unwanted;
                 }
             }
-            Ok(None) => return true,
+            Ok(None) => return Ended::Whole,
             Err(reason) => {
                 event::Event::new("stream_broken").with("reason", reason).warn();
-                node.look.notify_one();
-                return false;
+                return Ended::Broken;
             }
         }
     }
--- a/crates/chestnutpick_agent/src/node.rs
+++ b/crates/chestnutpick_agent/src/node.rs
@@ -42,6 +42,9 @@
 /// Age at which a heartbeat's permits lapse.
 const PERMIT_AGE: time::Millis = time::Millis(2_000);
 
+/// Longest time between the break of an answer and the moment when the crash behind it is noticed.
+const BROKEN_AGE: time::Millis = time::Millis(3_000);
+
 /// The agent.
 pub struct Node {
     /// Its settings.
@@ -76,6 +79,8 @@
     pub store: store::HttpStore,
     /// The host list.
     pub list: hosts::HttpHostList,
+    /// Fingerprints whose answers the engine broke off, until its status tells whether it crashed.
+    pub broken: cell::RefCell<Vec<(time::Millis, digest::Digest)>>,
     /// Signalled when the engine's status should be read at once.
     pub look: Notify,
     leaving: cell::Cell<bool>,
@@ -112,6 +117,7 @@
             origin: origin::HttpOrigin::new(client.clone(), settings.platform.origin, timeout),
             store: store::HttpStore::new(client.clone(), settings.platform.store, timeout),
             list: hosts::HttpHostList::new(client.clone(), settings.platform.hosts, timeout),
+            broken: cell::RefCell::default(),
             look: Notify::new(),
             leaving: cell::Cell::new(false),
             client,
@@ -162,6 +168,22 @@
         }
     }
 
+    /// Notes that the engine broke off an answer, and has its status read at once.
+    pub fn on_broken(&self, fingerprint: digest::Digest) {
+        // A crash that was noticed first has listed the fingerprint already.
+        if self.standing(&fingerprint) == attempt::Standing::Clear {
+            self.broken.borrow_mut().push((self.now(), fingerprint));
+        }
+        self.look.notify_one();
+    }
+
+    /// Returns the fingerprints whose answers were broken off shortly before a crash was noticed.
+    pub fn take_broken(&self) -> Vec<digest::Digest> {
+        let now = self.now();
+        let broken = self.broken.take();
+        broken.into_iter().filter(|(at, _)| now.since(*at) < BROKEN_AGE).map(|(_, f)| f).collect()
+    }
+
     /// Admits an attempt, or says why not; after a refusal it has not run.
     ///
     /// # Errors
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -35,6 +35,9 @@
 /// Interval at which a held request looks at the retry budget again, one heartbeat.
 pub const HOLD: time::Millis = time::Millis(250);
 
+/// Waits before the heartbeats that collect crash records from agents, and before those that pass them on to entries.
+const RECORD_STEPS: [time::Millis; 2] = [time::Millis(150), time::Millis(150)];
+
 /// Most attempts for one request, lost or refused.
 const MAX_ATTEMPTS: usize = 8;
 
@@ -251,6 +254,7 @@
         event::Event::new("attempt_failed").with("host", &host).with("reason", &refusal).info();
         note_failure(node, completion, host, refusal.kind);
         if !await_retry(node, completion, refusal.kind).await {
+            spread_records(node, completion).await;
             return Err(refusal);
         }
     }
@@ -274,6 +278,19 @@
     }
 }
 
+/// Lets the records of two crashes reach the other entries before the caller learns of the failure, because callers send
+/// such a request again at once, and through any entry (scenario crashing_request lost a third engine).
+pub async fn spread_records(node: &node::Node, completion: &Completion) {
+    if completion.lost < MAX_LOST {
+        return;
+    }
+    for wait in RECORD_STEPS {
+        actix_rt::time::sleep(wait.to_duration()).await;
+        node.hurry.notify_waiters();
+    }
+    actix_rt::time::sleep(RECORD_STEPS[0].to_duration()).await;
+}
+
 /// Waits until another attempt may be made; returns whether it may before the deadline.
 ///
 /// A request that did not run is held while the retry budget is spent, since refusing it would lose it.
--- a/crates/chestnutpick_entry/src/stream.rs
+++ b/crates/chestnutpick_entry/src/stream.rs
@@ -268,6 +268,7 @@
     async fn resume(&mut self, from: u64) -> Vec<relay::Action> {
         self.drop_source();
         if !completions::may_retry(&self.node, &self.completion, error::ErrorKind::EndpointLost) {
+            completions::spread_records(&self.node, &self.completion).await;
             let message = "the endpoint was lost and no further attempt is allowed";
             return self
                 .relay
