Wait for the first configuration; share token estimate and start event

The estimate of tokens and the event with the addresses stood twice.

Ruled out: refusing at once (readiness is off, but the balancer needs time to notice).

Change: requests wait for the first configuration until their deadline; types::size::Tokens::estimate; process::start::announce.

--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -15,9 +15,6 @@
 use crate::node;
 use crate::settings;
 
-/// Bytes of prompt that count as one token in the cost of an attempt, the usual estimate for a byte-pair tokenizer.
-pub const BYTES_PER_TOKEN: u64 = 4;
-
 /// Body of a completion.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Completion {
@@ -35,8 +32,7 @@
     /// assert_eq!(completion.cost().0, 10);
     /// ```
     pub fn cost(&self) -> size::Tokens {
-        let prompt = size::Bytes::of_len(self.prompt.len()).0.div_ceil(BYTES_PER_TOKEN);
-        size::Tokens(prompt.saturating_add(self.max_tokens))
+        size::Tokens::estimate(&self.prompt) + size::Tokens(self.max_tokens)
     }
 }
 
--- a/crates/chestnutpick_agent/src/run.rs
+++ b/crates/chestnutpick_agent/src/run.rs
@@ -7,7 +7,7 @@
 use actix_http as http;
 use actix_rt::net;
 use chestnutpick_http::{respond, server};
-use chestnutpick_process::{page, signal};
+use chestnutpick_process::{page, signal, start};
 use chestnutpick_telemetry::{event, metric};
 use chestnutpick_types::error;
 use tokio_util::sync;
@@ -33,7 +33,7 @@
     let listener = server::bind(settings.listen).await?;
     let control = server::bind(settings.control).await?;
     let node = rc::Rc::new(node::Node::new(settings));
-    announce(&node, &listener, &control)?;
+    start::announce(&node.settings.host, &listener, &control)?;
     let stop = sync::CancellationToken::new();
     spawn_tasks(&node, &stop, control);
     let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
@@ -52,19 +52,6 @@
     Ok(())
 }
 
-fn announce(
-    node: &node::Node,
-    http: &net::TcpListener,
-    control: &net::TcpListener,
-) -> io::Result<()> {
-    event::Event::new("listening")
-        .with("http", http.local_addr()?)
-        .with("control", control.local_addr()?)
-        .with("host", &node.settings.host)
-        .info();
-    Ok(())
-}
-
 fn spawn_tasks(
     node: &rc::Rc<node::Node>,
     stop: &sync::CancellationToken,
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -19,9 +19,6 @@
 use crate::node;
 use crate::stream;
 
-/// Bytes of prompt that count as one token, the usual estimate for a byte-pair tokenizer. Agents use the same.
-const BYTES_PER_TOKEN: u64 = 4;
-
 /// Bytes of prompt whose hash decides which endpoint is likely to have the prefix cached.
 const PREFIX_BYTES: usize = 256;
 
@@ -38,6 +35,9 @@
 /// Waits before the heartbeats that collect crash records from agents, and before those that pass them on to entries.
 const RECORD_STEPS: [time::Millis; 2] = [time::Millis(150), time::Millis(150)];
 
+/// Interval at which a request looks for the first configuration.
+const CONFIG_POLL: time::Millis = time::Millis(20);
+
 /// Most attempts for one request, lost or refused.
 const MAX_ATTEMPTS: usize = 8;
 
@@ -111,6 +111,7 @@
     let workspace: id::WorkspaceId = request::required_header(request, "x-workspace")?;
     let deadline = deadline(node, request)?;
     let priority: Option<queue::Priority> = request::parsed_header(request, "x-priority")?;
+    await_config(node, deadline).await?;
     let target = target(node, &workspace)?;
     let body = request::read_body(request, size::Bytes(node.settings.requests.body_bytes)).await?;
     let parsed: Body = serde_json::from_slice(&body).map_err(|reason| {
@@ -168,6 +169,23 @@
     })
 }
 
+/// Waits for the first configuration. An entry that has just started knows no workspace, and must not answer that one does
+/// not exist.
+///
+/// # Errors
+///
+/// Returns [`error::ErrorKind::NoEndpoint`] when none has arrived before the deadline.
+pub async fn await_config(node: &node::Node, deadline: time::Millis) -> Result<(), error::Refusal> {
+    while node.config.borrow().revision() == 0 {
+        if node.now() + CONFIG_POLL >= deadline {
+            let message = "this entry has no configuration yet";
+            return Err(error::Refusal::new(error::ErrorKind::NoEndpoint, message));
+        }
+        actix_rt::time::sleep(CONFIG_POLL.to_duration()).await;
+    }
+    Ok(())
+}
+
 /// Checks that a workspace exists.
 ///
 /// # Errors
@@ -199,8 +217,7 @@
 }
 
 fn cost(body: &Body) -> size::Tokens {
-    let prompt = size::Bytes::of_len(body.prompt.len()).0.div_ceil(BYTES_PER_TOKEN);
-    size::Tokens(prompt.saturating_add(body.max_tokens))
+    size::Tokens::estimate(&body.prompt) + size::Tokens(body.max_tokens)
 }
 
 fn prefix(prompt: &str) -> u64 {
--- a/crates/chestnutpick_entry/src/services.rs
+++ b/crates/chestnutpick_entry/src/services.rs
@@ -78,6 +78,8 @@
     key: Option<id::IdempotencyKey>,
 ) -> Result<Call, error::Refusal> {
     let workspace: id::WorkspaceId = request::required_header(request, "x-workspace")?;
+    let deadline = completions::deadline(node, request)?;
+    completions::await_config(node, deadline).await?;
     completions::check_workspace(node, &workspace)?;
     let path = request.path().strip_prefix("/v1/services/").unwrap_or_default();
     let (service, rest) = path.split_once('/').unwrap_or((path, ""));
@@ -89,7 +91,7 @@
         workspace,
         priority: queue::Priority::Normal,
         cost: CALL_COST,
-        deadline: completions::deadline(node, request)?,
+        deadline,
         prefix: None,
         suspect: None,
         exclude: Vec::new(),
--- a/crates/chestnutpick_process/src/start.rs
+++ b/crates/chestnutpick_process/src/start.rs
@@ -1,8 +1,11 @@
 //! Command line and start-up.
 
+use std::fmt;
+use std::io;
 use std::path;
 use std::process;
 
+use actix_rt::net;
 use chestnutpick_settings::{check, file};
 use chestnutpick_telemetry::event;
 use gumdrop::Options;
@@ -65,3 +68,20 @@
     eprintln!("{binary}: {message}");
     process::exit(file::EXIT_STATUS)
 }
+
+/// Logs the addresses on which a process listens; with port 0 in the settings this is the only way to learn them.
+///
+/// # Errors
+///
+/// Returns the operating system's reason when a listener has no address.
+pub fn announce<H>(host: H, http: &net::TcpListener, control: &net::TcpListener) -> io::Result<()>
+where
+    H: fmt::Display,
+{
+    event::Event::new("listening")
+        .with("http", http.local_addr()?)
+        .with("control", control.local_addr()?)
+        .with("host", host)
+        .info();
+    Ok(())
+}
--- a/crates/chestnutpick_types/src/size.rs
+++ b/crates/chestnutpick_types/src/size.rs
@@ -110,6 +110,29 @@
 #[serde(transparent)]
 pub struct Tokens(pub u64);
 
+/// Bytes of text that count as one token, the usual estimate for a byte-pair tokenizer.
+const BYTES_PER_TOKEN: u64 = 4;
+
+impl Tokens {
+    /// Returns the estimated number of tokens of a text, rounded up.
+    ///
+    /// ```
+    /// use chestnutpick_types::size;
+    /// assert_eq!(size::Tokens::estimate("12345"), size::Tokens(2));
+    /// ```
+    pub fn estimate(text: &str) -> Self {
+        Self(Bytes::of_len(text.len()).0.div_ceil(BYTES_PER_TOKEN))
+    }
+}
+
+impl ops::Add for Tokens {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
 impl fmt::Display for Tokens {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
