Adapt the examples of the retry budget to its floor

Cause: two doc examples counted with a floor of 1; they failed with "left: 10, right: 2" and "!budget.try_retry".

Change: the examples use enough first tries for the share to count, and spend the floor before they expect a refusal.

--- a/crates/chestnutpick_routing/src/budget.rs
+++ b/crates/chestnutpick_routing/src/budget.rs
@@ -65,8 +65,8 @@
     /// use chestnutpick_routing::budget;
     /// use chestnutpick_types::time::Millis;
     /// let mut budget = budget::RetryBudget::default();
-    /// (0..20).for_each(|_| budget.on_first(Millis(0)));
-    /// assert_eq!((0..20).filter(|_| budget.try_retry(Millis(1))).count(), 2);
+    /// (0..200).for_each(|_| budget.on_first(Millis(0)));
+    /// assert_eq!((0..200).filter(|_| budget.try_retry(Millis(1))).count(), 20);
     /// ```
     pub fn on_first(&mut self, now: time::Millis) {
         self.advance(now);
@@ -80,7 +80,7 @@
     /// use chestnutpick_routing::budget;
     /// use chestnutpick_types::time::Millis;
     /// let mut budget = budget::RetryBudget::default();
-    /// assert!(budget.try_retry(Millis(0)));
+    /// assert!((0..budget::FLOOR).all(|_| budget.try_retry(Millis(0))));
     /// assert!(!budget.try_retry(Millis(1)));
     /// assert!(budget.try_retry(Millis(1_000) + budget::WINDOW));
     /// ```
