--- a/crates/chestnutpick_agent/src/chunks.rs
+++ b/crates/chestnutpick_agent/src/chunks.rs
@@ -128,6 +128,11 @@
         Ok(())
     }
 
+    /// Returns whether all chunks of a version are held.
+    pub fn is_complete(&self, version: digest::Digest) -> bool {
+        self.versions.get(&version).is_some_and(|entry| entry.data.iter().all(Option::is_some))
+    }
+
     /// Returns all chunks of a version in order, or `None` if one is missing.
     pub fn all(&self, version: digest::Digest) -> Option<Vec<Bytes>> {
         self.versions.get(&version).and_then(|entry| entry.data.iter().cloned().collect())
--- a/crates/chestnutpick_agent/src/transfer.rs
+++ b/crates/chestnutpick_agent/src/transfer.rs
@@ -100,14 +100,13 @@
 
 async fn bring(node: &rc::Rc<node::Node>, want: &Want, stop: &sync::CancellationToken) {
     let start = node.now();
-    let result = match node.chunks.borrow().all(want.digest) {
-        Some(_) => Ok(()),
-        None => Err(()),
-    };
-    if result.is_err() {
+    let complete = node.chunks.borrow().is_complete(want.digest);
+    if !complete {
         if let Err(reason) = download(node, want, stop).await {
-            let event = event::Event::new("transfer_failed").with("digest", want.digest);
-            event.with("reason", reason).warn();
+            event::Event::new("transfer_failed")
+                .with("digest", want.digest)
+                .with("reason", reason)
+                .warn();
             return;
         }
         event::Event::new("transfer_complete")
