Answer refusals and unserved paths in one place

Ruled out: one accept-and-dispatch function for both processes (their routes differ; what is left alike is a closure).

Change: http::request::unserved and completions::refused; behaviour is the same.

--- a/crates/chestnutpick_agent/src/run.rs
+++ b/crates/chestnutpick_agent/src/run.rs
@@ -6,10 +6,9 @@
 
 use actix_http as http;
 use actix_rt::net;
-use chestnutpick_http::{respond, server};
+use chestnutpick_http::{request, respond, server};
 use chestnutpick_process::{page, signal, start};
 use chestnutpick_telemetry::{event, metric};
-use chestnutpick_types::error;
 use tokio_util::sync;
 
 use crate::attempts;
@@ -105,9 +104,6 @@
         "POST" if path == "/v1/attempts" => attempts::handle(node, request).await,
         "GET" if path.starts_with("/v1/versions/") => chunks::handle(&node, &request),
         _ if path.starts_with("/v1/calls/") => calls::handle(node, request).await,
-        _ => {
-            let message = format!("nothing is served at {} {path}", request.method());
-            respond::refusal(&error::Refusal::new(error::ErrorKind::NotFound, message))
-        }
+        _ => respond::refusal(&request::unserved(&request)),
     }
 }
--- a/crates/chestnutpick_entry/src/admin.rs
+++ b/crates/chestnutpick_entry/src/admin.rs
@@ -86,10 +86,7 @@
             })?;
             run(node, body).await
         }
-        (method, path) => {
-            let message = format!("nothing is served at {method} {path}");
-            Err(error::Refusal::new(error::ErrorKind::NotFound, message))
-        }
+        _ => Err(request::unserved(request)),
     }
 }
 
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -83,16 +83,18 @@
             metrics::histogram!("entry_first_byte_ms").record(node.now().since(received).0 as f64);
             stream::respond(node, in_flight, buffer, completion, started)
         }
-        Err(refusal) => {
-            metrics::counter!("entry_refused_total", "kind" => refusal.kind.to_string())
-                .increment(1);
-            let event = event::Event::new("request_refused").with("kind", refusal.kind);
-            event.with("message", &refusal.message).info();
-            respond::refusal(&refusal)
-        }
+        Err(refusal) => refused(&refusal),
     }
 }
 
+/// Counts and logs a refusal, and returns its response.
+pub fn refused(refusal: &error::Refusal) -> respond::Response {
+    metrics::counter!("entry_refused_total", "kind" => refusal.kind.to_string()).increment(1);
+    let event = event::Event::new("request_refused").with("kind", refusal.kind);
+    event.with("message", &refusal.message).info();
+    respond::refusal(refusal)
+}
+
 async fn run(
     node: &rc::Rc<node::Node>,
     request: &mut http::Request,
--- a/crates/chestnutpick_entry/src/run.rs
+++ b/crates/chestnutpick_entry/src/run.rs
@@ -7,10 +7,9 @@
 
 use actix_http as http;
 use actix_rt::net;
-use chestnutpick_http::{respond, server};
+use chestnutpick_http::{request, respond, server};
 use chestnutpick_process::{page, signal, start};
 use chestnutpick_telemetry::{event, metric};
-use chestnutpick_types::error;
 use futures::future;
 use tokio_util::sync;
 
@@ -136,9 +135,6 @@
         "POST" if path == "/v1/completions" => completions::handle(node, request).await,
         _ if path.starts_with("/v1/services/") => services::handle(node, request).await,
         _ if path.starts_with("/admin/v1/") => admin::handle(node, request).await,
-        _ => {
-            let message = format!("nothing is served at {} {path}", request.method());
-            respond::refusal(&error::Refusal::new(error::ErrorKind::NotFound, message))
-        }
+        _ => respond::refusal(&request::unserved(&request)),
     }
 }
--- a/crates/chestnutpick_entry/src/services.rs
+++ b/crates/chestnutpick_entry/src/services.rs
@@ -43,13 +43,7 @@
     let _in_flight = node::InFlight::new(&node);
     match run(&node, &mut request).await {
         Ok(response) => response,
-        Err(refusal) => {
-            metrics::counter!("entry_refused_total", "kind" => refusal.kind.to_string())
-                .increment(1);
-            let event = event::Event::new("request_refused").with("kind", refusal.kind);
-            event.with("message", &refusal.message).info();
-            respond::refusal(&refusal)
-        }
+        Err(refusal) => completions::refused(&refusal),
     }
 }
 
--- a/crates/chestnutpick_http/src/request.rs
+++ b/crates/chestnutpick_http/src/request.rs
@@ -66,6 +66,18 @@
     })
 }
 
+/// Returns the refusal of a request for something that is not served.
+///
+/// ```
+/// use chestnutpick_types::error;
+/// let refusal = chestnutpick_http::request::unserved(&actix_http::Request::new());
+/// assert_eq!(refusal.kind, error::ErrorKind::NotFound);
+/// ```
+pub fn unserved<P>(request: &http::Request<P>) -> error::Refusal {
+    let message = format!("nothing is served at {} {}", request.method(), request.path());
+    error::Refusal::new(error::ErrorKind::NotFound, message)
+}
+
 /// Returns a parameter of the query string. Values are not percent-decoded; ids and numbers need no decoding.
 ///
 /// ```
