Give a manifest the same digest by every way

Cause: a manifest that a loader took from a peer had a chunk size of 0, one from the origin the real size, and the digest that shares a transfer out over hosts was made of both. Hosts that got the manifest in different ways drew the same chunks. Ruled out: a difference in the digests of the chunks themselves; they are passed on byte for byte. Change: the size is dropped, since nothing else reads it. The way to and from bytes stands in fleet::engine. Also: settings that were decoded and not used are gone (timeouts of heads and idle connections, layers), the limit on cold endpoints is derived from the users' factor instead of a constant (the same 1.25 at 1.5), and the head of a refused request is decoded once.

--- a/crates/chestnutpick_fleet/src/config.rs
+++ b/crates/chestnutpick_fleet/src/config.rs
@@ -86,8 +86,6 @@
     pub usual: (u32, u32),
     /// Models that it serves.
     pub models: Vec<id::ModelId>,
-    /// Layers of the model.
-    pub layers: u32,
 }
 
 /// Where weights come from.
@@ -130,10 +128,6 @@
 pub struct Limits {
     /// Largest body, in bytes.
     pub body_bytes: u64,
-    /// Time for a request's head.
-    pub head_timeout: time::Millis,
-    /// Time for which a connection may stay idle.
-    pub idle_timeout: time::Millis,
 }
 
 /// One version of the whole configuration, indexed for lookup.
@@ -153,12 +147,7 @@
     ///
     /// ```
     /// use chestnutpick_fleet::config;
-    /// use chestnutpick_types::time::Millis;
-    /// let limits = config::Limits {
-    ///     body_bytes: 1 << 20,
-    ///     head_timeout: Millis(3_000),
-    ///     idle_timeout: Millis(15_000),
-    /// };
+    /// let limits = config::Limits { body_bytes: 1 << 20 };
     /// let config = config::Config::new(7, limits, Vec::new(), Vec::new(), Vec::new());
     /// assert!(config.route("a.example", "/b/").is_none());
     /// ```
@@ -190,10 +179,7 @@
     ///
     /// ```
     /// # use chestnutpick_fleet::config;
-    /// # use chestnutpick_types::time::Millis;
-    /// # let limits = config::Limits {
-    /// #     body_bytes: 1, head_timeout: Millis(1), idle_timeout: Millis(1),
-    /// # };
+    /// # let limits = config::Limits { body_bytes: 1 };
     /// let config = config::Config::new(7, limits, Vec::new(), Vec::new(), Vec::new());
     /// assert!(config.route("unknown.example", "/").is_none());
     /// ```
--- a/crates/chestnutpick_fleet/src/engine.rs
+++ b/crates/chestnutpick_fleet/src/engine.rs
@@ -87,15 +87,37 @@
     ) -> impl Future<Output = Result<Ordered, EngineError>>;
 }
 
-/// The chunks of a version.
+/// What the chunks of a version must be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Manifest {
-    /// Size of each chunk in bytes.
-    pub chunk_bytes: u64,
     /// SHA-256 digest of each chunk.
     pub digests: Vec<digest::Digest>,
 }
 
+/// Length of a digest in a peer's manifest, in bytes.
+const DIGEST_LEN: usize = 32;
+
+impl Manifest {
+    /// Returns the manifest as hosts pass it on: the digests, one after another.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        self.digests.iter().flat_map(|digest| *digest.as_bytes()).collect()
+    }
+
+    /// Reads a manifest that a host passed on; nothing if it is empty or torn.
+    ///
+    /// ```
+    /// use chestnutpick_fleet::engine;
+    /// assert_eq!(engine::Manifest::from_bytes(&[1; 32]).unwrap().digests.len(), 1);
+    /// assert_eq!(engine::Manifest::from_bytes(&[1; 33]), None);
+    /// ```
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        let digests: Option<Vec<_>> =
+            bytes.chunks(DIGEST_LEN).map(digest::Digest::from_slice).collect();
+        let digests = digests.filter(|digests| !digests.is_empty())?;
+        Some(Self { digests })
+    }
+}
+
 /// The origin of weights.
 pub trait Origin {
     /// Returns the manifest of a version.
--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -75,6 +75,12 @@
         time::Millis(self.drain.0 * READ_PERCENT / 100)
     }
 
+    /// Returns the factor of a cold endpoint's rate that all routers together send it in a second. Half of what the users
+    /// allow above the rate is kept for routers that count the others wrongly.
+    pub fn cold_share(&self) -> f64 {
+        1.0_f64.midpoint(self.cold_factor)
+    }
+
     /// Returns the age of a declared version from which no request is sent to an endpoint with an older one.
     pub fn version_due(&self) -> time::Millis {
         time::Millis(self.version.0 * VERSION_PERCENT / 100)
--- a/crates/chestnutpick_loader/src/chunks.rs
+++ b/crates/chestnutpick_loader/src/chunks.rs
@@ -34,7 +34,7 @@
 /// ```
 /// use chestnutpick_fleet::engine;
 /// use chestnutpick_loader::chunks;
-/// let manifest = engine::Manifest { chunk_bytes: 4, digests: Vec::new() };
+/// let manifest = engine::Manifest { digests: Vec::new() };
 /// assert!(!chunks::is_valid(&manifest, 0, b"data"));
 /// ```
 pub fn is_valid(manifest: &engine::Manifest, index: usize, data: &[u8]) -> bool {
--- a/crates/chestnutpick_loader/src/fetch.rs
+++ b/crates/chestnutpick_loader/src/fetch.rs
@@ -105,10 +105,8 @@
         for ip in peers.into_iter().filter(|ip| *ip != self.node.host.ip) {
             let path = serve::path(version, "manifest");
             let Ok(Some(bytes)) = ask(self.node, ip, path).await else { continue };
-            let digests: Option<Vec<_>> =
-                bytes.chunks(32).map(digest::Digest::from_slice).collect();
-            if let Some(digests) = digests.filter(|digests| !digests.is_empty()) {
-                return Ok(engine::Manifest { chunk_bytes: 0, digests });
+            if let Some(manifest) = engine::Manifest::from_bytes(&bytes) {
+                return Ok(manifest);
             }
         }
         Err(reason)
@@ -133,7 +131,8 @@
 /// Returns a manifest in the form that the transfer policy takes. Its digest, which stands for the version in the
 /// assignment of chunks, depends on the digests of all chunks.
 fn policy_manifest(manifest: &engine::Manifest) -> Result<manifest::Manifest, String> {
-    let size = size::Bytes(manifest.chunk_bytes.max(1));
+    // The policy needs no sizes, and the digest must be the same whichever way a host got the manifest.
+    let size = size::Bytes(1);
     let chunk = |digest: &digest::Digest| manifest::Chunk { digest: *digest, size };
     let list: Vec<_> = manifest.digests.iter().map(chunk).collect();
     let total = size::Bytes(size.0 * list.len() as u64);
--- a/crates/chestnutpick_loader/src/serve.rs
+++ b/crates/chestnutpick_loader/src/serve.rs
@@ -57,11 +57,9 @@
     let chunks = node.chunks.borrow();
     let binary = "application/octet-stream";
     match question {
-        Question::Manifest(version) => chunks.find(&version).map_or_else(not_held, |set| {
-            let digests = set.manifest.digests.iter();
-            let bytes: Vec<u8> = digests.flat_map(|digest| *digest.as_bytes()).collect();
-            respond::bytes(200, binary, bytes)
-        }),
+        Question::Manifest(version) => chunks
+            .find(&version)
+            .map_or_else(not_held, |set| respond::bytes(200, binary, set.manifest.to_bytes())),
         Question::Held(version) => chunks
             .find(&version)
             .map_or_else(not_held, |set| respond::bytes(200, binary, set.held().to_bytes())),
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use chestnutpick_fleet::{config, endpoint};
+use chestnutpick_fleet::{config, endpoint, host};
 use chestnutpick_types::{id, time};
 use rand_core::Rng;
 
@@ -32,10 +32,6 @@
 /// endpoint.
 const JITTER: f64 = 30.0;
 
-/// Share of a cold endpoint's rate that all routers together may send it, in excess of the rate itself: the users allow
-/// half more.
-const COLD_SHARE: f64 = 1.25;
-
 /// Candidates that are compared, on average.
 const SAMPLE: f64 = 4.0;
 
@@ -141,8 +137,8 @@
     pub zone: &'a id::ZoneId,
     /// Region of each zone.
     pub regions: &'a std::collections::BTreeMap<id::ZoneId, id::RegionId>,
-    /// Age of a declared version from which it is required.
-    pub version_due: time::Millis,
+    /// Bounds that the users state.
+    pub bounds: host::Bounds,
 }
 
 /// Chooses the endpoint with the least expected wait.
@@ -173,7 +169,7 @@
             continue;
         }
         places.add(known);
-        if !has_room(now, beliefs, wanted, known) {
+        if !has_room(now, beliefs, place, wanted, known) {
             reason = reason.max_with(Reason::Full);
             continue;
         }
@@ -257,7 +253,7 @@
 ) -> Option<u64> {
     let engine = wanted.service.engine.as_ref()?;
     let declared = engine.models.iter().find_map(|model| beliefs.declared.get(model))?;
-    declared.required(now, place.version_due)
+    declared.required(now, place.bounds.version_due())
 }
 
 fn is_permitted(
@@ -297,6 +293,7 @@
 fn has_room(
     now: time::Millis,
     beliefs: &beliefs::Beliefs,
+    place: &Place<'_>,
     wanted: &Wanted<'_>,
     known: &beliefs::Known,
 ) -> bool {
@@ -307,7 +304,8 @@
         return true;
     }
     let routers = if beliefs.routers == 0 { ASSUMED_ROUTERS } else { beliefs.routers };
-    let share = wanted.service.cold_rate * COLD_SHARE / f64::from(routers);
+    let limit = wanted.service.cold_rate * place.bounds.cold_share();
+    let share = limit / f64::from(routers);
     // An endpoint may turn cold at any moment, so the limit holds for warm ones too.
     known.pace.allows(now, (share as usize).max(1))
 }
--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -70,7 +70,9 @@
 {
     let arrived = node.now();
     let guard = node::InFlight::new(&node);
-    match admit(&node, &mut request, arrived).await {
+    let head = node.codec.caller(request.head().headers());
+    let patience = head.as_ref().and_then(|head| head.deadline).unwrap_or(DEFAULT_DEADLINE);
+    match admit(&node, &mut request, head, arrived).await {
         Ok(call) => forward::serve(node, call, guard).await,
         Err(refusal) => {
             metrics::counter!("requests_rejected", "kind" => <&str>::from(refusal.kind))
@@ -80,9 +82,7 @@
                 .with("kind", refusal.kind)
                 .with("message", &refusal.message)
                 .info();
-            let head = node.codec.caller(request.head().headers());
-            let left = head.and_then(|head| head.deadline).unwrap_or(DEFAULT_DEADLINE);
-            outcome::respond(&refusal, left)
+            outcome::respond(&refusal, patience)
         }
     }
 }
@@ -90,6 +90,7 @@
 async fn admit<C>(
     node: &node::Node<C>,
     request: &mut http::Request,
+    head: Option<codec::CallerHead>,
     arrived: time::Millis,
 ) -> Result<Call, error::Refusal>
 where
@@ -102,7 +103,7 @@
     let Some(config) = node.config() else {
         return refuse(error::ErrorKind::StoreUnavailable, "no configuration is known yet");
     };
-    let Some(head) = node.codec.caller(request.head().headers()) else {
+    let Some(head) = head else {
         return refuse(error::ErrorKind::HeaderMissing, "the request has no id");
     };
     let host = host_name(request);
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -91,7 +91,7 @@
         let place = choice::Place {
             zone: &self.host.zone,
             regions: &self.host.regions,
-            version_due: self.bounds.get().version_due(),
+            bounds: self.bounds.get(),
         };
         let now = self.now();
         let mut beliefs = self.beliefs.borrow_mut();
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use chestnutpick_fleet::{config, directory, endpoint, load};
+use chestnutpick_fleet::{config, directory, endpoint, host, load};
 use chestnutpick_router::{beliefs, choice};
 use chestnutpick_types::id;
 use chestnutpick_types::time::Millis;
@@ -43,7 +43,6 @@
             stride: 5,
             usual: (977, 94),
             models: vec!["m".parse().unwrap()],
-            layers: 16,
         }),
         origin: None,
     }
@@ -54,11 +53,7 @@
 }
 
 pub fn config(version: u64) -> Arc<config::Config> {
-    let limits = config::Limits {
-        body_bytes: 1 << 20,
-        head_timeout: Millis(3_000),
-        idle_timeout: Millis(15_000),
-    };
+    let limits = config::Limits { body_bytes: 1 << 20 };
     let routes = vec![route("llm", config::Kind::Stream)];
     let services = vec![engines(), plain()];
     Arc::new(config::Config::new(version, limits, routes, services, Vec::new()))
@@ -128,6 +123,19 @@
         .collect()
 }
 
+/// Bounds by which a declared version is due at [`DUE`].
+pub fn bounds() -> host::Bounds {
+    let bounds = host::Bounds {
+        grace: Millis(8_000),
+        drain: Millis(2_000),
+        revocation: Millis(5_000),
+        version: Millis(7_143),
+        cold_factor: 1.5,
+    };
+    assert_eq!(bounds.version_due(), DUE);
+    bounds
+}
+
 /// Chooses for a request of 977 prompt tokens with the given time left.
 pub fn choose(
     beliefs: &beliefs::Beliefs,
@@ -137,7 +145,7 @@
 ) -> Result<choice::Chosen, choice::NoChoice> {
     use rand_core::SeedableRng;
     let (regions, zone) = (regions(), "lima".parse().unwrap());
-    let place = choice::Place { zone: &zone, regions: &regions, version_due: DUE };
+    let place = choice::Place { zone: &zone, regions: &regions, bounds: bounds() };
     let (route, service) = (route("llm", config::Kind::Stream), engines());
     let wanted = choice::Wanted {
         route: &route,
