Let a stream that lost its engine go on however late

Cause: the time left until the first event is late was also asked of streams that go on. Change: a request that may have run in part is not refused for being late. It still goes on only at its own version. The test failed first (choose_for_stream(..).is_ok()).

--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -61,8 +61,9 @@
     pub tokens: u32,
     /// Expected output tokens, if the caller gives an estimate.
     pub length: Option<u32>,
-    /// Time that is left until the response is late.
-    pub left: time::Millis,
+    /// Time that is left until the response is late; nothing if the request is not to be refused for that, because it may
+    /// have run in part.
+    pub left: Option<time::Millis>,
     /// Endpoints that have failed it.
     pub tried: &'a [id::EndpointId],
     /// Version of the weights of the stream that goes on.
@@ -362,7 +363,8 @@
 
 /// Returns whether a request would probably be late at the best endpoint.
 fn is_late(wanted: &Wanted<'_>, expected: f64) -> bool {
-    wanted.service.engine.is_some() && expected * SPREAD > wanted.left.0 as f64
+    wanted.service.engine.is_some()
+        && wanted.left.is_some_and(|left| expected * SPREAD > left.0 as f64)
 }
 
 /// The places of the endpoints that may serve a request.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -184,13 +184,15 @@
     version: Option<u64>,
 ) -> Result<choice::Chosen, choice::NoChoice> {
     let elapsed = node.now().since(call.arrived);
+    // A refusal of what may have run in part would be a failure; a late answer is worth more.
+    let left = (tries.runs == 0).then(|| call.route.target.since(elapsed));
     node.choose(&choice::Wanted {
         route: &call.route,
         service: &call.service,
         workspace: call.workspace.as_deref(),
         tokens: call.tokens(),
         length: call.head.length.or(call.head.tokens.map(|(_, made)| made)),
-        left: call.route.target.since(elapsed),
+        left,
         tried: &tries.failed,
         version,
     })
--- a/crates/chestnutpick_router/tests/choice.rs
+++ b/crates/chestnutpick_router/tests/choice.rs
@@ -123,3 +123,18 @@
     );
     assert!(common::choose(&beliefs, Millis(1_000), TARGET, 1).is_ok());
 }
+
+/// Guards against streams that are broken off because their first event would be late at another endpoint: they had begun
+/// long ago, and 100 of 136 streams that lost their engine ended so.
+#[test]
+fn stream_goes_on_however_late() {
+    let mut beliefs = common::beliefs(2);
+    for n in 1..=2 {
+        set_load(&mut beliefs, n, load::Load { unread: 20_000, ..common::load(15) });
+    }
+    assert!(common::choose(&beliefs, Millis(10), TARGET, 3).is_err());
+    assert!(common::choose_for_stream(&beliefs, Millis(10), 1).is_ok());
+    // Never at an engine with other weights.
+    let none = common::choose_for_stream(&beliefs, Millis(10), 2).unwrap_err();
+    assert_eq!(none.reason, choice::Reason::NoVersion);
+}
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -142,6 +142,25 @@
     now: Millis,
     left: Millis,
     seed: u64,
+) -> Result<choice::Chosen, choice::NoChoice> {
+    choose_with(beliefs, now, Some(left), None, seed)
+}
+
+/// Chooses for a stream that began on a version and goes on long after its target.
+pub fn choose_for_stream(
+    beliefs: &beliefs::Beliefs,
+    now: Millis,
+    version: u64,
+) -> Result<choice::Chosen, choice::NoChoice> {
+    choose_with(beliefs, now, None, Some(version), 1)
+}
+
+fn choose_with(
+    beliefs: &beliefs::Beliefs,
+    now: Millis,
+    left: Option<Millis>,
+    version: Option<u64>,
+    seed: u64,
 ) -> Result<choice::Chosen, choice::NoChoice> {
     use rand_core::SeedableRng;
     let (regions, zone) = (regions(), "lima".parse().unwrap());
@@ -155,7 +174,7 @@
         length: None,
         left,
         tried: &[],
-        version: None,
+        version,
     };
     let mut rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(seed);
     choice::choose(now, beliefs, &place, &wanted, &mut rng)
