Move the last streams of an engine that loads to other engines

Cause: the order to load took effect when the last request of the engine had ended. The last few of a batch take as long as all before them, so that an engine was out for 0.9 to 2.9 s a version, and of 24 engines that switch within 3.1 s some 14 were out at a time. Ruled out: the transfer (complete 4.1 to 4.6 s after the declaration, before most turns). Change: routers stop sending as before; once five requests are left the loader orders the engine to load at once, which cuts them, and the routers let the streams go on at engines with the same version. This ends 0.4 s before the version is required, since no engine with the version before serves later, and is not done where a route of the service may not run again. An engine that is about to load and cuts a request counts as no failure.

--- a/crates/chestnutpick_fleet/src/config.rs
+++ b/crates/chestnutpick_fleet/src/config.rs
@@ -207,6 +207,13 @@
         self.services.values().find_map(|service| service.origin.as_ref())
     }
 
+    /// Returns whether all requests to a service may run again after they may have run.
+    pub fn is_repeatable(&self, service: &id::ServiceId) -> bool {
+        let leads =
+            |route: &&sync::Arc<Route>| route.shares.iter().any(|share| share.service == *service);
+        self.routes.values().flatten().filter(leads).all(|route| route.is_repeatable())
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/chestnutpick_fleet/src/engine.rs
+++ b/crates/chestnutpick_fleet/src/engine.rs
@@ -59,6 +59,16 @@
     Refused,
 }
 
+/// When an engine loads weights of another version than it serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Switch {
+    /// Once the requests that it has have ended; it takes no new ones.
+    AfterRequests,
+    /// At once; it cuts the requests that it has.
+    AtOnce,
+}
+
 /// The model engine on this process's own host.
 pub trait Engine {
     /// Returns the engine's report.
@@ -79,11 +89,12 @@
         data: Bytes,
     ) -> impl Future<Output = Result<(), EngineError>>;
 
-    /// Orders the engine to load what is staged as `version`, after the requests that it runs.
+    /// Orders the engine to load what is staged as `version`.
     fn load(
         &self,
         model: &id::ModelId,
         version: u64,
+        switch: Switch,
     ) -> impl Future<Output = Result<Ordered, EngineError>>;
 }
 
--- a/crates/chestnutpick_loader/src/bring.rs
+++ b/crates/chestnutpick_loader/src/bring.rs
@@ -11,6 +11,7 @@
 use crate::chunks;
 use crate::fetch;
 use crate::node;
+use crate::turn;
 use crate::watch;
 
 /// Interval at which the declared version is compared with the loaded one.
@@ -207,11 +208,14 @@
         actix_rt::time::sleep(NOTICE).await;
         let start = self.node.now();
         let mended = self.mend(version).await?;
-        let ordered = self.node.engine.load(&version.0, version.1).await;
+        let switch = self.wait_for_streams(version).await;
+        let ordered = self.node.engine.load(&version.0, version.1, switch).await;
         let ordered = ordered.map_err(|reason| reason.to_string())?;
         event::Event::new("load_ordered")
             .with("version", version.1)
             .with("answer", ordered)
+            .with("switch", switch)
+            .with("running", self.node.occupied())
             .with("staged", mended)
             .with("took", self.node.now().since(start))
             .info();
@@ -234,6 +238,17 @@
         Err("the engine did not load the version in time".to_owned())
     }
 
+    /// Waits until few requests are left at the engine, if those can go on at another one, and returns how to load.
+    async fn wait_for_streams(&self, version: &chunks::Version) -> engine::Switch {
+        let until = self.node.streams_move_until(version);
+        loop {
+            if let Some(switch) = turn::switch(self.node.now(), self.node.occupied(), until) {
+                return switch;
+            }
+            actix_rt::time::sleep(LOADED_POLL).await;
+        }
+    }
+
     /// Makes what lies at the engine equal to what is in memory, and returns how many chunks were not. Staged chunks may
     /// turn bad at any time, and the engine does not check them.
     async fn mend(&self, version: &chunks::Version) -> Result<usize, String> {
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -139,6 +139,24 @@
         turns.min()
     }
 
+    /// Returns the requests that the engine has, by its last report.
+    pub(crate) fn occupied(&self) -> u32 {
+        self.report.borrow().as_ref().map_or(0, |(report, _)| report.running + report.waiting)
+    }
+
+    /// Returns until when requests that the engine cuts to load `version` go on at another one, if they can.
+    pub(crate) fn streams_move_until(&self, version: &chunks::Version) -> Option<time::Millis> {
+        let config = self.config.borrow();
+        let config = config.as_ref()?;
+        let serves = |service: &config::Service| {
+            service.engine.as_ref().is_some_and(|engine| engine.models.contains(&version.0))
+        };
+        let mut services = config.services().filter(|service| serves(service));
+        let movable = services.all(|service| config.is_repeatable(&service.name));
+        let learnt = self.learnt(version).filter(|_| movable && self.loaded().is_some())?;
+        Some(turn::streams_move_until(learnt, self.bounds.get().version_due()))
+    }
+
     /// Takes over when another process learnt of a version.
     pub(crate) fn on_seen(&self, model: &id::ModelId, version: u64, seen: time::Millis) {
         if let Some(declared) = self.declared.borrow_mut().get_mut(model) {
--- a/crates/chestnutpick_loader/src/turn.rs
+++ b/crates/chestnutpick_loader/src/turn.rs
@@ -3,6 +3,7 @@
 //! Every loader works out its own turn from the hosts that share the service, without coordination, so that engines load
 //! one after another and the others bear the requests meanwhile.
 
+use chestnutpick_fleet::engine;
 use chestnutpick_types::{digest, id, time};
 
 /// Share of the bound on a version's age, in percent, before which no engine that serves begins to load. By then the
@@ -12,6 +13,40 @@
 /// Share of the bound, in percent, at which the last engine begins to load. The rest is for the requests that it runs.
 const LAST_PERCENT: u64 = 84;
 
+/// Requests that an engine may cut when it loads. They go on at another engine, which reads their prompts again; the last
+/// few of a batch take as long as all before them, and keep the engine from the rest meanwhile.
+const CUT: u32 = 5;
+
+/// Time before a version is required at which streams of the version before still find another engine.
+const MOVE_TIME: time::Millis = time::Millis(400);
+
+/// Returns until when streams of the version before can go on at another engine; later those have loaded as well, and a
+/// stream never goes on at another version.
+pub fn streams_move_until(learnt: time::Millis, due: time::Millis) -> time::Millis {
+    (learnt + due).since(MOVE_TIME)
+}
+
+/// Returns how an engine with `occupied` requests is to load, or nothing if it is to wait for some of them. Requests can
+/// go on elsewhere before `movable`, if at all.
+///
+/// ```
+/// use chestnutpick_fleet::engine;
+/// use chestnutpick_loader::turn;
+/// use chestnutpick_types::time::Millis;
+/// assert_eq!(turn::switch(Millis(0), 9, Some(Millis(10))), None);
+/// assert_eq!(turn::switch(Millis(10), 9, Some(Millis(10))), Some(engine::Switch::AfterRequests));
+/// ```
+pub fn switch(
+    now: time::Millis,
+    occupied: u32,
+    movable: Option<time::Millis>,
+) -> Option<engine::Switch> {
+    if movable.is_none_or(|until| now >= until) {
+        return Some(engine::Switch::AfterRequests);
+    }
+    (occupied <= CUT).then_some(engine::Switch::AtOnce)
+}
+
 /// Returns the time from the declaration of `version` until the engine on `own` may begin to load it.
 ///
 /// ```
--- /dev/null
+++ b/crates/chestnutpick_loader/tests/turn.rs
@@ -0,0 +1,46 @@
+//! When and how an engine switches to another version.
+
+use chestnutpick_fleet::engine::Switch;
+use chestnutpick_loader::turn;
+use chestnutpick_types::id;
+use chestnutpick_types::time::Millis;
+use rstest::rstest;
+
+/// Guards against an engine that stays out of service for its longest request (it was out for 0.9 to 2.9 s a version), and
+/// against streams that are cut when no engine with their version is left.
+#[rstest]
+#[case::many_are_left(1_000, 16, None)]
+#[case::few_are_left(1_000, 5, Some(Switch::AtOnce))]
+#[case::none_is_left(1_000, 0, Some(Switch::AtOnce))]
+#[case::too_late_to_move(5_000, 5, Some(Switch::AfterRequests))]
+fn streams_leave_an_engine_that_loads(
+    #[case] now: u64,
+    #[case] occupied: u32,
+    #[case] switch: Option<Switch>,
+) {
+    assert_eq!(turn::switch(Millis(now), occupied, Some(Millis(5_000))), switch);
+}
+
+/// Guards against cutting requests that cannot run again.
+#[test]
+fn requests_that_cannot_move_end_first() {
+    assert_eq!(turn::switch(Millis(1_000), 1, None), Some(Switch::AfterRequests));
+}
+
+/// Guards against streams that are cut once the version before is no longer served.
+#[test]
+fn streams_stay_once_the_version_is_nearly_required() {
+    let until = turn::streams_move_until(Millis(10_000), Millis(6_720));
+    assert!(until > Millis(16_000) && until < Millis(16_720), "{until}");
+}
+
+/// Guards against engines that all stop serving at the same time.
+#[test]
+fn turns_are_spread() {
+    let hosts: Vec<id::HostId> = (0..24).map(|n| format!("10.0.0.{n}").parse().unwrap()).collect();
+    let mut turns: Vec<_> =
+        hosts.iter().map(|own| turn::delay(Millis(8_000), 2, &hosts, own)).collect();
+    turns.sort();
+    assert!(turns.windows(2).all(|pair| pair[1].since(pair[0]) >= Millis(100)), "{turns:?}");
+    assert!(turns[0] >= Millis(3_000) && turns[23] <= Millis(7_000), "{turns:?}");
+}
--- a/crates/chestnutpick_router/src/beliefs.rs
+++ b/crates/chestnutpick_router/src/beliefs.rs
@@ -293,9 +293,10 @@
         }
     }
 
-    /// Notes that an endpoint failed a request; after several failures in a row it gets nothing for a while.
+    /// Notes that an endpoint failed a request; after several failures in a row it gets nothing for a while. An engine that
+    /// is about to load cuts its last requests, which is no failure.
     pub fn on_failed(&mut self, now: time::Millis, id: &id::EndpointId) {
-        if let Some(known) = self.endpoints.get_mut(id) {
+        if let Some(known) = self.endpoints.get_mut(id).filter(|known| !known.loading) {
             known.failures += 1;
             if known.failures >= CIRCUIT.0 {
                 known.blocked = known.blocked.max(now + CIRCUIT.1);
