Notice engines that have restarted under an old announcement

Cause: after a loss of power the store lists engines under the ids of their last life. Loads were subscribed to with the next renewal, up to a second later. Ruled out: the loaders (weights ordered 0.2 s after their start). Change: a load carries the start time of its engine. An announcement with an older one gets nothing, and the store is asked every 200 ms for at most 2.5 s while no younger one is known. Loads of new engines are subscribed to at once. A batch of the store is logged change by change against what is believed (the same announcement was logged up to ten times).

--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -43,6 +43,8 @@
     pub age: Option<u32>,
     /// Newest version that the loader knows to be required of every request, 0 if none.
     pub required: u64,
+    /// Unix time of the engine's start in milliseconds, where it tells one.
+    pub born: Option<u64>,
 }
 
 /// Encodes a datagram.
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -141,6 +141,7 @@
             declared: newest.unwrap_or(0),
             age: learnt.map(|learnt| millis(now.since(learnt))),
             required: declared.and_then(|declared| declared.due(now, due)).unwrap_or(0),
+            born: report.born,
         })
     }
 
--- a/crates/chestnutpick_router/src/beliefs.rs
+++ b/crates/chestnutpick_router/src/beliefs.rs
@@ -27,6 +27,9 @@
 /// Time for which an endpoint gets nothing whose address another one has; its announcement lapses within it.
 const REPLACED_PAUSE: time::Millis = time::Millis(4_000);
 
+/// Time within which an engine that has restarted announces itself.
+const ANNOUNCEMENT_TIME: time::Millis = time::Millis(2_500);
+
 /// Time for which an endpoint gets nothing that said it is full.
 const FULL_PAUSE: time::Millis = time::Millis(100);
 
@@ -37,6 +40,8 @@
     pub endpoint: endpoint::Endpoint,
     /// When it is to be forgotten, if its announcement is gone.
     pub expires: Option<time::Millis>,
+    /// Since when a younger engine is known to run in its place.
+    pub replaced: Option<time::Millis>,
     /// Requests of this process that it has.
     pub in_flight: u32,
     /// Prompt tokens of those that have not begun to answer.
@@ -70,6 +75,7 @@
         Self {
             endpoint,
             expires: None,
+            replaced: None,
             in_flight: 0,
             unread: 0,
             others: 0,
@@ -216,6 +222,10 @@
             .values_mut()
             .filter(|known| known.endpoint.address.ip() == ip && known.expires.is_none());
         for known in engines {
+            if load.born > known.endpoint.born && known.endpoint.born.is_some() {
+                known.replaced.get_or_insert(now);
+                continue;
+            }
             known.occupied = load.running + load.waiting;
             known.waiting = load.waiting;
             known.others = load.unread.saturating_sub(known.unread);
@@ -226,6 +236,17 @@
         }
     }
 
+    /// Returns whether an engine has restarted lately whose new announcement is not known.
+    pub fn awaits_announcement(&self, now: time::Millis) -> bool {
+        let recent =
+            |known: &&Known| known.replaced.is_some_and(|at| now.since(at) < ANNOUNCEMENT_TIME);
+        self.endpoints.values().filter(recent).any(|old| {
+            let host = old.endpoint.address.ip();
+            let mut others = self.endpoints.values();
+            !others.any(|new| new.replaced.is_none() && new.endpoint.address.ip() == host)
+        })
+    }
+
     /// Takes over what a loader knows of the declared version: routers that the store refuses learn of it in this way, and
     /// those that have just started learn its age.
     fn on_declared_load(&mut self, now: time::Millis, ip: std::net::IpAddr, load: &load::Load) {
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -270,6 +270,7 @@
     };
     endpoint.service == wanted.service.name
         && endpoint.state == endpoint::State::Ready
+        && known.replaced.is_none()
         && !beliefs.evacuated.contains(&endpoint.zone)
         && allows(&wanted.route.regions)
         && wanted.workspace.is_none_or(|workspace| allows(&workspace.regions))
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -28,6 +28,7 @@
                 subscribe(&node, socket);
                 node.record();
             }
+            () = node.engines_changed.notified() => subscribe(&node, socket),
             received = socket.recv_from(&mut buffer) => on_received(&node, &buffer, received),
         }
     }
@@ -73,7 +74,11 @@
     match received {
         Ok((len, from)) => {
             if let Some(load) = load::decode::<load::Load>(&buffer[..len]) {
-                node.beliefs.borrow_mut().on_load(node.now(), from.ip(), &load);
+                let (mut beliefs, now) = (node.beliefs.borrow_mut(), node.now());
+                beliefs.on_load(now, from.ip(), &load);
+                if beliefs.awaits_announcement(now) {
+                    node.awaiting.notify_one();
+                }
             }
         }
         Err(reason) => event::Event::new("load_socket_failed").with("reason", reason).debug(),
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -13,6 +13,7 @@
 use rand_core::SeedableRng;
 use serde_json::json;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::beliefs;
 use crate::choice;
@@ -38,6 +39,10 @@
     pub(crate) rng: cell::RefCell<rand_xoshiro::Xoshiro256PlusPlus>,
     /// Socket for the loads of engines, once it is bound.
     pub(crate) socket: cell::OnceCell<UdpSocket>,
+    /// Signalled when engines have come whose loads are to be subscribed to.
+    pub(crate) engines_changed: Notify,
+    /// Signalled when an announcement is awaited.
+    pub(crate) awaiting: Notify,
     /// Client for endpoints.
     pub(crate) client: client::Client,
     /// Bounds that the users state; they may change while the process runs.
@@ -66,6 +71,8 @@
                 time::unix_now().0,
             )),
             socket: cell::OnceCell::new(),
+            engines_changed: Notify::new(),
+            awaiting: Notify::new(),
             client: client::Client::with_options(options),
             leaving: cell::Cell::new(false),
             closed: cell::Cell::new(false),
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -13,6 +13,12 @@
 /// Longest wait of a watch. Its end confirms that nothing has changed, which callers' keys depend on.
 const WAIT: time::Millis = time::Millis(1_500);
 
+/// Least time between calls while an announcement is awaited that is to come within about a second.
+const AWAITING_PAUSE: time::Millis = time::Millis(200);
+
+/// Least rest after a call, however long it took.
+const MIN_REST: Duration = Duration::from_millis(1);
+
 /// Pause after a failed call.
 const RETRY: time::Millis = time::Millis(250);
 
@@ -32,8 +38,7 @@
             () = stop.cancelled() => return,
             pause = follower.step(&mut revision) => pause,
         };
-        let rest = (start + pause).since(follower.node.now()).to_duration();
-        actix_rt::time::sleep(rest.max(Duration::from_millis(1))).await;
+        follower.rest(start, pause).await;
     }
 }
 
@@ -47,6 +52,18 @@
 where
     D: directory::Directory,
 {
+    /// Waits until `pause` has passed since `start`, or less while an announcement is awaited.
+    async fn rest(&self, start: time::Millis, pause: time::Millis) {
+        let left = |pause| {
+            let left = (start + pause).since(self.node.now()).to_duration();
+            actix_rt::time::sleep(left.max(MIN_REST))
+        };
+        tokio::select! {
+            () = left(pause) => {}
+            () = self.node.awaiting.notified() => left(pause.min(AWAITING_PAUSE)).await,
+        }
+    }
+
     /// Makes one call and returns the least time from its start to the next.
     async fn step(&mut self, revision: &mut Option<u64>) -> time::Millis {
         let start = self.node.now();
@@ -86,16 +103,29 @@
         // A watch that ends without a change has waited at the store, which saw the call no earlier than its start.
         let waited = if at_once || !batch.changes.is_empty() { time::Millis::ZERO } else { WAIT };
         let confirmed = (start + waited).min(now);
-        for change in &batch.changes {
-            self.log(change);
-        }
-        let mut beliefs = self.node.beliefs.borrow_mut();
+        let unknown = self.has_unknown(&batch.changes);
         if listed {
-            beliefs.replace(now, batch.changes);
+            batch.changes.iter().for_each(|change| self.log(change));
+            self.node.beliefs.borrow_mut().replace(now, batch.changes);
         } else {
-            batch.changes.into_iter().for_each(|change| beliefs.apply(now, change));
+            for change in batch.changes {
+                self.log(&change);
+                self.node.beliefs.borrow_mut().apply(now, change);
+            }
+        }
+        self.node.beliefs.borrow_mut().on_confirmed(confirmed);
+        if unknown {
+            self.node.engines_changed.notify_one();
         }
-        beliefs.on_confirmed(confirmed);
+    }
+
+    /// Returns whether an endpoint has announced itself that was not known.
+    fn has_unknown(&self, changes: &[directory::Change]) -> bool {
+        let beliefs = self.node.beliefs.borrow();
+        changes.iter().any(|change| match change {
+            directory::Change::Announced(endpoint) => !beliefs.endpoints.contains_key(&endpoint.id),
+            _ => false,
+        })
     }
 
     fn log(&self, change: &directory::Change) {
--- a/crates/chestnutpick_router/tests/beliefs.rs
+++ b/crates/chestnutpick_router/tests/beliefs.rs
@@ -5,6 +5,7 @@
 use std::net::IpAddr;
 
 use chestnutpick_fleet::{directory, endpoint, load};
+use chestnutpick_router::choice;
 use chestnutpick_types::time::Millis;
 use rstest::rstest;
 
@@ -134,3 +135,27 @@
     let known = &beliefs.endpoints[&common::endpoint_id(1)];
     assert_eq!((known.unread, known.others), (1_000, 1_500));
 }
+
+/// Guards against requests to an engine that has restarted under the announcement of its last life: it refuses them, and of
+/// the requests that came back after a loss of power 106 were refused so before the store told of the new engines.
+#[test]
+fn restarted_engine_waits_for_its_announcement() {
+    let mut beliefs = common::beliefs(1);
+    let load = load::Load { born: Some(9), ..common::load(0) };
+    beliefs.on_load(Millis(0), "10.0.0.1".parse().unwrap(), &load);
+    let none = common::choose(&beliefs, Millis(10), Millis(500), 1).unwrap_err();
+    assert_eq!(none.reason, choice::Reason::NoEndpoint);
+    assert!(beliefs.awaits_announcement(Millis(10)));
+    // The announcement may never come, and the store is not to be asked for it all the time.
+    assert!(!beliefs.awaits_announcement(Millis(10_000)));
+    let restarted = endpoint::Endpoint {
+        id: common::endpoint_id(2),
+        born: Some(9),
+        ..common::endpoint(1, "llm", "lima")
+    };
+    beliefs.apply(Millis(20), common::announced(restarted));
+    assert!(!beliefs.awaits_announcement(Millis(20)));
+    beliefs.on_load(Millis(30), "10.0.0.1".parse().unwrap(), &load);
+    let chosen = common::choose(&beliefs, Millis(40), Millis(500), 1).unwrap();
+    assert_eq!(chosen.endpoint.id, common::endpoint_id(2));
+}
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -108,6 +108,7 @@
         declared: 0,
         age: None,
         required: 0,
+        born: Some(1),
     }
 }
 
