Skip a version that another one follows shortly

Ruled out: learning of the version (all loaders within 40 ms of the store's return), the origin. Change: a transfer ends when a newer version was declared within 28% of the bound (2.2 s) of it. An engine leaves its version at the first turn of any newer one, as it tells the routers. Older versions that are overdue are given up as before.

--- a/crates/chestnutpick_loader/src/bring.rs
+++ b/crates/chestnutpick_loader/src/bring.rs
@@ -98,15 +98,17 @@
         }
     }
 
-    /// Waits until the transfer of `version` has lost its use: a newer one is declared, and the engine serves nothing that
-    /// this one would keep in service, or this one is overdue.
+    /// Waits until the transfer of `version` has lost its use to a newer one.
     async fn outdated(&self, version: &chunks::Version) {
         loop {
             actix_rt::time::sleep(POLL).await;
-            let newer = self.node.wanted().is_some_and(|wanted| wanted != *version);
-            let due = self.node.learnt(version).map(|at| at + self.node.bounds.get().version);
-            let overdue = due.is_none_or(|at| self.node.now() >= at);
-            if newer && (overdue || self.node.loaded().is_none()) {
+            let Some(newer) = self.node.wanted().filter(|wanted| wanted != version) else {
+                continue;
+            };
+            let bound = self.node.bounds.get().version;
+            let times = [version, &newer].map(|version| self.node.learnt(version));
+            let skipped = turn::is_skipped(self.node.now(), bound, times[0], times[1]);
+            if skipped || self.node.loaded().is_none() {
                 return;
             }
         }
@@ -200,7 +202,8 @@
         if self.node.loaded().is_none() {
             return;
         }
-        let at = self.node.turn(version);
+        // The engine must leave its version as soon as the first newer one is required.
+        let at = self.node.closes().unwrap_or_else(|| self.node.turn(version));
         actix_rt::time::sleep(at.since(self.node.now()).to_duration()).await;
     }
 
--- a/crates/chestnutpick_loader/src/turn.rs
+++ b/crates/chestnutpick_loader/src/turn.rs
@@ -47,6 +47,33 @@
     (occupied <= CUT).then_some(engine::Switch::AtOnce)
 }
 
+/// Share of the bound on a version's age, in percent, within which a newer version takes the place of one that is still on
+/// its way. A transfer takes about half of the bound, so that two of them, one after the other, end too late for the newer
+/// version; later than this, the older one would be missing for too long.
+const SKIP_PERCENT: u64 = 28;
+
+/// Returns whether a version that is still on its way has lost its use to a newer one: it is overdue, or was declared
+/// shortly before the newer one. Nothing stands for the time of one that was there before this process.
+///
+/// ```
+/// use chestnutpick_loader::turn;
+/// use chestnutpick_types::time::Millis;
+/// let (bound, older) = (Millis(8_000), Some(Millis(0)));
+/// assert!(turn::is_skipped(Millis(1_000), bound, older, Some(Millis(1_000))));
+/// assert!(!turn::is_skipped(Millis(4_000), bound, older, Some(Millis(4_000))));
+/// assert!(turn::is_skipped(Millis(8_000), bound, older, Some(Millis(4_000))));
+/// ```
+pub fn is_skipped(
+    now: time::Millis,
+    bound: time::Millis,
+    older: Option<time::Millis>,
+    newer: Option<time::Millis>,
+) -> bool {
+    let Some(older) = older else { return true };
+    let soon = time::Millis(bound.0 * SKIP_PERCENT / 100);
+    now >= older + bound || newer.is_some_and(|newer| newer.since(older) < soon)
+}
+
 /// Returns the time from the declaration of `version` until the engine on `own` may begin to load it.
 ///
 /// ```
--- a/crates/chestnutpick_loader/tests/turn.rs
+++ b/crates/chestnutpick_loader/tests/turn.rs
@@ -44,3 +44,14 @@
     assert!(turns.windows(2).all(|pair| pair[1].since(pair[0]) >= Millis(100)), "{turns:?}");
     assert!(turns[0] >= Millis(3_000) && turns[23] <= Millis(7_000), "{turns:?}");
 }
+
+/// Guards against two transfers one after the other where only the second is of use: two versions that were acknowledged
+/// within a second of the store's return were both transferred, and the newer one was everywhere after 14 s.
+#[rstest]
+#[case::right_after(0, 900, true)]
+#[case::soon_after(0, 2_000, true)]
+#[case::on_its_own(0, 3_000, false)]
+fn version_on_its_way_is_skipped(#[case] older: u64, #[case] newer: u64, #[case] skipped: bool) {
+    let (older, newer) = (Some(Millis(older)), Some(Millis(newer)));
+    assert_eq!(turn::is_skipped(Millis(3_000), Millis(8_000), older, newer), skipped);
+}
