Refuse requests that were lost with three endpoints, on all routers

Cause: a request that crashes the endpoints that run it is sent again by its caller, to any router; each router let it run anew. Ruled out: timeouts and engines that cut requests in order to load as signs of a crash; both hit requests that are harmless. Change: a request (method, path, workspace, body) that was lost with three endpoints and has been answered nowhere since is refused with 503 and a time to come back, after the list of crash suspects that the entry uses. Routers tell one another by way of the loaders.

--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -1,13 +1,34 @@
 //! Datagrams between routers and the processes beside model engines.
 //!
+//! The processes beside engines also pass on what one router tells all others: which requests were lost with an endpoint.
+//!
 //! A router subscribes at the load port of each engine's host, and repeats the subscription whenever it has sent the
 //! engine a request or one has begun to answer; the process there sends the engine's load to its subscribers whenever it
 //! has changed. Loss of a datagram costs accuracy only.
 
+use chestnutpick_routing::suspects;
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram, in bytes.
-pub const MAX_LEN: usize = 64;
+pub const MAX_LEN: usize = 256;
+
+/// A datagram from a router.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FromRouter {
+    /// It asks for the load of the engine.
+    Subscribe(Subscribe),
+    /// It tells all other routers of a request that was lost with an endpoint.
+    Lost(suspects::Record),
+}
+
+/// A datagram to a router.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToRouter {
+    /// The load of the engine.
+    Load(Load),
+    /// A request that another router has lost with an endpoint.
+    Lost(suspects::Record),
+}
 
 /// A router asks for an engine's load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,8 +72,9 @@
 ///
 /// ```
 /// use chestnutpick_fleet::load;
-/// let datagram = load::encode(&load::Subscribe { version: 3, age: None, unread: 0 });
-/// assert_eq!(load::decode(&datagram), Some(load::Subscribe { version: 3, age: None, unread: 0 }));
+/// let subscribe = load::Subscribe { version: 3, age: None, unread: 0 };
+/// let datagram = load::encode(&load::FromRouter::Subscribe(subscribe));
+/// assert_eq!(load::decode(&datagram), Some(load::FromRouter::Subscribe(subscribe)));
 /// ```
 pub fn encode<T>(message: &T) -> Vec<u8>
 where
@@ -65,7 +87,7 @@
 ///
 /// ```
 /// use chestnutpick_fleet::load;
-/// assert_eq!(load::decode::<load::Load>(&[]), None);
+/// assert_eq!(load::decode::<load::ToRouter>(&[]), None);
 /// ```
 pub fn decode<'a, T>(datagram: &'a [u8]) -> Option<T>
 where
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -65,7 +65,7 @@
             () = actix_rt::time::sleep(LOADING_POLL.to_duration()), if node.loading.get() => {
                 publisher.poll().await;
             }
-            () = node.changed.notified() => publisher.publish().await,
+            () = node.changed.notified() => publisher.publish(),
             received = publisher.socket.recv_from(&mut buffer) => {
                 publisher.on_received(&buffer, received);
             }
@@ -87,7 +87,7 @@
                     event::Event::new("engine_reports").with("running", report.running).info();
                 }
                 *self.node.report.borrow_mut() = Some((report, now));
-                self.publish().await;
+                self.publish();
             }
             Err(reason) => {
                 if before {
@@ -99,7 +99,7 @@
     }
 
     /// Sends the load to all subscribers if it has changed or was not sent for long.
-    async fn publish(&mut self) {
+    fn publish(&mut self) {
         let now = self.node.now();
         self.subscribers.retain(|_, subscriber| now.since(subscriber.seen) < SUBSCRIPTION);
         let Some(load) = self.load() else { return };
@@ -114,10 +114,15 @@
             return;
         }
         self.last = Some((load, now));
-        let datagram = load::encode(&load);
-        for subscriber in self.subscribers.keys() {
-            // A datagram that is lost is followed by another soon.
-            let _ = self.socket.send_to(&datagram, subscriber).await;
+        self.tell(&load::ToRouter::Load(load), None);
+    }
+
+    /// Sends a datagram to all subscribers but one.
+    fn tell(&self, message: &load::ToRouter, except: Option<net::SocketAddr>) {
+        let datagram = load::encode(message);
+        for subscriber in self.subscribers.keys().filter(|other| Some(**other) != except) {
+            // A load that is lost is followed by another soon, and a lost request is told by several hosts.
+            let _ = self.socket.try_send_to(&datagram, *subscriber);
         }
     }
 
@@ -147,7 +152,16 @@
 
     fn on_received(&mut self, buffer: &[u8], received: std::io::Result<(usize, net::SocketAddr)>) {
         let Ok((len, from)) = received else { return };
-        let Some(subscribe) = load::decode::<load::Subscribe>(&buffer[..len]) else { return };
+        match load::decode::<load::FromRouter>(&buffer[..len]) {
+            Some(load::FromRouter::Subscribe(subscribe)) => self.on_subscribe(from, subscribe),
+            Some(load::FromRouter::Lost(record)) => {
+                self.tell(&load::ToRouter::Lost(record), Some(from));
+            }
+            None => {}
+        }
+    }
+
+    fn on_subscribe(&mut self, from: net::SocketAddr, subscribe: load::Subscribe) {
         let subscriber = Subscriber { seen: self.node.now(), unread: subscribe.unread };
         self.subscribers.insert(from, subscriber);
         // A loader that the store refuses learns of a version in this way.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -12,6 +12,7 @@
 
 use crate::choice;
 use crate::handle;
+use crate::lost;
 use crate::node;
 use crate::outcome;
 use crate::stream;
@@ -81,7 +82,10 @@
 {
     node.on_first(&call.service.name);
     let mut tries = Tries::default();
-    let outcome = attempt_all(&node, &call, &mut tries).await;
+    let outcome = match lost::check(&node, &call) {
+        Ok(()) => attempt_all(&node, &call, &mut tries).await,
+        Err(refusal) => Err(refusal),
+    };
     match outcome {
         Ok(Served::Whole(response, endpoint)) => {
             outcome::log(&node, &call, &tries, response.status().as_u16(), &endpoint);
@@ -310,7 +314,9 @@
     tries: &mut Tries,
     endpoint: &endpoint::Endpoint,
     failed: &Failed,
-) {
+) where
+    C: codec::Codec,
+{
     let now = node.now();
     tries.failed.push(endpoint.id.clone());
     let (ran, reason) = match failed {
@@ -324,7 +330,10 @@
             }
             (error::Ran::NotRun, reason)
         }
-        Failed::Unknown(_, reason) => {
+        Failed::Unknown(kind, reason) => {
+            if *kind == error::ErrorKind::EndpointLost {
+                lost::on_lost(node, call, &endpoint.id);
+            }
             node.beliefs.borrow_mut().on_failed(now, &endpoint.id);
             (error::Ran::Unknown, reason)
         }
@@ -369,6 +378,7 @@
             }
         }
     }
+    lost::on_answered(node, call);
     // The loads of engines arrive by datagram, and are younger.
     if let (Some((running, waiting)), None) = (opened.head.load, &call.service.engine) {
         node.beliefs.borrow_mut().on_answer_load(node.now(), &opened.endpoint, running, waiting);
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod handle;
 mod loads;
+mod lost;
 mod node;
 mod outcome;
 mod stream;
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -4,6 +4,7 @@
 use std::rc;
 
 use chestnutpick_fleet::load;
+use chestnutpick_routing::suspects;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
 use tokio::net::UdpSocket;
@@ -12,6 +13,9 @@
 use crate::beliefs;
 use crate::node;
 
+/// Hosts that pass on a record of a lost request, so that the loss of one or two of them does no harm.
+const RELAYS: usize = 3;
+
 /// Interval at which subscriptions are renewed.
 const RENEWAL: time::Millis = time::Millis(1_000);
 
@@ -63,7 +67,8 @@
 
 fn send<C>(node: &node::Node<C>, socket: &UdpSocket, ip: net::IpAddr, subscribe: load::Subscribe) {
     // A datagram that is lost or refused is followed by another with the next renewal.
-    let _ = socket.try_send_to(&load::encode(&subscribe), node.host.load_address(ip));
+    let datagram = load::encode(&load::FromRouter::Subscribe(subscribe));
+    let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
 }
 
 fn on_received<C>(
@@ -72,15 +77,32 @@
     received: std::io::Result<(usize, net::SocketAddr)>,
 ) {
     match received {
-        Ok((len, from)) => {
-            if let Some(load) = load::decode::<load::Load>(&buffer[..len]) {
-                let (mut beliefs, now) = (node.beliefs.borrow_mut(), node.now());
-                beliefs.on_load(now, from.ip(), &load);
-                if beliefs.awaits_announcement(now) {
-                    node.awaiting.notify_one();
-                }
+        Ok((len, from)) => match load::decode(&buffer[..len]) {
+            Some(load::ToRouter::Load(load)) => on_load(node, from.ip(), &load),
+            Some(load::ToRouter::Lost(record)) => {
+                node.suspects.borrow_mut().merge(time::unix_now(), [record]);
             }
-        }
+            None => {}
+        },
         Err(reason) => event::Event::new("load_socket_failed").with("reason", reason).debug(),
     }
 }
+
+fn on_load<C>(node: &node::Node<C>, ip: net::IpAddr, load: &load::Load) {
+    let (mut beliefs, now) = (node.beliefs.borrow_mut(), node.now());
+    beliefs.on_load(now, ip, load);
+    if beliefs.awaits_announcement(now) {
+        node.awaiting.notify_one();
+    }
+}
+
+/// Tells the other routers of a request that was lost with an endpoint, by way of a few engines' hosts.
+pub(crate) fn tell_lost<C>(node: &node::Node<C>, record: suspects::Record) {
+    let Some(socket) = node.socket.get() else { return };
+    let hosts = node.beliefs.borrow().engine_hosts();
+    let datagram = load::encode(&load::FromRouter::Lost(record));
+    for (ip, _) in hosts.into_iter().take(RELAYS) {
+        // Any one of the hosts is enough.
+        let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
+    }
+}
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -8,7 +8,7 @@
 use chestnutpick_client::client;
 use chestnutpick_fleet::{config, host};
 use chestnutpick_process::page;
-use chestnutpick_routing::budget;
+use chestnutpick_routing::{budget, suspects};
 use chestnutpick_types::{id, time};
 use rand_core::SeedableRng;
 use serde_json::json;
@@ -23,6 +23,10 @@
 /// time is cut off or without power, and the request has time left for another.
 const CONNECT_TIMEOUT: time::Millis = time::Millis(250);
 
+/// Endpoints that a request may be lost with, without success in between, before it is refused. One attempt of a caller
+/// runs at two endpoints at most, so that a request is not refused for one unlucky attempt.
+const QUARANTINE: usize = 3;
+
 /// The router.
 pub(crate) struct Node<C> {
     /// Its host.
@@ -35,6 +39,8 @@
     pub(crate) beliefs: cell::RefCell<beliefs::Beliefs>,
     /// Retry budget of each service.
     budgets: cell::RefCell<collections::HashMap<id::ServiceId, budget::RetryBudget>>,
+    /// Requests that were lost with endpoints.
+    pub(crate) suspects: cell::RefCell<suspects::Suspects>,
     /// Generator for choices.
     pub(crate) rng: cell::RefCell<rand_xoshiro::Xoshiro256PlusPlus>,
     /// Socket for the loads of engines, once it is bound.
@@ -67,6 +73,7 @@
             clock: time::Clock::start(),
             beliefs: cell::RefCell::default(),
             budgets: cell::RefCell::default(),
+            suspects: cell::RefCell::new(suspects::Suspects::with_quarantine(QUARANTINE)),
             rng: cell::RefCell::new(rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(
                 time::unix_now().0,
             )),
@@ -193,6 +200,7 @@
             "config_version": beliefs.config.as_ref().map(|config| config.version),
             "confirmed_age_ms": beliefs.confirmed.map(|at| now.since(at)),
             "evacuated": beliefs.evacuated,
+            "suspects": self.suspects.borrow().dump(),
             "endpoints": endpoints.collect::<Vec<_>>(),
         })
     }
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -47,7 +47,7 @@
     let wait = match refusal.kind {
         kind if kind.answer().ran != error::Ran::NotRun => return response,
         error::ErrorKind::StoreUnavailable | error::ErrorKind::ShuttingDown => ELSEWHERE,
-        error::ErrorKind::VersionNotLoaded => AFTER_LOAD,
+        error::ErrorKind::VersionNotLoaded | error::ErrorKind::SuspectBusy => AFTER_LOAD,
         kind if kind.answer().status == 429 || kind.answer().status == 503 => SOON,
         _ => return response,
     };
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::events;
 use crate::forward;
 use crate::handle;
+use crate::lost;
 use crate::node;
 
 /// Longest silence of an endpoint within a stream. A batch that reads many prompts pauses for a few hundred milliseconds.
@@ -111,6 +112,9 @@
 
     /// Queues the events that the caller does not have.
     fn take(&mut self, found: Vec<events::Event>) {
+        if !found.is_empty() && self.last == self.call.head.last_event {
+            lost::on_answered(&self.node, &self.call);
+        }
         for event in found {
             if event.id.is_some() && event.id <= self.last {
                 continue;
@@ -122,6 +126,9 @@
 
     /// Lets the stream go on at another endpoint.
     async fn go_on(&mut self, reason: &str) -> io::Result<()> {
+        if self.last == self.call.head.last_event {
+            lost::on_lost(&self.node, &self.call, &self.opened.endpoint);
+        }
         self.node.beliefs.borrow_mut().on_failed(self.node.now(), &self.opened.endpoint);
         self.tries.failed.push(self.opened.endpoint.clone());
         self.tries.runs += 1;
--- a/crates/chestnutpick_routing/src/suspects.rs
+++ b/crates/chestnutpick_routing/src/suspects.rs
@@ -17,7 +17,7 @@
 /// Records that are kept at most, the newest; at about 150 B each the list stays below 1 MB.
 pub const MAX_RECORDS: usize = 4_096;
 
-/// Crashes that quarantine a fingerprint.
+/// Crashes that quarantine a fingerprint, unless a list is made with another number.
 const QUARANTINE: usize = 2;
 
 /// One request that was in flight at one crash. Records are ordered by time first.
@@ -39,22 +39,60 @@
 pub enum Standing {
     /// It was in flight at no known crash.
     Clear,
-    /// It was in flight at one crash: it may run only where no other suspect runs.
+    /// It was in flight at some crash: it may run only where no other suspect runs.
     Suspect,
-    /// It was in flight at two crashes: it must not run.
+    /// It was in flight at several crashes: it must not run.
     Quarantined,
 }
 
 type Crashes = collections::BTreeMap<(id::HostId, u64), time::Millis>;
 
 /// The list of suspects of one process.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Suspects {
     fingerprints: collections::BTreeMap<digest::Digest, Crashes>,
     records: usize,
+    quarantine: usize,
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        Self::with_quarantine(QUARANTINE)
+    }
 }
 
 impl Suspects {
+    /// Returns an empty list that quarantines a fingerprint after `crashes` crashes.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::Suspects::with_quarantine(1);
+    /// let prompt = Digest::of(b"prompt");
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[prompt]);
+    /// assert_eq!(suspects.standing(Millis(1), &prompt), suspects::Standing::Quarantined);
+    /// ```
+    pub fn with_quarantine(crashes: usize) -> Self {
+        Self { fingerprints: collections::BTreeMap::new(), records: 0, quarantine: crashes }
+    }
+
+    /// Forgets the crashes of a fingerprint: an endpoint has run it to its end.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::Suspects::default();
+    /// let prompt = Digest::of(b"prompt");
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[prompt]);
+    /// suspects.clear(&prompt);
+    /// assert!(suspects.is_empty());
+    /// ```
+    pub fn clear(&mut self, fingerprint: &digest::Digest) {
+        if let Some(crashes) = self.fingerprints.remove(fingerprint) {
+            self.records -= crashes.len();
+        }
+    }
+
     /// Records that `fingerprints` were in flight when `generation` of the engine on `host` crashed.
     ///
     /// ```
@@ -166,9 +204,9 @@
     /// ```
     pub fn standing(&self, now: time::Millis, fingerprint: &digest::Digest) -> Standing {
         let crashes = self.fingerprints.get(fingerprint).into_iter().flatten();
-        match crashes.filter(|(_, at)| is_valid(now, **at)).take(QUARANTINE).count() {
+        match crashes.filter(|(_, at)| is_valid(now, **at)).count() {
             0 => Standing::Clear,
-            1 => Standing::Suspect,
+            count if count < self.quarantine => Standing::Suspect,
             _ => Standing::Quarantined,
         }
     }
