Ask refused callers to come back after 40 ms; record pauses of streams

Cause: a caller that came back after 150 ms had 250 of its 400 ms left, as long as a response takes in lasting overload, so that most of those that were admitted then were late. Ruled out: pauses between events (19 of 700 late streams; they are now in a histogram and in the log where a route's limit was passed). Failed trial: to tell how long a caller has waited from its deadline; callers' deadlines differ by 15% from the start.

--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -10,7 +10,7 @@
 
 /// When a caller is asked to come back that no endpoint could serve in time. A place becomes free every few milliseconds,
 /// and a response may still be on time then.
-const SOON: time::Millis = time::Millis(150);
+const SOON: time::Millis = time::Millis(40);
 
 /// When a caller is asked to come back that another router may serve: it takes another one with its next connection.
 const ELSEWHERE: time::Millis = time::Millis(30);
@@ -36,6 +36,7 @@
         .with("kind", refusal.kind)
         .with("reason", &refusal.message)
         .with("sends", tries.sends)
+        .with("deadline_ms", call.head.deadline.map_or(0, |deadline| deadline.0))
         .with("ms", now.since(call.arrived).0)
         .info();
     respond(refusal, call.left(now).unwrap_or_default())
@@ -74,6 +75,7 @@
         .with("endpoint", endpoint)
         .with("status", status)
         .with("sends", tries.sends)
+        .with("deadline_ms", call.head.deadline.map_or(0, |deadline| deadline.0))
         .with("ms", took.0);
     if let Some(chosen) = &tries.chosen {
         let age = chosen.load_age.map_or_else(|| "none".to_owned(), |age| age.0.to_string());
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -39,6 +39,7 @@
 {
     let headers = node.codec.returned(&opened.response.headers);
     let relay = Relay {
+        pauses: Pauses { last: node.now(), longest: time::Millis::ZERO },
         last: call.head.last_event,
         version: opened.head.version,
         node,
@@ -79,9 +80,26 @@
     last: Option<u64>,
     /// Version of the weights of the first run.
     version: Option<u64>,
+    pauses: Pauses,
     _guard: node::InFlight<C>,
 }
 
+/// Pauses between the events of a stream.
+struct Pauses {
+    /// When the last event came.
+    last: time::Millis,
+    longest: time::Millis,
+}
+
+impl Pauses {
+    fn on_event(&mut self, now: time::Millis) {
+        let pause = now.since(self.last);
+        metrics::histogram!("event_pause_ms").record(pause.0 as f64);
+        self.longest = self.longest.max(pause);
+        self.last = now;
+    }
+}
+
 impl<C> Relay<C>
 where
     C: codec::Codec,
@@ -102,7 +120,10 @@
                     }
                     Err(reason) => reason.to_string(),
                 },
-                Ok(None) if self.framer.is_empty() => return Ok(None),
+                Ok(None) if self.framer.is_empty() => {
+                    self.on_end();
+                    return Ok(None);
+                }
                 Ok(None) => "the stream ended inside an event".to_owned(),
                 Err(reason) => reason.to_string(),
             };
@@ -120,10 +141,19 @@
                 continue;
             }
             self.last = event.id.or(self.last);
+            self.pauses.on_event(self.node.now());
             self.ready.push_back(event.bytes);
         }
     }
 
+    /// Logs a stream whose events came later than its route allows.
+    fn on_end(&self) {
+        let longest = self.pauses.longest;
+        if longest > self.call.route.gap {
+            self.log("stream_paused", &format!("{longest} between two events"));
+        }
+    }
+
     /// Lets the stream go on at another endpoint.
     async fn go_on(&mut self, reason: &str) -> io::Result<()> {
         if self.last == self.call.head.last_event {
