--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -7,6 +7,7 @@
 //! it has changed, at once while the engine is nearly full. Loss of a datagram costs accuracy only.
 
 use chestnutpick_routing::suspects;
+use chestnutpick_types::digest;
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram, in bytes.
@@ -17,8 +18,10 @@
 pub enum FromRouter {
     /// It asks for the load of the engine.
     Subscribe(Subscribe),
-    /// It tells all other routers of a request that was lost with an endpoint.
+    /// It tells all other routers of a request that was lost when an endpoint crashed.
     Lost(suspects::Record),
+    /// It tells all other routers of a suspected request that an endpoint has answered.
+    Cleared(digest::Digest),
 }
 
 /// A datagram to a router.
@@ -26,8 +29,10 @@
 pub enum ToRouter {
     /// The load of the engine.
     Load(Load),
-    /// A request that another router has lost with an endpoint.
+    /// A request that another router has lost when an endpoint crashed.
     Lost(suspects::Record),
+    /// A suspected request that an endpoint has answered to another router.
+    Cleared(digest::Digest),
 }
 
 /// A router asks for an engine's load.
@@ -41,6 +46,8 @@
     pub unread: u32,
     /// Requests that the router has at the engine.
     pub sent: u32,
+    /// Requests that the router has sent to the engine since it started.
+    pub total: u32,
 }
 
 /// An engine's load.
@@ -50,6 +57,8 @@
     pub occupied: u32,
     /// Prompt tokens of all routers' requests that have not begun to answer.
     pub unread: u32,
+    /// Requests that all routers have sent to it in the last second.
+    pub lately: u32,
     /// Version of the weights that it holds completely, 0 if none.
     pub version: u64,
     /// Whether it is about to load weights or loading them, and takes no new requests.
@@ -72,7 +81,7 @@
 ///
 /// ```
 /// use chestnutpick_fleet::load;
-/// let subscribe = load::Subscribe { version: 3, age: None, unread: 0, sent: 0 };
+/// let subscribe = load::Subscribe { version: 3, age: None, unread: 0, sent: 0, total: 0 };
 /// let datagram = load::encode(&load::FromRouter::Subscribe(subscribe));
 /// assert_eq!(load::decode(&datagram), Some(load::FromRouter::Subscribe(subscribe)));
 /// ```
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -141,9 +141,22 @@
 
     /// Returns the requests in a batch of the engine, 0 while no configuration is known.
     pub(crate) fn slots(&self) -> u32 {
+        self.of_service(|service| service.engine.as_ref().map(|engine| engine.slots))
+    }
+
+    /// Returns the requests a second that the engine bears when it is cold, 0 while no configuration is known.
+    pub(crate) fn cold_rate(&self) -> f64 {
+        self.of_service(|service| service.engine.as_ref().map(|_| service.cold_rate))
+    }
+
+    fn of_service<T, F>(&self, find: F) -> T
+    where
+        T: Default,
+        F: Fn(&config::Service) -> Option<T>,
+    {
         let config = self.config.borrow();
         let mut services = config.iter().flat_map(|config| config.services());
-        services.find_map(|service| Some(service.engine.as_ref()?.slots)).unwrap_or(0)
+        services.find_map(|service| find(service)).unwrap_or_default()
     }
 
     /// Returns the requests that the engine has, by its last report.
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -27,6 +27,9 @@
 /// Free places at an engine up to which routers learn of each request that comes or goes.
 const SPARE_PLACES: u32 = 3;
 
+/// Share of an engine's cold rate from which routers learn of each request that it gets.
+const PACED_SHARE: f64 = 0.6;
+
 fn millis(span: time::Millis) -> u32 {
     u32::try_from(span.0).unwrap_or(u32::MAX)
 }
@@ -127,7 +130,13 @@
         slots > 0 && self.subscribers.occupied() + SPARE_PLACES >= slots
     }
 
-    fn load(&self) -> Option<load::Load> {
+    /// Returns whether the engine gets so many requests that routers must know of each, so as not to pass its cold rate.
+    fn is_nearly_paced(&mut self) -> bool {
+        let rate = self.node.cold_rate() * PACED_SHARE;
+        rate > 0.0 && f64::from(self.subscribers.lately(self.node.now())) >= rate
+    }
+
+    fn load(&mut self) -> Option<load::Load> {
         let report = self.node.report.borrow();
         let (report, _) = report.as_ref()?;
         let now = self.node.now();
@@ -139,6 +148,7 @@
         Some(load::Load {
             occupied: self.subscribers.occupied(),
             unread: self.subscribers.unread(),
+            lately: self.subscribers.lately(now),
             version: report.loaded.as_ref().map_or(0, |(_, version)| *version),
             loading: self.node.loading.get() || report.busy,
             closes: self.node.closes().map(|at| millis(at.since(now))),
@@ -157,14 +167,18 @@
             Some(load::FromRouter::Lost(record)) => {
                 self.tell(&load::ToRouter::Lost(record), Some(from));
             }
+            Some(load::FromRouter::Cleared(fingerprint)) => {
+                self.tell(&load::ToRouter::Cleared(fingerprint), Some(from));
+            }
             None => {}
         }
     }
 
     fn on_subscribe(&mut self, from: net::SocketAddr, subscribe: load::Subscribe) {
         let now = self.node.now();
-        self.subscribers.on_subscribe(now, from, subscribe.unread, subscribe.sent);
-        if self.is_nearly_full() {
+        let load::Subscribe { unread, sent, total, .. } = subscribe;
+        self.subscribers.on_subscribe(now, from, unread, sent, total);
+        if self.is_nearly_full() || self.is_nearly_paced() {
             self.publish();
         }
         // A loader that the store refuses learns of a version in this way.
--- a/crates/chestnutpick_loader/src/subscribers.rs
+++ b/crates/chestnutpick_loader/src/subscribers.rs
@@ -8,6 +8,9 @@
 /// Time after which a subscription ends, a few times the interval at which routers renew it.
 const SUBSCRIPTION: time::Millis = time::Millis(3_500);
 
+/// Span over which requests are counted.
+const SECOND: time::Millis = time::Millis(1_000);
+
 /// Time from the loader's start within which all routers subscribe, a little more than the interval of renewals.
 const ROLL_CALL: time::Millis = time::Millis(1_300);
 
@@ -19,6 +22,8 @@
     unread: u32,
     /// Its requests at the engine.
     sent: u32,
+    /// Requests that it has sent since it started.
+    total: u32,
 }
 
 /// The routers that have subscribed lately.
@@ -27,6 +32,8 @@
     known: collections::BTreeMap<net::SocketAddr, Subscriber>,
     /// Requests that the engine had by its last report, and those that its routers had told of then.
     reported: (u32, u32),
+    /// When routers told of requests that they had sent in the last second, and of how many.
+    lately: collections::VecDeque<(time::Millis, u32)>,
 }
 
 impl Subscribers {
@@ -36,7 +43,7 @@
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1);
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1, 1);
     /// assert_eq!((subscribers.count(), subscribers.unread()), (1, 977));
     /// ```
     pub fn on_subscribe(
@@ -45,8 +52,35 @@
         from: net::SocketAddr,
         unread: u32,
         sent: u32,
+        total: u32,
     ) {
-        self.known.insert(from, Subscriber { seen: now, unread, sent });
+        let subscriber = Subscriber { seen: now, unread, sent, total };
+        let before = self.known.insert(from, subscriber);
+        // A router that is not known, or that has started anew, has told of its requests in part.
+        let before = before.map_or(total.saturating_sub(sent), |before| before.total);
+        let fresh = if before > total { total } else { total - before };
+        if fresh > 0 {
+            self.lately.push_back((now, fresh));
+        }
+    }
+
+    /// Returns the requests that all routers have sent to the engine in the last second.
+    ///
+    /// ```
+    /// use chestnutpick_loader::subscribers;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut subscribers = subscribers::Subscribers::default();
+    /// let router = "10.0.0.1:7700".parse().unwrap();
+    /// subscribers.on_subscribe(Millis(0), router, 977, 1, 1);
+    /// subscribers.on_subscribe(Millis(10), router, 977, 1, 3);
+    /// assert_eq!(subscribers.lately(Millis(20)), 3);
+    /// assert_eq!(subscribers.lately(Millis(1_005)), 2);
+    /// ```
+    pub fn lately(&mut self, now: time::Millis) -> u32 {
+        while self.lately.front().is_some_and(|(at, _)| now.since(*at) >= SECOND) {
+            self.lately.pop_front();
+        }
+        self.lately.iter().map(|(_, count)| count).sum()
     }
 
     /// Forgets routers that have not renewed their subscription.
@@ -76,7 +110,7 @@
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 0, 0);
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 0, 0, 0);
     /// assert_eq!(subscribers.routers(Millis(0)), 0);
     /// assert_eq!(subscribers.routers(Millis(5_000)), 1);
     /// ```
@@ -101,7 +135,7 @@
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
     /// subscribers.on_report(5);
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1);
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1, 1);
     /// assert_eq!(subscribers.occupied(), 6);
     /// ```
     pub fn occupied(&self) -> u32 {
--- a/crates/chestnutpick_router/src/beliefs.rs
+++ b/crates/chestnutpick_router/src/beliefs.rs
@@ -4,7 +4,7 @@
 use std::sync;
 
 use chestnutpick_fleet::{config, declared, directory, endpoint, load};
-use chestnutpick_types::{id, time};
+use chestnutpick_types::{digest, id, time};
 
 use crate::pace;
 use crate::peers;
@@ -45,6 +45,12 @@
     pub replaced: Option<time::Millis>,
     /// Requests of this process that it has.
     pub in_flight: u32,
+    /// Requests of this process that it has been sent.
+    pub total: u32,
+    /// Requests that all routers have sent it in the last second, by its last load and what this process has sent since.
+    pub lately: u32,
+    /// Drawn anew with each load, from 0 to 1: which routers may fill the room that the load tells of. Used up by a request.
+    pub ticket: f64,
     /// Prompt tokens of those that have not begun to answer.
     pub unread: u32,
     /// Prompt tokens of other routers' requests that have not begun to answer, by the last load.
@@ -76,6 +82,9 @@
             expires: None,
             replaced: None,
             in_flight: 0,
+            total: 0,
+            lately: 0,
+            ticket: f64::INFINITY,
             unread: 0,
             others: 0,
             occupied: 0,
@@ -91,7 +100,7 @@
     }
 
     fn share(&self) -> Share {
-        Share { unread: self.unread, sent: self.in_flight }
+        Share { unread: self.unread, sent: self.in_flight, total: self.total }
     }
 
     /// Returns whether its load is recent.
@@ -115,6 +124,8 @@
     pub unread: u32,
     /// All that have not ended.
     pub sent: u32,
+    /// All since this process learnt of the engine.
+    pub total: u32,
 }
 
 /// The beliefs of one process.
@@ -132,6 +143,8 @@
     pub confirmed: Option<time::Millis>,
     /// When the store answered again after it had not.
     regained: Option<time::Millis>,
+    /// Sets this process's draws apart from those of others.
+    pub salt: u64,
     /// Routers that share the engines, by the loads.
     pub routers: peers::Peers,
 }
@@ -238,6 +251,8 @@
                 continue;
             }
             known.occupied = load.occupied;
+            known.lately = load.lately;
+            known.ticket = draw(self.salt, now, &known.endpoint.id);
             known.others = load.unread.saturating_sub(known.unread);
             known.load_at = Some(now);
             known.version = load.version;
@@ -299,6 +314,9 @@
     pub fn on_sent(&mut self, now: time::Millis, id: &id::EndpointId, tokens: u32) {
         if let Some(known) = self.endpoints.get_mut(id) {
             known.in_flight += 1;
+            known.total = known.total.wrapping_add(1);
+            known.lately += 1;
+            known.ticket = f64::INFINITY;
             known.unread += tokens;
             known.occupied += 1;
             known.pace.on_sent(now);
@@ -385,6 +403,12 @@
     }
 }
 
+/// Draws a number from 0 to 1.
+fn draw(salt: u64, now: time::Millis, endpoint: &id::EndpointId) -> f64 {
+    let text = format!("{salt}/{now}/{endpoint}");
+    digest::Digest::of(text.as_bytes()).prefix() as f64 / u64::MAX as f64
+}
+
 fn announced(change: &directory::Change) -> Option<&id::EndpointId> {
     match change {
         directory::Change::Announced(endpoint) => Some(&endpoint.id),
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -4,16 +4,16 @@
 use std::rc;
 
 use chestnutpick_fleet::load;
-use chestnutpick_routing::suspects;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
 use tokio::net::UdpSocket;
 use tokio_util::sync;
 
 use crate::beliefs;
+use crate::lost;
 use crate::node;
 
-/// Hosts that pass on a record of a lost request, so that the loss of one or two of them does no harm.
+/// Hosts that pass on what is known of a suspected request, so that the loss of one or two of them does no harm.
 const RELAYS: usize = 3;
 
 /// Interval at which subscriptions are renewed.
@@ -30,6 +30,7 @@
             () = stop.cancelled() => return,
             _ = renewal.tick() => {
                 subscribe(&node, socket);
+                lost::confirm(&node);
                 node.record();
             }
             () = node.engines_changed.notified() => subscribe(&node, socket),
@@ -62,7 +63,8 @@
 ) -> load::Subscribe {
     let (version, age) = beliefs.newest_declared(node.now());
     let age = age.map(|age| u32::try_from(age.0).unwrap_or(u32::MAX));
-    load::Subscribe { version, age, unread: share.unread, sent: share.sent }
+    let beliefs::Share { unread, sent, total } = share;
+    load::Subscribe { version, age, unread, sent, total }
 }
 
 fn send<C>(node: &node::Node<C>, socket: &UdpSocket, ip: net::IpAddr, subscribe: load::Subscribe) {
@@ -82,6 +84,9 @@
             Some(load::ToRouter::Lost(record)) => {
                 node.suspects.borrow_mut().merge(time::unix_now(), [record]);
             }
+            Some(load::ToRouter::Cleared(fingerprint)) => {
+                node.suspects.borrow_mut().clear(&fingerprint);
+            }
             None => {}
         },
         Err(reason) => event::Event::new("load_socket_failed").with("reason", reason).debug(),
@@ -96,11 +101,11 @@
     }
 }
 
-/// Tells the other routers of a request that was lost with an endpoint, by way of a few engines' hosts.
-pub(crate) fn tell_lost<C>(node: &node::Node<C>, record: suspects::Record) {
+/// Tells the other routers something of a suspected request, by way of a few engines' hosts.
+pub(crate) fn tell_all<C>(node: &node::Node<C>, message: &load::FromRouter) {
     let Some(socket) = node.socket.get() else { return };
     let hosts = node.beliefs.borrow().engine_hosts();
-    let datagram = load::encode(&load::FromRouter::Lost(record));
+    let datagram = load::encode(message);
     for (ip, _) in hosts.into_iter().take(RELAYS) {
         // Any one of the hosts is enough.
         let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
--- a/crates/chestnutpick_router/src/lost.rs
+++ b/crates/chestnutpick_router/src/lost.rs
@@ -1,17 +1,79 @@
 //! Requests that may crash the endpoints that run them.
 //!
-//! Callers send such a request again, to any router. All routers share a list of requests that were lost with an endpoint;
-//! one that was lost with several and has succeeded nowhere since is refused.
+//! Callers send such a request again, to any router. A request that is lost with its endpoint becomes suspect once the
+//! endpoint is known to have crashed: connections break for many other reasons, and a harmless request that many callers
+//! make would soon be lost with several endpoints. All routers share the list of suspects and what clears them; a request
+//! that was lost in several crashes and has succeeded nowhere since is refused.
 
-use chestnutpick_fleet::codec;
+use chestnutpick_fleet::load;
 use chestnutpick_routing::suspects;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, error, id, time};
 
+use crate::beliefs;
 use crate::handle;
 use crate::loads;
 use crate::node;
 
+/// Time within which a crash shows: the endpoint cannot be reached, or has started anew.
+const CONFIRMATION: time::Millis = time::Millis(3_000);
+
+/// Losses that are remembered; more at a time have another cause than single requests.
+const MAX_LOSSES: usize = 256;
+
+/// A request that was lost with an endpoint.
+#[derive(Debug, Clone)]
+struct Loss {
+    at: time::Millis,
+    fingerprint: digest::Digest,
+    endpoint: id::EndpointId,
+    /// When the endpoint had started.
+    born: Option<u64>,
+}
+
+/// Requests that were lost lately.
+#[derive(Debug, Default)]
+pub struct Losses {
+    list: Vec<Loss>,
+}
+
+impl Losses {
+    /// Notes that a request was lost with an endpoint.
+    pub fn on_lost(
+        &mut self,
+        now: time::Millis,
+        fingerprint: digest::Digest,
+        beliefs: &beliefs::Beliefs,
+        endpoint: &id::EndpointId,
+    ) {
+        let Some(known) = beliefs.endpoints.get(endpoint) else { return };
+        // An engine that is about to load cuts its last requests.
+        if known.loading || self.list.len() >= MAX_LOSSES {
+            return;
+        }
+        let (endpoint, born) = (endpoint.clone(), known.endpoint.born);
+        self.list.push(Loss { at: now, fingerprint, endpoint, born });
+    }
+
+    /// Returns the losses whose endpoints have crashed, by what is believed by now.
+    pub fn confirmed(
+        &mut self,
+        now: time::Millis,
+        beliefs: &beliefs::Beliefs,
+    ) -> Vec<(digest::Digest, id::EndpointId, u64)> {
+        let crashed = |loss: &Loss| match beliefs.endpoints.get(&loss.endpoint) {
+            None => true,
+            Some(known) => {
+                known.endpoint.born != loss.born || known.replaced.is_some() || known.unreached > 0
+            }
+        };
+        let (crashed, rest): (Vec<_>, Vec<_>) = self.list.drain(..).partition(crashed);
+        self.list = rest.into_iter().filter(|loss| now.since(loss.at) < CONFIRMATION).collect();
+        let of_loss = |loss: Loss| (loss.fingerprint, loss.endpoint, loss.born.unwrap_or_default());
+        crashed.into_iter().map(of_loss).collect()
+    }
+}
+
 /// Returns the fingerprint of a request: what a caller repeats when it sends the same request again.
 fn fingerprint(call: &handle::Call) -> digest::Digest {
     let workspace = call.workspace.as_deref().map_or("", |workspace| &*workspace.name);
@@ -19,7 +81,7 @@
     digest::Digest::of(&[head.as_bytes(), &call.body].concat())
 }
 
-/// Refuses a request that was lost with several endpoints.
+/// Refuses a request that was lost in several crashes.
 pub(crate) fn check<C>(node: &node::Node<C>, call: &handle::Call) -> Result<(), error::Refusal> {
     let suspects = node.suspects.borrow();
     if suspects.is_empty() {
@@ -29,40 +91,44 @@
         suspects::Standing::Clear | suspects::Standing::Suspect => Ok(()),
         suspects::Standing::Quarantined => Err(error::Refusal::new(
             error::ErrorKind::SuspectBusy,
-            "the request was lost with several endpoints and may crash them",
+            "the request was lost in several crashes of endpoints",
         )),
     }
 }
 
-/// Notes that a request was lost with an endpoint, and tells the other routers.
-pub(crate) fn on_lost<C>(node: &node::Node<C>, call: &handle::Call, endpoint: &id::EndpointId)
-where
-    C: codec::Codec,
-{
-    let born = {
-        let beliefs = node.beliefs.borrow();
-        let known = beliefs.endpoints.get(endpoint);
-        // An engine that is about to load cuts its last requests.
-        let Some(known) = known.filter(|known| !known.loading) else { return };
-        known.endpoint.born.unwrap_or_default()
-    };
-    let Ok(host) = endpoint.as_str().parse::<id::HostId>() else { return };
-    let (now, fingerprint) = (time::unix_now(), fingerprint(call));
-    let record = suspects::Record { at: now, fingerprint, host, generation: born };
-    let mut suspects = node.suspects.borrow_mut();
-    suspects.merge(now, [record.clone()]);
-    event::Event::new("request_lost")
-        .with("request", &call.head.request_id)
-        .with("endpoint", endpoint)
-        .with("standing", suspects.standing(now, &fingerprint))
-        .info();
-    loads::tell_lost(node, record);
+/// Notes that a request was lost with an endpoint.
+pub(crate) fn on_lost<C>(node: &node::Node<C>, call: &handle::Call, endpoint: &id::EndpointId) {
+    let beliefs = node.beliefs.borrow();
+    node.losses.borrow_mut().on_lost(node.now(), fingerprint(call), &beliefs, endpoint);
 }
 
-/// Notes that an endpoint has run a request to an answer.
+/// Adds requests to the list of suspects whose endpoints have turned out to have crashed, and tells the other routers.
+pub(crate) fn confirm<C>(node: &node::Node<C>) {
+    let confirmed = node.losses.borrow_mut().confirmed(node.now(), &node.beliefs.borrow());
+    let at = time::unix_now();
+    for (fingerprint, endpoint, generation) in confirmed {
+        let Ok(host) = endpoint.as_str().parse::<id::HostId>() else { continue };
+        let record = suspects::Record { at, fingerprint, host, generation };
+        let mut suspects = node.suspects.borrow_mut();
+        suspects.merge(at, [record.clone()]);
+        event::Event::new("request_suspected")
+            .with("fingerprint", fingerprint)
+            .with("endpoint", endpoint)
+            .with("standing", suspects.standing(at, &fingerprint))
+            .info();
+        loads::tell_all(node, &load::FromRouter::Lost(record));
+    }
+}
+
+/// Notes that an endpoint has answered a request.
 pub(crate) fn on_answered<C>(node: &node::Node<C>, call: &handle::Call) {
     let mut suspects = node.suspects.borrow_mut();
-    if !suspects.is_empty() {
-        suspects.clear(&fingerprint(call));
+    if suspects.is_empty() {
+        return;
+    }
+    let fingerprint = fingerprint(call);
+    if suspects.standing(time::unix_now(), &fingerprint) != suspects::Standing::Clear {
+        suspects.clear(&fingerprint);
+        loads::tell_all(node, &load::FromRouter::Cleared(fingerprint));
     }
 }
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -9,8 +9,8 @@
 use chestnutpick_fleet::{config, host};
 use chestnutpick_process::page;
 use chestnutpick_routing::{budget, suspects};
-use chestnutpick_types::{id, time};
-use rand_core::SeedableRng;
+use chestnutpick_types::{digest, id, time};
+use rand_core::{Rng, SeedableRng};
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -18,12 +18,13 @@
 use crate::beliefs;
 use crate::choice;
 use crate::loads;
+use crate::lost;
 
 /// Time allowed for opening a connection to an endpoint. Hosts answer within milliseconds; one that does not within this
 /// time is cut off or without power, and the request has time left for another.
 const CONNECT_TIMEOUT: time::Millis = time::Millis(250);
 
-/// Endpoints that a request may be lost with, without success in between, before it is refused. One attempt of a caller
+/// Crashes in which a request may be lost, without success in between, before it is refused. One attempt of a caller
 /// runs at two endpoints at most, so that a request is not refused for one unlucky attempt.
 const QUARANTINE: usize = 3;
 
@@ -39,7 +40,9 @@
     pub(crate) beliefs: cell::RefCell<beliefs::Beliefs>,
     /// Retry budget of each service.
     budgets: cell::RefCell<collections::HashMap<id::ServiceId, budget::RetryBudget>>,
-    /// Requests that were lost with endpoints.
+    /// Requests that were lost with endpoints lately, which may have crashed.
+    pub(crate) losses: cell::RefCell<lost::Losses>,
+    /// Requests that were lost when endpoints crashed.
     pub(crate) suspects: cell::RefCell<suspects::Suspects>,
     /// Generator for choices.
     pub(crate) rng: cell::RefCell<rand_xoshiro::Xoshiro256PlusPlus>,
@@ -66,17 +69,19 @@
             reuse: false,
             ..client::Options::default()
         };
+        let mut rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(seed(&host.name));
+        let mut beliefs = beliefs::Beliefs::default();
+        beliefs.salt = rng.next_u64();
         Self {
             bounds: cell::Cell::new(host.bounds),
             host,
             codec,
             clock: time::Clock::start(),
-            beliefs: cell::RefCell::default(),
+            beliefs: cell::RefCell::new(beliefs),
             budgets: cell::RefCell::default(),
+            losses: cell::RefCell::default(),
             suspects: cell::RefCell::new(suspects::Suspects::with_quarantine(QUARANTINE)),
-            rng: cell::RefCell::new(rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(
-                time::unix_now().0,
-            )),
+            rng: cell::RefCell::new(rng),
             socket: cell::OnceCell::new(),
             engines_changed: Notify::new(),
             awaiting: Notify::new(),
@@ -103,6 +108,7 @@
         wanted: &choice::Wanted<'_>,
     ) -> Result<choice::Chosen, choice::NoChoice> {
         let place = choice::Place {
+            host: &self.host.name,
             zone: &self.host.zone,
             regions: &self.host.regions,
             bounds: self.bounds.get(),
@@ -209,6 +215,11 @@
     }
 }
 
+/// Returns a seed that differs between hosts that start at the same time.
+fn seed(host: &id::HostId) -> u64 {
+    digest::Digest::of(format!("{host}/{}", time::unix_now()).as_bytes()).prefix()
+}
+
 /// Counts a caller's request as in flight until it is dropped.
 pub(crate) struct InFlight<C>(rc::Rc<Node<C>>);
 
--- a/crates/chestnutpick_router/src/peers.rs
+++ b/crates/chestnutpick_router/src/peers.rs
@@ -5,8 +5,18 @@
 
 use chestnutpick_types::time;
 
-/// Routers that are assumed while nothing has told their number.
-const ASSUMED: u32 = 16;
+/// Routers that are assumed while nothing has told their number. With so many, each sends only where the load of an engine
+/// tells what all of them have sent.
+const ASSUMED: u32 = 64;
+
+/// Factor by which an old number is taken to have grown.
+const GROWTH: u32 = 2;
+
+/// Least number that is assumed when the last one is old.
+const LEAST: u32 = 16;
+
+/// Time without any number after which the processes beside the engines are taken to have ended.
+const SILENCE: time::Millis = time::Millis(3_000);
 
 /// Time for which a larger number counts beside a newer one. Limits hold for any second: routers that have come may use
 /// their share once those of before have used the smaller one for a second, and the other way round.
@@ -42,7 +52,7 @@
         }
         let span = now.since(self.began);
         if self.is_stale(now) {
-            (self.last, self.present, self.began) = (ASSUMED.max(self.present), 0, now);
+            (self.last, self.present, self.began) = (self.count(now), 0, now);
         } else if span >= MEMORY {
             (self.last, self.present, self.began) = (self.present, 0, now);
         }
@@ -57,13 +67,22 @@
     /// use chestnutpick_types::time::Millis;
     /// let mut peers = peers::Peers::default();
     /// peers.on_told(Millis(0), 3);
-    /// assert_eq!(peers.count(Millis(0)), 16);
+    /// assert_eq!(peers.count(Millis(0)), 64);
     /// peers.on_told(Millis(1_100), 3);
     /// assert_eq!(peers.count(Millis(1_100)), 3);
     /// ```
     pub fn count(&self, now: time::Millis) -> u32 {
         let largest = self.present.max(self.last);
-        if self.is_stale(now) { largest.max(ASSUMED) } else { largest }
+        match self.heard {
+            None => ASSUMED,
+            Some(_) if self.is_stale(now) => (largest * GROWTH).clamp(LEAST, ASSUMED.max(largest)),
+            Some(_) => largest,
+        }
+    }
+
+    /// Returns whether nothing has told the number for long.
+    pub fn is_silent(&self, now: time::Millis) -> bool {
+        now.since(self.heard.unwrap_or_default()) >= SILENCE
     }
 
     fn is_stale(&self, now: time::Millis) -> bool {
