--- a/crates/chestnutpick_loader/src/subscribers.rs
+++ b/crates/chestnutpick_loader/src/subscribers.rs
@@ -3,11 +3,15 @@
 use std::collections;
 use std::net;
 
-use chestnutpick_types::time;
+use chestnutpick_fleet::load;
+use chestnutpick_types::{id, time};
 
 /// Time after which a subscription ends, a few times the interval at which routers renew it.
 const SUBSCRIPTION: time::Millis = time::Millis(3_500);
 
+/// Span over which requests are counted.
+const SECOND: time::Millis = time::Millis(1_000);
+
 /// Time from the loader's start within which all routers subscribe, a little more than the interval of renewals.
 const ROLL_CALL: time::Millis = time::Millis(1_300);
 
@@ -19,6 +23,8 @@
     unread: u32,
     /// Its requests at the engine.
     sent: u32,
+    /// Requests that it has sent since it started.
+    total: u32,
 }
 
 /// The routers that have subscribed lately.
@@ -27,6 +33,10 @@
     known: collections::BTreeMap<net::SocketAddr, Subscriber>,
     /// Requests that the engine had by its last report, and those that its routers had told of then.
     reported: (u32, u32),
+    /// When routers told of requests that they had sent in the last second, and of how many.
+    lately: collections::VecDeque<(time::Millis, u32)>,
+    /// Zones of routers, and when they told so.
+    present: collections::BTreeMap<net::IpAddr, (id::ZoneId, time::Millis)>,
 }
 
 impl Subscribers {
@@ -36,7 +46,7 @@
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1);
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1, 1);
     /// assert_eq!((subscribers.count(), subscribers.unread()), (1, 977));
     /// ```
     pub fn on_subscribe(
@@ -45,8 +55,56 @@
         from: net::SocketAddr,
         unread: u32,
         sent: u32,
+        total: u32,
     ) {
-        self.known.insert(from, Subscriber { seen: now, unread, sent });
+        let subscriber = Subscriber { seen: now, unread, sent, total };
+        let before = self.known.insert(from, subscriber);
+        // A router that is not known, or that has started anew, has told of its requests in part.
+        let before = before.map_or(total.saturating_sub(sent), |before| before.total);
+        let fresh = if before > total { total } else { total - before };
+        if fresh > 0 {
+            self.lately.push_back((now, fresh));
+        }
+    }
+
+    /// Returns the requests that all routers have sent to the engine in the last second.
+    ///
+    /// ```
+    /// use chestnutpick_loader::subscribers;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut subscribers = subscribers::Subscribers::default();
+    /// let router = "10.0.0.1:7700".parse().unwrap();
+    /// subscribers.on_subscribe(Millis(0), router, 977, 1, 1);
+    /// subscribers.on_subscribe(Millis(10), router, 977, 1, 3);
+    /// assert_eq!(subscribers.lately(Millis(20)), 3);
+    /// assert_eq!(subscribers.lately(Millis(1_005)), 2);
+    /// ```
+    pub fn lately(&mut self, now: time::Millis) -> u32 {
+        while self.lately.front().is_some_and(|(at, _)| now.since(*at) >= SECOND) {
+            self.lately.pop_front();
+        }
+        self.lately.iter().map(|(_, count)| count).sum()
+    }
+
+    /// Notes that a router is in a zone, and returns the first routers of that zone that have told so lately.
+    ///
+    /// ```
+    /// use chestnutpick_loader::subscribers;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut subscribers = subscribers::Subscribers::default();
+    /// let (zone, ip) = ("lima-1".parse().unwrap(), "10.0.0.1".parse().unwrap());
+    /// assert_eq!(subscribers.on_present(Millis(0), ip, zone), [ip]);
+    /// ```
+    pub fn on_present(
+        &mut self,
+        now: time::Millis,
+        from: net::IpAddr,
+        zone: id::ZoneId,
+    ) -> Vec<net::IpAddr> {
+        self.present.retain(|_, (_, seen)| now.since(*seen) < SUBSCRIPTION);
+        self.present.insert(from, (zone.clone(), now));
+        let peers = self.present.iter().filter(|(_, (other, _))| *other == zone);
+        peers.map(|(ip, _)| *ip).take(load::MAX_PEERS).collect()
     }
 
     /// Forgets routers that have not renewed their subscription.
@@ -76,7 +134,7 @@
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 0, 0);
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 0, 0, 0);
     /// assert_eq!(subscribers.routers(Millis(0)), 0);
     /// assert_eq!(subscribers.routers(Millis(5_000)), 1);
     /// ```
@@ -101,7 +159,7 @@
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
     /// subscribers.on_report(5);
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1);
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1, 1);
     /// assert_eq!(subscribers.occupied(), 6);
     /// ```
     pub fn occupied(&self) -> u32 {
