Let routers that do not know their number send by draw alone

Cause: for the first seconds after a start a router assumes 64 others, and sent each engine one request a second at most. After a loss of all power this refused requests that the engines had room for. Change: the draw for the room that a load tells of is the only limit then; no_endpoint_gets_more_than_it_bears passes without the other one. The guess of what others have sent is made for 15 of them at most.

--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -46,6 +46,9 @@
 /// them see the same loads and choose by them.
 const OTHERS_SHARE: f64 = 0.6;
 
+/// Other routers that are assumed to choose the same engine at most; more of them choose among more engines.
+const MOST_OTHERS: u32 = 15;
+
 /// Time for which a request counts as sent lately: loads tell of it after that.
 const LATELY: time::Millis = time::Millis(120);
 
@@ -321,8 +324,10 @@
     // is one of those that fill the room which a load tells of.
     let room = wanted.service.cold_rate * KNOWN_SHARE - f64::from(known.lately);
     let drawn = known.has_load(now) && known.ticket * f64::from(routers) < room;
-    (drawn || beliefs.routers.is_silent(now) && is_own_second(now, place, known))
-        && known.pace.allows(now, 1)
+    drawn
+        || beliefs.routers.is_silent(now)
+            && is_own_second(now, place, known)
+            && known.pace.allows(now, 1)
 }
 
 /// Returns whether the present second is one of those in which this router sends to an endpoint while no loader tells what
@@ -349,7 +354,8 @@
     let running = f64::from(occupied.min(engine.slots));
     let step = engine.step_ms + engine.sequence_ms * running;
     let lately = known.pace.count(now, LATELY) as f64;
-    let unseen = lately * f64::from(beliefs.routers.count(now).saturating_sub(1)) * OTHERS_SHARE;
+    let others = beliefs.routers.count(now).saturating_sub(1).min(MOST_OTHERS);
+    let unseen = lately * f64::from(others) * OTHERS_SHARE;
     let unread = f64::from(known.unread) + f64::from(known.others);
     let unread = unread + unseen * f64::from(engine.usual.0) + f64::from(wanted.tokens);
     let reading = unread / engine.read_rate;
