Spare the origin and the links between regions when a whole fleet starts

Cause: after a loss of all power 88 loaders asked the origin for the manifest at once; it resets connections beyond its limit, and each loader asked again after 200 ms and read the configuration, a tenth of a megabyte, anew each time. Ruled out: the origin's link (two copies sent), the store's limit. Change: two hosts of each region ask the origin for a manifest, the others ask those, and the origin after four failed tries; the configuration is read again after three. A second router takes the reader's place.

--- a/crates/chestnutpick_loader/src/bring.rs
+++ b/crates/chestnutpick_loader/src/bring.rs
@@ -26,6 +26,9 @@
 /// Pause after a failed step.
 const RETRY: Duration = Duration::from_millis(200);
 
+/// Failed tries after which the configuration is read again; it takes a tenth of a megabyte.
+const CONFIG_TRIES: usize = 3;
+
 /// Time from telling routers that the engine will load until the order, so that few requests meet a closed engine.
 const NOTICE: Duration = Duration::from_millis(10);
 
@@ -66,6 +69,7 @@
     /// Collects the chunks of the newest declared version. A transfer goes on when a newer version is declared, since the
     /// older one is required before the newer one can be everywhere.
     async fn collect_newest(&self) {
+        let mut tries = 0;
         loop {
             // What lies at the engine is known only once it reports; until then chunks would be drawn in vain.
             let wanted = self.node.wanted().filter(|_| self.node.report.borrow().is_some());
@@ -79,15 +83,19 @@
             };
             let start = self.node.now();
             let collected = tokio::select! {
-                collected = self.collect(&version) => collected,
+                collected = self.collect(&version, tries) => collected,
                 () = self.outdated(&version) => Err("a newer version takes its place".to_owned()),
             };
             match collected {
-                Ok(()) => event::Event::new("weights_complete")
-                    .with("version", version.1)
-                    .with("took", self.node.now().since(start))
-                    .info(),
+                Ok(()) => {
+                    tries = 0;
+                    event::Event::new("weights_complete")
+                        .with("version", version.1)
+                        .with("took", self.node.now().since(start))
+                        .info();
+                }
                 Err(reason) => {
+                    tries += 1;
                     event::Event::new("weights_delayed")
                         .with("version", version.1)
                         .with("reason", reason)
@@ -137,7 +145,7 @@
     }
 
     /// Collects all chunks in memory: those that lie at the own engine, then those of peers and the origin.
-    async fn collect(&self, version: &chunks::Version) -> Result<(), String> {
+    async fn collect(&self, version: &chunks::Version, tries: usize) -> Result<(), String> {
         if let Err(reason) = watch::read_peers(&self.node, &self.store).await {
             // The peers known from before serve as well, but for those that came since.
             event::Event::new("peers_stale").with("reason", reason).warn();
@@ -145,8 +153,9 @@
         let place = self.node.config.borrow().as_ref().and_then(|c| c.origin().cloned());
         let place = place.ok_or_else(|| "the configuration names no origin".to_owned())?;
         let sources = fetch::Sources { node: &self.node, origin: &self.origin, place };
-        let manifest = match sources.manifest(version).await {
+        let manifest = match sources.manifest(version, tries).await {
             Ok(manifest) => manifest,
+            Err(reason) if tries < CONFIG_TRIES => return Err(format!("no manifest: {reason}")),
             Err(reason) => {
                 // The origin may have moved since the configuration was read.
                 let read = watch::read_config(&self.node, &self.store).await;
--- a/crates/chestnutpick_loader/src/fetch.rs
+++ b/crates/chestnutpick_loader/src/fetch.rs
@@ -19,6 +19,7 @@
 use crate::chunks;
 use crate::node;
 use crate::serve;
+use crate::turn;
 
 /// Deadline of a small question to a peer.
 const ASK_TIMEOUT: time::Millis = time::Millis(400);
@@ -29,6 +30,12 @@
 /// Chunks in a row that hosts of another region did not send, after which the whole region is left out.
 const REGION_FAILURES: u32 = 3;
 
+/// Hosts of each region that ask the origin for a manifest.
+const ORIGIN_HOSTS: usize = 2;
+
+/// Failed tries after which a host asks the origin by itself.
+const PEER_TRIES: usize = 4;
+
 /// Largest manifest or bitmap, in bytes.
 const MANIFEST_LIMIT: size::Bytes = size::Bytes::from_mib(1);
 
@@ -91,18 +98,57 @@
     E: 'static,
     O: engine::Origin + 'static,
 {
-    /// Returns the manifest of a version, from the origin or, if that has no answer, from a peer.
+    /// Returns the manifest of a version, from the origin or from a peer. The origin takes few connections, and resets those
+    /// of a whole fleet that starts at once: the first hosts of each region ask it, and the others ask those, unless they
+    /// have failed `tries` times.
     pub(crate) async fn manifest(
         &self,
         version: &chunks::Version,
+        tries: usize,
     ) -> Result<engine::Manifest, String> {
-        let found = self.origin.manifest(self.place.address, &version.0, version.1).await;
-        let reason = match found {
-            Ok(manifest) => return Ok(manifest),
-            Err(reason) => reason.to_string(),
-        };
-        let peers: Vec<_> = self.node.peers.borrow().iter().map(|peer| peer.ip).collect();
-        for ip in peers.into_iter().filter(|ip| *ip != self.node.host.ip) {
+        let (first, own) = self.first_hosts(version);
+        if own || tries >= PEER_TRIES {
+            let found = self.origin.manifest(self.place.address, &version.0, version.1).await;
+            match found {
+                Ok(manifest) => return Ok(manifest),
+                Err(reason) if own => {
+                    return self.manifest_of(version, self.others(), reason.to_string()).await;
+                }
+                Err(_) => {}
+            }
+        }
+        let asked = if tries >= PEER_TRIES { self.others() } else { first };
+        self.manifest_of(version, asked, "no peer holds it yet".to_owned()).await
+    }
+
+    fn others(&self) -> Vec<net::IpAddr> {
+        let peers = self.node.peers.borrow();
+        peers.iter().map(|peer| peer.ip).filter(|ip| *ip != self.node.host.ip).collect()
+    }
+
+    /// Returns the hosts of the own region that ask the origin for the manifest of a version, and whether this is one.
+    fn first_hosts(&self, version: &chunks::Version) -> (Vec<net::IpAddr>, bool) {
+        let peers = self.node.peers.borrow();
+        let region = &self.node.member.region;
+        let others = peers.iter().filter(|peer| peer.member.region == *region);
+        let mut hosts: Vec<_> = others.map(|peer| (&peer.member.host, peer.ip)).collect();
+        if !hosts.iter().any(|(_, ip)| *ip == self.node.host.ip) {
+            hosts.push((&self.node.member.host, self.node.host.ip));
+        }
+        hosts.sort_by_key(|(host, _)| turn::key(host, version.1));
+        let first: Vec<_> = hosts.into_iter().take(ORIGIN_HOSTS).map(|(_, ip)| ip).collect();
+        let own = first.contains(&self.node.host.ip);
+        (first, own)
+    }
+
+    /// Asks peers for the manifest of a version.
+    async fn manifest_of(
+        &self,
+        version: &chunks::Version,
+        peers: Vec<net::IpAddr>,
+        reason: String,
+    ) -> Result<engine::Manifest, String> {
+        for ip in peers {
             let path = serve::path(version, "manifest");
             let Ok(Some(bytes)) = ask(self.node, ip, path).await else { continue };
             if let Some(manifest) = engine::Manifest::from_bytes(&bytes) {
--- a/crates/chestnutpick_loader/src/turn.rs
+++ b/crates/chestnutpick_loader/src/turn.rs
@@ -74,6 +74,11 @@
     now >= older + bound || newer.is_some_and(|newer| newer.since(older) < soon)
 }
 
+/// Returns a number by which all hosts sort each other alike, in another order for each version.
+pub(crate) fn key(host: &id::HostId, version: u64) -> u64 {
+    digest::Digest::of(format!("{host}/{version}").as_bytes()).prefix()
+}
+
 /// Returns the time from the declaration of `version` until the engine on `own` may begin to load it.
 ///
 /// ```
@@ -90,10 +95,9 @@
     hosts: &[id::HostId],
     own: &id::HostId,
 ) -> time::Millis {
-    let key =
-        |host: &id::HostId| digest::Digest::of(format!("{host}/{version}").as_bytes()).prefix();
-    let mine = key(own);
-    let ahead = hosts.iter().filter(|host| *host != own && key(host) < mine).count() as u64;
+    let mine = key(own, version);
+    let before = |host: &&id::HostId| *host != own && key(host, version) < mine;
+    let ahead = hosts.iter().filter(before).count() as u64;
     let others = hosts.iter().filter(|host| *host != own).count().max(1) as u64;
     let first = bound.0 * FIRST_PERCENT / 100;
     let span = bound.0 * (LAST_PERCENT - FIRST_PERCENT) / 100;
--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -1,7 +1,7 @@
 //! Passing on what one router of a zone reads from the store.
 //!
-//! All routers of a zone agree on the one that reads: the first by address, as the loaders of the zone tell. The others ask it
-//! for what it reads, so that calls to the store, and the bytes that cross the links between regions, do not grow with the
+//! All routers of a zone agree on the one that reads: the first by address, as the loaders of the zone tell, or the second if that fails. The others ask
+//! it for what it reads, so that calls to the store, and the bytes that cross the links between regions, do not grow with the
 //! number of routers. A router that gets no answer soon reads the store by itself.
 
 use std::collections;
@@ -24,6 +24,12 @@
 /// learnt of within their bound all the same.
 const PATIENCE: time::Millis = time::Millis(400);
 
+/// The same where the first reader has taken its time already.
+pub(crate) const SHORT_PATIENCE: time::Millis = time::Millis(500);
+
+/// Routers of a zone of which each may be its reader, in turn.
+const READERS: usize = 2;
+
 /// Time for which a reader that gave no answer is not asked again.
 const DISTRUST: time::Millis = time::Millis(3_000);
 
@@ -57,8 +63,8 @@
     answers: collections::VecDeque<Answer>,
     /// Routers of the zone, and when a loader told of them.
     peers: Option<(Vec<net::IpAddr>, time::Millis)>,
-    /// Until when the reader is not asked.
-    distrusted: time::Millis,
+    /// Readers that gave no answer, and until when they are not asked.
+    distrusted: collections::BTreeMap<net::IpAddr, time::Millis>,
 }
 
 impl Relay {
@@ -85,17 +91,23 @@
         self.peers = Some((peers, now));
     }
 
-    /// Notes that the reader gave no answer of use.
-    pub(crate) fn on_failed(&mut self, now: time::Millis) {
-        self.distrusted = now + DISTRUST;
+    /// Notes that a reader gave no answer of use.
+    pub(crate) fn on_failed(&mut self, now: time::Millis, reader: net::IpAddr) {
+        self.distrusted.retain(|_, until| *until > now);
+        self.distrusted.insert(reader, now + DISTRUST);
     }
 
-    /// Returns the router to ask, if it is another one.
+    /// Returns the router to ask, if it is another one: the first that has not failed this one lately, so that the next takes
+    /// the place of a reader that is gone, and not all routers of the zone.
     pub(crate) fn reader(&self, now: time::Millis, own: net::IpAddr) -> Option<net::IpAddr> {
         let (peers, at) = self.peers.as_ref()?;
-        let first = *peers.first()?;
-        let fresh = now.since(*at) < PEERS_AGE && now >= self.distrusted;
-        (fresh && first != own).then_some(first)
+        if now.since(*at) >= PEERS_AGE {
+            return None;
+        }
+        let trusted =
+            |ip: &&net::IpAddr| self.distrusted.get(*ip).is_none_or(|until| now >= *until);
+        let first = peers.iter().take(READERS).find(trusted)?;
+        (*first != own).then_some(*first)
     }
 
     /// Returns the first answer that is news to a router that knows all until `after` and asked at the time `arrived`: one
@@ -151,7 +163,8 @@
     }
 }
 
-fn patience<C>(node: &node::Node<C>) -> time::Millis {
+/// Returns how long a reader may take for an answer.
+pub(crate) fn patience<C>(node: &node::Node<C>) -> time::Millis {
     node.bounds.get().read_pause() + PATIENCE
 }
 
@@ -159,12 +172,13 @@
 pub(crate) async fn ask<C>(
     node: &node::Node<C>,
     reader: net::IpAddr,
+    patience: time::Millis,
     after: u64,
 ) -> Result<(Bytes, time::Millis), directory::DirectoryError> {
     let asked = node.now();
     let request = client::Request::new("GET", format!("{PATH}?after={after}"));
     let address = node.host.relay_address(reader);
-    let mut response = node.relay_client.call(address, request, patience(node)).await?;
+    let mut response = node.relay_client.call(address, request, patience).await?;
     if response.status != 200 {
         return Err(directory::DirectoryError::Refused { status: response.status });
     }
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -71,16 +71,18 @@
     /// Makes one call and returns the least time from its start to the next.
     async fn step(&mut self, revision: &mut Option<u64>) -> time::Millis {
         let Some(after) = *revision else { return self.list(revision).await };
-        let reader = self.node.relay.borrow().reader(self.node.now(), self.node.host.ip);
-        if let Some(reader) = reader {
-            match self.ask(reader, after, revision).await {
+        // The second reader learns of the first one's end at the same time as this router, and answers soon after.
+        for patience in [relay::patience(&self.node), relay::SHORT_PATIENCE] {
+            let reader = self.node.relay.borrow().reader(self.node.now(), self.node.host.ip);
+            let Some(reader) = reader else { break };
+            match self.ask(reader, patience, after, revision).await {
                 Ok(()) => return time::Millis::ZERO,
                 Err(reason) => {
                     event::Event::new("reader_distrusted")
                         .with("reader", reader)
                         .with("reason", reason)
                         .info();
-                    self.node.relay.borrow_mut().on_failed(self.node.now());
+                    self.node.relay.borrow_mut().on_failed(self.node.now(), reader);
                 }
             }
         }
@@ -106,10 +108,11 @@
     async fn ask(
         &mut self,
         reader: net::IpAddr,
+        patience: time::Millis,
         after: u64,
         revision: &mut Option<u64>,
     ) -> Result<(), directory::DirectoryError> {
-        let (raw, confirmed) = relay::ask(&self.node, reader, after).await?;
+        let (raw, confirmed) = relay::ask(&self.node, reader, patience, after).await?;
         let batch = self.store.read(&raw)?;
         *revision = Some(batch.revision.max(after));
         self.pass_on(after, &batch, raw, confirmed);
