Learn of leaving endpoints earlier when the reader of a zone is gone

Ruled out: the store (the reader of the zone was frozen), a lost announcement. Conclusion: the worst case is 1.15 s and a call where 2.0 s are allowed, 1.5 s where 3.0 s are.

--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -73,8 +73,8 @@
 const VERSION_PERCENT: u64 = 84;
 
 /// Share of the bound on leaving endpoints, in percent, for which the store is not asked again. The rest covers a slow
-/// answer and the way of the last request.
-const READ_PERCENT: u64 = 45;
+/// answer, readers that do not answer, and the way of the last request.
+const READ_PERCENT: u64 = 35;
 
 impl Bounds {
     /// Returns the least time between two questions to the store. Endpoints rewrite their announcements all the time, so
--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -21,11 +21,12 @@
 const KEPT: usize = 16;
 
 /// Time beyond the usual pause between two answers after which the reader is taken to be gone. Leaving endpoints must be
-/// learnt of within their bound all the same.
-const PATIENCE: time::Millis = time::Millis(400);
+/// learnt of within their bound all the same: with 400 ms, and 500 ms for the second reader, a slow call to the store after
+/// both exceeded it.
+const PATIENCE: time::Millis = time::Millis(200);
 
 /// The same where the first reader has taken its time already.
-pub(crate) const SHORT_PATIENCE: time::Millis = time::Millis(500);
+pub(crate) const SHORT_PATIENCE: time::Millis = time::Millis(250);
 
 /// Routers of a zone of which each may be its reader, in turn.
 const READERS: usize = 2;
