Give the tests of choices routers that know their number

Change: the deployment of these tests has been told its number of routers for over a second, which is what they are about. Their bounds and checks stay. That a router that has just started may refuse while places are free is told in docs/incidents.md.

--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -85,6 +85,9 @@
     changes.extend((1..=count).map(|n| announced(endpoint(n, "llm", "lima"))));
     beliefs.replace(Millis(0), changes);
     beliefs.on_confirmed(Millis(0));
+    // The process has run for long enough to know how many routers there are.
+    beliefs.routers.on_told(Millis(0), 4);
+    beliefs.routers.on_told(Millis(1_100), 4);
     beliefs
 }
 
