--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -51,11 +51,18 @@
     pub version: u64,
     /// Time since the version was declared, in milliseconds, where the router knows it.
     pub age: Option<u32>,
-    /// Prompt tokens of the requests that the router has sent to the engine and that have not begun to answer.
+    /// What the engine has of the router's requests.
+    pub share: Share,
+}
+
+/// What an engine has of one router's requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Prompt tokens of those that have not begun to answer.
     pub unread: u32,
-    /// Requests that the router has at the engine.
+    /// All that have not ended.
     pub sent: u32,
-    /// Requests that the router has sent to the engine since it started.
+    /// All since the router has known the engine.
     pub total: u32,
 }
 
@@ -90,7 +97,7 @@
 ///
 /// ```
 /// use chestnutpick_fleet::load;
-/// let subscribe = load::Subscribe { version: 3, age: None, unread: 0, sent: 0, total: 0 };
+/// let subscribe = load::Subscribe { version: 3, age: None, share: load::Share::default() };
 /// let datagram = load::encode(&load::FromRouter::Subscribe(subscribe));
 /// assert_eq!(load::decode(&datagram), Some(load::FromRouter::Subscribe(subscribe)));
 /// ```
--- a/crates/chestnutpick_loader/src/fetch.rs
+++ b/crates/chestnutpick_loader/src/fetch.rs
@@ -107,18 +107,13 @@
         tries: usize,
     ) -> Result<engine::Manifest, String> {
         let (first, own) = self.first_hosts(version);
-        if own || tries >= PEER_TRIES {
-            let found = self.origin.manifest(self.place.address, &version.0, version.1).await;
-            match found {
-                Ok(manifest) => return Ok(manifest),
-                Err(reason) if own => {
-                    return self.manifest_of(version, self.others(), reason.to_string()).await;
-                }
-                Err(_) => {}
-            }
+        if !own && tries < PEER_TRIES {
+            return self.manifest_of(version, first, "no peer holds it yet".to_owned()).await;
+        }
+        match self.origin.manifest(self.place.address, &version.0, version.1).await {
+            Ok(manifest) => Ok(manifest),
+            Err(reason) => self.manifest_of(version, self.others(), reason.to_string()).await,
         }
-        let asked = if tries >= PEER_TRIES { self.others() } else { first };
-        self.manifest_of(version, asked, "no peer holds it yet".to_owned()).await
     }
 
     fn others(&self) -> Vec<net::IpAddr> {
@@ -141,7 +136,7 @@
         (first, own)
     }
 
-    /// Asks peers for the manifest of a version.
+    /// Asks peers for the manifest of a version; `reason` says why, where none has it.
     async fn manifest_of(
         &self,
         version: &chunks::Version,
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -24,12 +24,6 @@
 /// Longest time between two loads to a subscriber; shorter than the age beyond which routers forget a load.
 const REPEAT: time::Millis = time::Millis(500);
 
-/// Free places at an engine up to which routers learn of each request that comes or goes.
-const SPARE_PLACES: u32 = 3;
-
-/// Share of an engine's cold rate from which routers learn of each request that it gets.
-const PACED_SHARE: f64 = 0.6;
-
 fn millis(span: time::Millis) -> u32 {
     u32::try_from(span.0).unwrap_or(u32::MAX)
 }
@@ -123,19 +117,6 @@
         }
     }
 
-    /// Returns whether a request more or less at the engine is news that routers need at once: each of them would send it a
-    /// request otherwise when a place becomes free.
-    fn is_nearly_full(&self) -> bool {
-        let slots = self.node.slots();
-        slots > 0 && self.subscribers.occupied() + SPARE_PLACES >= slots
-    }
-
-    /// Returns whether the engine gets so many requests that routers must know of each, so as not to pass its cold rate.
-    fn is_nearly_paced(&mut self) -> bool {
-        let rate = self.node.cold_rate() * PACED_SHARE;
-        rate > 0.0 && f64::from(self.subscribers.lately(self.node.now())) >= rate
-    }
-
     fn load(&mut self) -> Option<load::Load> {
         let report = self.node.report.borrow();
         let (report, _) = report.as_ref()?;
@@ -184,9 +165,8 @@
 
     fn on_subscribe(&mut self, from: net::SocketAddr, subscribe: load::Subscribe) {
         let now = self.node.now();
-        let load::Subscribe { unread, sent, total, .. } = subscribe;
-        self.subscribers.on_subscribe(now, from, unread, sent, total);
-        if self.is_nearly_full() || self.is_nearly_paced() {
+        self.subscribers.on_subscribe(now, from, subscribe.share);
+        if self.subscribers.is_pressed(now, self.node.slots(), self.node.cold_rate()) {
             self.publish();
         }
         // A loader that the store refuses learns of a version in this way.
--- a/crates/chestnutpick_loader/src/subscribers.rs
+++ b/crates/chestnutpick_loader/src/subscribers.rs
@@ -9,6 +9,12 @@
 /// Time after which a subscription ends, a few times the interval at which routers renew it.
 const SUBSCRIPTION: time::Millis = time::Millis(3_500);
 
+/// Free places at an engine up to which routers learn of each request that comes or goes.
+const SPARE_PLACES: u32 = 3;
+
+/// Share of an engine's cold rate from which routers learn of each request that it gets.
+const PACED_SHARE: f64 = 0.6;
+
 /// Span over which requests are counted.
 const SECOND: time::Millis = time::Millis(1_000);
 
@@ -19,12 +25,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Subscriber {
     seen: time::Millis,
-    /// Prompt tokens of its requests that have not begun to answer.
-    unread: u32,
-    /// Its requests at the engine.
-    sent: u32,
-    /// Requests that it has sent since it started.
-    total: u32,
+    share: load::Share,
 }
 
 /// The routers that have subscribed lately.
@@ -43,25 +44,20 @@
     /// Takes over what a router tells of its requests at the engine.
     ///
     /// ```
+    /// use chestnutpick_fleet::load;
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1, 1);
-    /// assert_eq!((subscribers.count(), subscribers.unread()), (1, 977));
+    /// let share = load::Share { unread: 977, sent: 1, total: 1 };
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), share);
+    /// assert_eq!((subscribers.addresses().count(), subscribers.unread()), (1, 977));
     /// ```
-    pub fn on_subscribe(
-        &mut self,
-        now: time::Millis,
-        from: net::SocketAddr,
-        unread: u32,
-        sent: u32,
-        total: u32,
-    ) {
-        let subscriber = Subscriber { seen: now, unread, sent, total };
-        let before = self.known.insert(from, subscriber);
+    pub fn on_subscribe(&mut self, now: time::Millis, from: net::SocketAddr, share: load::Share) {
+        let load::Share { sent, total, .. } = share;
+        let before = self.known.insert(from, Subscriber { seen: now, share });
         // A router that is not known, or that has started anew, has told of its requests in part.
-        let before = before.map_or(total.saturating_sub(sent), |before| before.total);
-        let fresh = if before > total { total } else { total - before };
+        let before = before.map_or(total.saturating_sub(sent), |before| before.share.total);
+        let fresh = total.checked_sub(before).unwrap_or(total);
         if fresh > 0 {
             self.lately.push_back((now, fresh));
         }
@@ -70,12 +66,13 @@
     /// Returns the requests that all routers have sent to the engine in the last second.
     ///
     /// ```
+    /// use chestnutpick_fleet::load;
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// let router = "10.0.0.1:7700".parse().unwrap();
-    /// subscribers.on_subscribe(Millis(0), router, 977, 1, 1);
-    /// subscribers.on_subscribe(Millis(10), router, 977, 1, 3);
+    /// let (router, share) = ("10.0.0.1:7700".parse().unwrap(), load::Share::default());
+    /// subscribers.on_subscribe(Millis(0), router, load::Share { sent: 1, total: 1, ..share });
+    /// subscribers.on_subscribe(Millis(10), router, load::Share { sent: 1, total: 3, ..share });
     /// assert_eq!(subscribers.lately(Millis(20)), 3);
     /// assert_eq!(subscribers.lately(Millis(1_005)), 2);
     /// ```
@@ -86,6 +83,14 @@
         self.lately.iter().map(|(_, count)| count).sum()
     }
 
+    /// Returns whether routers must learn of each request that comes or goes: an engine with `slots` places is nearly full,
+    /// and each router would send it a request when one becomes free, or it gets nearly as many as it bears when it is cold.
+    pub fn is_pressed(&mut self, now: time::Millis, slots: u32, cold_rate: f64) -> bool {
+        let is_full = slots > 0 && self.occupied() + SPARE_PLACES >= slots;
+        let paced = cold_rate * PACED_SHARE;
+        is_full || paced > 0.0 && f64::from(self.lately(now)) >= paced
+    }
+
     /// Notes that a router is in a zone, and returns the first routers of that zone that have told so lately.
     ///
     /// ```
@@ -122,44 +127,46 @@
         self.known.keys().copied()
     }
 
-    /// Returns the number of routers that share the engine.
-    pub fn count(&self) -> u32 {
-        u32::try_from(self.known.len()).unwrap_or(u32::MAX)
-    }
-
     /// Returns the number of routers as a loader tells it that has run for `uptime`: 0 until each has had the time to
     /// subscribe, since each would take a larger share of the engine by a number that is too small.
     ///
     /// ```
+    /// use chestnutpick_fleet::load;
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 0, 0, 0);
+    /// let router = "10.0.0.1:7700".parse().unwrap();
+    /// subscribers.on_subscribe(Millis(0), router, load::Share::default());
     /// assert_eq!(subscribers.routers(Millis(0)), 0);
     /// assert_eq!(subscribers.routers(Millis(5_000)), 1);
     /// ```
     pub fn routers(&self, uptime: time::Millis) -> u32 {
-        if uptime < ROLL_CALL { 0 } else { self.count() }
+        if uptime < ROLL_CALL {
+            return 0;
+        }
+        u32::try_from(self.known.len()).unwrap_or(u32::MAX)
     }
 
     /// Returns the prompt tokens of all requests that have not begun to answer.
     pub fn unread(&self) -> u32 {
-        self.known.values().map(|subscriber| subscriber.unread).sum()
+        self.known.values().map(|subscriber| subscriber.share.unread).sum()
     }
 
     fn sent(&self) -> u32 {
-        self.known.values().map(|subscriber| subscriber.sent).sum()
+        self.known.values().map(|subscriber| subscriber.share.sent).sum()
     }
 
     /// Returns the requests that the engine has: those of its last report and what routers have told since. Requests of
     /// routers that have ended stay in both terms, and do not count.
     ///
     /// ```
+    /// use chestnutpick_fleet::load;
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
     /// subscribers.on_report(5);
-    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), 977, 1, 1);
+    /// let share = load::Share { unread: 977, sent: 1, total: 1 };
+    /// subscribers.on_subscribe(Millis(0), "10.0.0.1:7700".parse().unwrap(), share);
     /// assert_eq!(subscribers.occupied(), 6);
     /// ```
     pub fn occupied(&self) -> u32 {
--- a/crates/chestnutpick_loader/tests/limits.rs
+++ b/crates/chestnutpick_loader/tests/limits.rs
@@ -1,15 +1,17 @@
 //! Limits over all routers, in virtual time: each router works out its share from what the loaders of the engines tell,
 //! while routers and loaders are killed, frozen, cut off and added.
 
+#[path = "../../chestnutpick_router/tests/common/mod.rs"]
+mod common;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chestnutpick_fleet::{config, directory, endpoint, host, load};
+use chestnutpick_fleet::{config, directory, load};
 use chestnutpick_loader::subscribers::Subscribers;
 use chestnutpick_router::{beliefs, choice};
 use chestnutpick_routing::budget;
-use chestnutpick_types::id;
 use chestnutpick_types::time::Millis;
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -28,9 +30,6 @@
 /// Interval at which loaders tell loads.
 const REPORT: u64 = 100;
 
-/// Share of the cold rate from which a loader tells of each request, as in its own code.
-const PACED_SHARE: f64 = 0.6;
-
 /// Longest way of a datagram, in milliseconds.
 const WAY: u64 = 3;
 
@@ -53,7 +52,7 @@
 }
 
 enum Message {
-    Subscribe(beliefs::Share),
+    Subscribe(load::Share),
     Load(load::Load),
 }
 
@@ -70,64 +69,19 @@
     arrivals: BTreeMap<u8, VecDeque<u64>>,
 }
 
-fn engine_id(engine: u8) -> id::EndpointId {
-    format!("i-{engine}").parse().unwrap()
-}
-
 fn service(cold_rate: f64) -> config::Service {
-    config::Service {
-        name: "llm".parse().unwrap(),
-        cold_rate,
-        engine: Some(config::Engine {
-            slots: 16,
-            step_ms: 8.87,
-            sequence_ms: 0.04,
-            read_rate: 19.1,
-            stride: 5,
-            usual: (977, 94),
-            models: vec!["m".parse().unwrap()],
-        }),
-        origin: None,
-    }
-}
-
-fn route() -> config::Route {
-    config::Route {
-        name: "r".into(),
-        host: "a.example".into(),
-        prefix: "/b/".into(),
-        kind: config::Kind::Stream,
-        timeout: Millis(6_000),
-        target: Millis(500),
-        gap: Millis(400),
-        priority: 1,
-        shares: vec![config::Share { service: "llm".parse().unwrap(), weight: 1 }],
-        attempts: 2,
-        anonymous: true,
-        resumable: true,
-        regions: Vec::new(),
-    }
+    config::Service { cold_rate, ..common::engines() }
 }
 
 /// The beliefs of a router that has just started and has listed the store.
 fn fresh(now: u64, cold_rate: f64) -> beliefs::Beliefs {
     let limits = config::Limits { body_bytes: 1 };
-    let config =
-        config::Config::new(1, limits, vec![route()], vec![service(cold_rate)], Vec::new());
+    let routes = vec![common::route("llm", config::Kind::Stream)];
+    let services = vec![service(cold_rate)];
+    let config = config::Config::new(1, limits, routes, services, Vec::new());
     let mut changes = vec![directory::Change::Config(Arc::new(config))];
-    changes.extend((0..ENGINES).map(|engine| {
-        directory::Change::Announced(endpoint::Endpoint {
-            id: engine_id(engine),
-            service: "llm".parse().unwrap(),
-            address: format!("10.0.0.{engine}:80").parse().unwrap(),
-            zone: "z".parse().unwrap(),
-            slots: 16,
-            state: endpoint::State::Ready,
-            cold: Millis(1_000),
-            weights: Some(1),
-            born: Some(1),
-        })
-    }));
+    let announced = |engine| common::announced(common::endpoint(engine, "llm", "lima"));
+    changes.extend((0..ENGINES).map(announced));
     let mut beliefs = beliefs::Beliefs::default();
     beliefs.replace(Millis(now), changes);
     beliefs
@@ -208,7 +162,7 @@
     }
 
     fn subscribe(&mut self, router: usize, engine: u8) {
-        let share = self.routers[router].beliefs.share_at(&engine_id(engine));
+        let share = self.routers[router].beliefs.share_at(&common::endpoint_id(engine));
         if let Some((_, share)) = share {
             self.send(router, engine, Message::Subscribe(share));
         }
@@ -221,11 +175,12 @@
         let due: Vec<Datagram> = due;
         for Datagram { router, engine, message, .. } in due {
             match message {
-                Message::Subscribe(beliefs::Share { unread, sent, total }) => {
+                Message::Subscribe(share) => {
                     let address = self.routers[router].address;
+                    let slots = common::engines().engine.map_or(0, |engine| engine.slots);
                     let loader = self.loaders.get_mut(&engine).unwrap();
-                    loader.on_subscribe(Millis(now), address, unread, sent, total);
-                    if f64::from(loader.lately(Millis(now))) >= self.cold_rate * PACED_SHARE {
+                    loader.on_subscribe(Millis(now), address, share);
+                    if loader.is_pressed(Millis(now), slots, self.cold_rate) {
                         self.publish(engine);
                     }
                 }
@@ -245,19 +200,8 @@
         loader.expire(Millis(now));
         let routers = loader.routers(Millis(now - self.started[&engine]));
         let addresses: Vec<_> = loader.addresses().collect();
-        let load = load::Load {
-            occupied: 0,
-            unread: 0,
-            lately: loader.lately(Millis(now)),
-            version: 1,
-            loading: false,
-            closes: None,
-            routers,
-            declared: 0,
-            age: None,
-            required: 0,
-            born: Some(1),
-        };
+        let lately = loader.lately(Millis(now));
+        let load = load::Load { lately, routers, ..common::load(0) };
         for address in addresses {
             let router = self.routers.iter().position(|router| router.address == address);
             self.send(router.unwrap(), engine, Message::Load(load));
@@ -273,11 +217,10 @@
 
     /// Makes a request through a router, many times more than the engines may get.
     fn request(&mut self, router: usize) {
-        let (route, service) = (route(), service(self.cold_rate));
-        let regions = [("z".parse().unwrap(), "r".parse().unwrap())].into();
-        let zone = "z".parse().unwrap();
-        let host = self.routers[router].address.ip().to_string().parse().unwrap();
-        let place = choice::Place { host: &host, zone: &zone, regions: &regions, bounds: bounds() };
+        let route = common::route("llm", config::Kind::Stream);
+        let (service, regions) = (service(self.cold_rate), common::regions());
+        let zone = "lima".parse().unwrap();
+        let place = choice::Place { zone: &zone, regions: &regions, bounds: common::bounds() };
         let wanted = choice::Wanted {
             route: &route,
             service: &service,
@@ -315,17 +258,6 @@
     }
 }
 
-fn bounds() -> host::Bounds {
-    host::Bounds {
-        grace: Millis(8_000),
-        drain: Millis(2_000),
-        revocation: Millis(5_000),
-        version: Millis(8_000),
-        cold_factor: 1.5,
-        retry_slack: 104,
-    }
-}
-
 /// Guards against more requests to a cold endpoint than the users allow, summed over all routers.
 #[rstest]
 fn no_endpoint_gets_more_than_it_bears(
@@ -345,13 +277,13 @@
 #[case::many_routers(41, 10)]
 #[case::busy(41, 400)]
 fn retries_of_all_routers_keep_to_the_limit(#[case] routers: u32, #[case] first: u64) {
-    let floor = bounds().retry_floor(routers);
+    let floor = common::bounds().retry_floor(routers);
     let mut retries = 0;
     for _ in 0..routers {
         let mut budget = budget::RetryBudget::default();
         (0..first).for_each(|_| budget.on_first(Millis(0)));
         retries += (0..first).filter(|_| budget.try_retry_above(Millis(1), floor)).count() as u64;
     }
-    let allowed = u64::from(routers) * first / 5 + u64::from(bounds().retry_slack);
+    let allowed = u64::from(routers) * first / 5 + u64::from(common::bounds().retry_slack);
     assert!(retries <= allowed, "{retries} retries, {allowed} allowed");
 }
--- a/crates/chestnutpick_router/src/beliefs.rs
+++ b/crates/chestnutpick_router/src/beliefs.rs
@@ -49,8 +49,8 @@
     pub total: u32,
     /// Requests that all routers have sent it in the last second, by its last load and what this process has sent since.
     pub lately: u32,
-    /// Drawn anew with each load, from 0 to 1: which routers may fill the room that the load tells of. Used up by a request.
-    pub ticket: f64,
+    /// Drawn anew with each load, from 0 to 1: which routers may fill the room that the load tells of. A request uses it up.
+    pub ticket: Option<f64>,
     /// Prompt tokens of those that have not begun to answer.
     pub unread: u32,
     /// Prompt tokens of other routers' requests that have not begun to answer, by the last load.
@@ -84,7 +84,7 @@
             in_flight: 0,
             total: 0,
             lately: 0,
-            ticket: f64::INFINITY,
+            ticket: None,
             unread: 0,
             others: 0,
             occupied: 0,
@@ -99,8 +99,8 @@
         }
     }
 
-    fn share(&self) -> Share {
-        Share { unread: self.unread, sent: self.in_flight, total: self.total }
+    fn share(&self) -> load::Share {
+        load::Share { unread: self.unread, sent: self.in_flight, total: self.total }
     }
 
     /// Returns whether its load is recent.
@@ -117,17 +117,6 @@
     }
 }
 
-/// What an engine has of one router's requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Share {
-    /// Prompt tokens of those that have not begun to answer.
-    pub unread: u32,
-    /// All that have not ended.
-    pub sent: u32,
-    /// All since this process learnt of the engine.
-    pub total: u32,
-}
-
 /// The beliefs of one process.
 #[derive(Debug, Default)]
 pub struct Beliefs {
@@ -252,7 +241,7 @@
             }
             known.occupied = load.occupied;
             known.lately = load.lately;
-            known.ticket = draw(self.salt, now, &known.endpoint.id);
+            known.ticket = Some(draw(self.salt, now.0, &known.endpoint.id));
             known.others = load.unread.saturating_sub(known.unread);
             known.load_at = Some(now);
             known.version = load.version;
@@ -316,7 +305,7 @@
             known.in_flight += 1;
             known.total = known.total.wrapping_add(1);
             known.lately += 1;
-            known.ticket = f64::INFINITY;
+            known.ticket = None;
             known.unread += tokens;
             known.occupied += 1;
             known.pace.on_sent(now);
@@ -375,11 +364,19 @@
         }
     }
 
+    fn is_engine(&self, known: &Known) -> bool {
+        let service =
+            self.config.as_ref().and_then(|config| config.service(&known.endpoint.service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
+    fn engines(&self) -> impl Iterator<Item = &Known> {
+        self.endpoints.values().filter(|known| self.is_engine(known))
+    }
+
     /// Returns the address of an endpoint if it is an engine, and what of this process's requests it has.
-    pub fn share_at(&self, id: &id::EndpointId) -> Option<(std::net::IpAddr, Share)> {
-        let known = self.endpoints.get(id)?;
-        let service = self.config.as_ref()?.service(&known.endpoint.service)?;
-        service.engine.as_ref()?;
+    pub fn share_at(&self, id: &id::EndpointId) -> Option<(std::net::IpAddr, load::Share)> {
+        let known = self.endpoints.get(id).filter(|known| self.is_engine(known))?;
         Some((known.endpoint.address.ip(), known.share()))
     }
 
@@ -394,29 +391,19 @@
 
     /// Returns the addresses of the engines' hosts in a zone, in order.
     pub fn engine_hosts_in(&self, zone: &id::ZoneId) -> collections::BTreeSet<std::net::IpAddr> {
-        let Some(config) = &self.config else { return collections::BTreeSet::new() };
-        let is_engine = |known: &&Known| {
-            let service = config.service(&known.endpoint.service);
-            known.endpoint.zone == *zone && service.is_some_and(|service| service.engine.is_some())
-        };
-        let engines = self.endpoints.values().filter(is_engine);
-        engines.map(|known| known.endpoint.address.ip()).collect()
+        let near = self.engines().filter(|known| known.endpoint.zone == *zone);
+        near.map(|known| known.endpoint.address.ip()).collect()
     }
 
     /// Returns the addresses of the engines' hosts, and what of this process's requests each engine has.
-    pub fn engine_hosts(&self) -> Vec<(std::net::IpAddr, Share)> {
-        let Some(config) = &self.config else { return Vec::new() };
-        let is_engine = |known: &&Known| {
-            config.service(&known.endpoint.service).is_some_and(|service| service.engine.is_some())
-        };
-        let engines = self.endpoints.values().filter(is_engine);
-        engines.map(|known| (known.endpoint.address.ip(), known.share())).collect()
+    pub fn engine_hosts(&self) -> Vec<(std::net::IpAddr, load::Share)> {
+        self.engines().map(|known| (known.endpoint.address.ip(), known.share())).collect()
     }
 }
 
-/// Draws a number from 0 to 1.
-fn draw(salt: u64, now: time::Millis, endpoint: &id::EndpointId) -> f64 {
-    let text = format!("{salt}/{now}/{endpoint}");
+/// Draws a number from 0 to 1 that differs between processes, endpoints and rounds.
+pub(crate) fn draw(salt: u64, round: u64, endpoint: &id::EndpointId) -> f64 {
+    let text = format!("{salt}/{round}/{endpoint}");
     digest::Digest::of(text.as_bytes()).prefix() as f64 / u64::MAX as f64
 }
 
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use chestnutpick_fleet::{config, endpoint, host};
-use chestnutpick_types::{digest, id, time};
+use chestnutpick_types::{id, time};
 use rand_core::Rng;
 
 use crate::beliefs;
@@ -36,8 +36,8 @@
 /// the users allow above the rate, is for the requests that are on their way meanwhile.
 const KNOWN_SHARE: f64 = 0.7;
 
-/// One in so many seconds is used for an endpoint while all loaders are silent.
-const SILENT_SHARE: u64 = 4;
+/// Share of all seconds that is used for an endpoint while all loaders are silent.
+const SILENT_SHARE: f64 = 0.25;
 
 /// Candidates that are compared, on average.
 const SAMPLE: f64 = 4.0;
@@ -141,8 +141,6 @@
 /// Where this process is.
 #[derive(Debug, Clone)]
 pub struct Place<'a> {
-    /// Its host.
-    pub host: &'a id::HostId,
     /// Its zone.
     pub zone: &'a id::ZoneId,
     /// Region of each zone.
@@ -323,19 +321,17 @@
     // With more routers than requests a second, each may send only by what it knows all to have sent, and draws whether it
     // is one of those that fill the room which a load tells of.
     let room = wanted.service.cold_rate * KNOWN_SHARE - f64::from(known.lately);
-    let drawn = known.has_load(now) && known.ticket * f64::from(routers) < room;
-    drawn
+    let drawn = known.ticket.is_some_and(|ticket| ticket * f64::from(routers) < room);
+    known.has_load(now) && drawn
         || beliefs.routers.is_silent(now)
-            && is_own_second(now, place, known)
+            && is_own_second(now, beliefs, known)
             && known.pace.allows(now, 1)
 }
 
 /// Returns whether the present second is one of those in which this router sends to an endpoint while no loader tells what
 /// the others send. Without any coordination, few routers then choose the same endpoint at a time.
-fn is_own_second(now: time::Millis, place: &Place<'_>, known: &beliefs::Known) -> bool {
-    let second = now.0 / 1_000;
-    let text = format!("{}/{}/{second}", place.host, known.endpoint.id);
-    digest::Digest::of(text.as_bytes()).prefix().is_multiple_of(SILENT_SHARE)
+fn is_own_second(now: time::Millis, beliefs: &beliefs::Beliefs, known: &beliefs::Known) -> bool {
+    beliefs::draw(beliefs.salt, now.0 / 1_000, &known.endpoint.id) < SILENT_SHARE
 }
 
 /// Returns the expected time until an endpoint begins to answer, in milliseconds.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -314,9 +314,7 @@
     tries: &mut Tries,
     endpoint: &endpoint::Endpoint,
     failed: &Failed,
-) where
-    C: codec::Codec,
-{
+) {
     let now = node.now();
     tries.failed.push(endpoint.id.clone());
     let (ran, reason) = match failed {
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,12 +1,11 @@
 //! The router: takes callers' requests and brings each to an endpoint that can bear it.
 //!
-//! The policies ([`beliefs`], [`choice`], [`events`], [`lost`], [`pace`], [`peers`]) see time as an argument and do no I/O; the other modules
-//! connect them to sockets and clocks.
+//! The policies ([`beliefs`], [`choice`], [`events`], [`pace`], [`peers`]) see time as an argument and do no I/O; the other
+//! modules connect them to sockets and clocks.
 
 pub mod beliefs;
 pub mod choice;
 pub mod events;
-pub mod lost;
 pub mod pace;
 pub mod peers;
 pub mod run;
@@ -14,6 +13,7 @@
 mod forward;
 mod handle;
 mod loads;
+mod lost;
 mod node;
 mod outcome;
 mod relay;
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -69,12 +69,11 @@
 fn subscription<C>(
     node: &node::Node<C>,
     beliefs: &beliefs::Beliefs,
-    share: beliefs::Share,
+    share: load::Share,
 ) -> load::Subscribe {
     let (version, age) = beliefs.newest_declared(node.now());
     let age = age.map(|age| u32::try_from(age.0).unwrap_or(u32::MAX));
-    let beliefs::Share { unread, sent, total } = share;
-    load::Subscribe { version, age, unread, sent, total }
+    load::Subscribe { version, age, share }
 }
 
 fn send<C>(node: &node::Node<C>, socket: &UdpSocket, ip: net::IpAddr, subscribe: load::Subscribe) {
--- a/crates/chestnutpick_router/src/lost.rs
+++ b/crates/chestnutpick_router/src/lost.rs
@@ -33,13 +33,13 @@
 
 /// Requests that were lost lately.
 #[derive(Debug, Default)]
-pub struct Losses {
+pub(crate) struct Losses {
     list: Vec<Loss>,
 }
 
 impl Losses {
     /// Notes that a request was lost with an endpoint.
-    pub fn on_lost(
+    pub(crate) fn on_lost(
         &mut self,
         now: time::Millis,
         fingerprint: digest::Digest,
@@ -56,7 +56,7 @@
     }
 
     /// Returns the losses whose endpoints have crashed, by what is believed by now.
-    pub fn confirmed(
+    pub(crate) fn confirmed(
         &mut self,
         now: time::Millis,
         beliefs: &beliefs::Beliefs,
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -118,7 +118,6 @@
         wanted: &choice::Wanted<'_>,
     ) -> Result<choice::Chosen, choice::NoChoice> {
         let place = choice::Place {
-            host: &self.host.name,
             zone: &self.host.zone,
             regions: &self.host.regions,
             bounds: self.bounds.get(),
--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -1,8 +1,8 @@
 //! Passing on what one router of a zone reads from the store.
 //!
-//! All routers of a zone agree on the one that reads: the first by address, as the loaders of the zone tell, or the second if that fails. The others ask
-//! it for what it reads, so that calls to the store, and the bytes that cross the links between regions, do not grow with the
-//! number of routers. A router that gets no answer soon reads the store by itself.
+//! All routers of a zone agree on the one that reads: the first by address, as the loaders of the zone tell, or the second if
+//! that fails. The others ask it for what it reads, so that calls to the store, and the bytes that cross the links between
+//! regions, do not grow with the number of routers. A router that gets no answer soon reads the store by itself.
 
 use std::collections;
 use std::net;
@@ -184,9 +184,12 @@
         return Err(directory::DirectoryError::Refused { status: response.status });
     }
     let offset: Option<i64> = response.header(CONFIRMED).and_then(|text| text.parse().ok());
+    let undated =
+        || directory::DirectoryError::Malformed { reason: "the answer has no time".into() };
+    let offset = offset.ok_or_else(undated)?;
     let raw = response.read(ANSWER_LIMIT).await?;
     // Counted from the question, which left no later than it arrived: an answer that waits here for a process that stands
     // still does not seem younger than it is.
-    let confirmed = asked.0.cast_signed() + offset.unwrap_or(i64::MIN / 2);
+    let confirmed = asked.0.cast_signed() + offset;
     Ok((raw, time::Millis(u64::try_from(confirmed).unwrap_or(0))))
 }
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -169,8 +169,7 @@
 ) -> Result<choice::Chosen, choice::NoChoice> {
     use rand_core::SeedableRng;
     let (regions, zone) = (regions(), "lima".parse().unwrap());
-    let host = "front-1".parse().unwrap();
-    let place = choice::Place { host: &host, zone: &zone, regions: &regions, bounds: bounds() };
+    let place = choice::Place { zone: &zone, regions: &regions, bounds: bounds() };
     let (route, service) = (route("llm", config::Kind::Stream), engines());
     let wanted = choice::Wanted {
         route: &route,
