--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -16,14 +16,15 @@
 use chestnutpick_types::{error, size, time};
 
 use crate::node;
+use crate::watch;
 
 /// Answers that are kept for routers that are a little behind.
 const KEPT: usize = 16;
 
 /// Time beyond the usual pause between two answers after which the reader is taken to be gone. Leaving endpoints must be
 /// learnt of within their bound all the same: with 400 ms, and 500 ms for the second reader, a slow call to the store after
-/// both exceeded it.
-const PATIENCE: time::Millis = time::Millis(200);
+/// both exceeded it. A reader to which the store has nothing to tell answers after the wait of its watch.
+const PATIENCE: time::Millis = time::Millis(watch::WAIT.0 + 50);
 
 /// The same where the first reader has taken its time already.
 pub(crate) const SHORT_PATIENCE: time::Millis = time::Millis(250);
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -15,7 +15,7 @@
 
 /// Longest wait of a watch. Its end confirms that nothing has changed, which callers' keys and the routers that ask this one
 /// depend on; a longer wait would save no calls, since endpoints write all the time.
-const WAIT: time::Millis = time::Millis(250);
+pub(crate) const WAIT: time::Millis = time::Millis(150);
 
 /// Least time between calls while an announcement is awaited that is to come within about a second.
 const AWAITING_PAUSE: time::Millis = time::Millis(200);
