--- a/crates/chestnutpick_loader/src/bring.rs
+++ b/crates/chestnutpick_loader/src/bring.rs
@@ -11,6 +11,7 @@
 use crate::chunks;
 use crate::fetch;
 use crate::node;
+use crate::sources;
 use crate::turn;
 use crate::watch;
 
@@ -152,7 +153,7 @@
         }
         let place = self.node.config.borrow().as_ref().and_then(|c| c.origin().cloned());
         let place = place.ok_or_else(|| "the configuration names no origin".to_owned())?;
-        let sources = fetch::Sources { node: &self.node, origin: &self.origin, place };
+        let sources = sources::Sources { node: &self.node, origin: &self.origin, place };
         let manifest = match sources.manifest(version, tries).await {
             Ok(manifest) => manifest,
             Err(reason) if tries < CONFIG_TRIES => return Err(format!("no manifest: {reason}")),
@@ -168,7 +169,7 @@
             self.collect_staged(version, &manifest).await;
         }
         tokio::select! {
-            outcome = sources.fetch(version) => outcome,
+            outcome = fetch::run(&sources, version) => outcome,
             never = self.follow_peers() => never,
         }
     }
--- a/crates/chestnutpick_loader/src/fetch.rs
+++ b/crates/chestnutpick_loader/src/fetch.rs
@@ -1,14 +1,12 @@
-//! Fetching the chunks of a version from peers and the origin.
+//! Fetching the chunks of a version: the transfer policy, driven by what peers and the origin answer.
 
 use std::collections;
-use std::net;
 use std::rc;
 use std::time::Duration;
 
 use actix_rt::task;
 use bytes::Bytes;
-use chestnutpick_client::client;
-use chestnutpick_fleet::{config, engine};
+use chestnutpick_fleet::engine;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, id, size, time};
 use chestnutpick_weights::transfer::{self, Action, Failure, Source};
@@ -19,26 +17,11 @@
 use crate::chunks;
 use crate::node;
 use crate::serve;
-use crate::turn;
-
-/// Deadline of a small question to a peer.
-const ASK_TIMEOUT: time::Millis = time::Millis(400);
-
-/// Time for a chunk from a peer; a little less than the transfer policy allows, so that a silent peer is noticed as such.
-const CHUNK_TIMEOUT: time::Millis = time::Millis(900);
+use crate::sources;
 
 /// Chunks in a row that hosts of another region did not send, after which the whole region is left out.
 const REGION_FAILURES: u32 = 3;
 
-/// Hosts of each region that ask the origin for a manifest.
-const ORIGIN_HOSTS: usize = 2;
-
-/// Failed tries after which a host asks the origin by itself.
-const PEER_TRIES: usize = 4;
-
-/// Largest manifest or bitmap, in bytes.
-const MANIFEST_LIMIT: size::Bytes = size::Bytes::from_mib(1);
-
 /// Time for which a peer that did not answer is left out. The others take over its part; a host that is only slow is back
 /// within the same transfer.
 const ABSENCE: time::Millis = time::Millis(3_000);
@@ -83,92 +66,6 @@
     Absent(id::HostId),
 }
 
-/// Where chunks come from.
-pub(crate) struct Sources<'a, E, O> {
-    /// The loader.
-    pub(crate) node: &'a rc::Rc<node::Node<E>>,
-    /// The origin's protocol.
-    pub(crate) origin: &'a rc::Rc<O>,
-    /// Where the origin is.
-    pub(crate) place: config::Origin,
-}
-
-impl<E, O> Sources<'_, E, O>
-where
-    E: 'static,
-    O: engine::Origin + 'static,
-{
-    /// Returns the manifest of a version, from the origin or from a peer. The origin takes few connections, and resets those
-    /// of a whole fleet that starts at once: the first hosts of each region ask it, and the others ask those, unless they
-    /// have failed `tries` times.
-    pub(crate) async fn manifest(
-        &self,
-        version: &chunks::Version,
-        tries: usize,
-    ) -> Result<engine::Manifest, String> {
-        let (first, own) = self.first_hosts(version);
-        if !own && tries < PEER_TRIES {
-            return self.manifest_of(version, first, "no peer holds it yet".to_owned()).await;
-        }
-        match self.origin.manifest(self.place.address, &version.0, version.1).await {
-            Ok(manifest) => Ok(manifest),
-            Err(reason) => self.manifest_of(version, self.others(), reason.to_string()).await,
-        }
-    }
-
-    fn others(&self) -> Vec<net::IpAddr> {
-        let peers = self.node.peers.borrow();
-        peers.iter().map(|peer| peer.ip).filter(|ip| *ip != self.node.host.ip).collect()
-    }
-
-    /// Returns the hosts of the own region that ask the origin for the manifest of a version, and whether this is one.
-    fn first_hosts(&self, version: &chunks::Version) -> (Vec<net::IpAddr>, bool) {
-        let peers = self.node.peers.borrow();
-        let region = &self.node.member.region;
-        let others = peers.iter().filter(|peer| peer.member.region == *region);
-        let mut hosts: Vec<_> = others.map(|peer| (&peer.member.host, peer.ip)).collect();
-        if !hosts.iter().any(|(_, ip)| *ip == self.node.host.ip) {
-            hosts.push((&self.node.member.host, self.node.host.ip));
-        }
-        hosts.sort_by_key(|(host, _)| turn::key(host, version.1));
-        let first: Vec<_> = hosts.into_iter().take(ORIGIN_HOSTS).map(|(_, ip)| ip).collect();
-        let own = first.contains(&self.node.host.ip);
-        (first, own)
-    }
-
-    /// Asks peers for the manifest of a version; `reason` says why, where none has it.
-    async fn manifest_of(
-        &self,
-        version: &chunks::Version,
-        peers: Vec<net::IpAddr>,
-        reason: String,
-    ) -> Result<engine::Manifest, String> {
-        for ip in peers {
-            let path = serve::path(version, "manifest");
-            let Ok(Some(bytes)) = ask(self.node, ip, path).await else { continue };
-            if let Some(manifest) = engine::Manifest::from_bytes(&bytes) {
-                return Ok(manifest);
-            }
-        }
-        Err(reason)
-    }
-
-    /// Fetches all chunks of `version` that are not held.
-    pub(crate) async fn fetch(&self, version: &chunks::Version) -> Result<(), String> {
-        let set = self.node.chunks.borrow().find(version).cloned();
-        let set = set.ok_or_else(|| "the version is closed".to_owned())?;
-        let mut driver = Driver::new(self, version, &set)?;
-        let outcome = driver.run().await;
-        driver.abort();
-        outcome
-    }
-
-    fn region(&self) -> id::RegionId {
-        let region = self.node.host.region_of(&self.place.zone).cloned();
-        region.unwrap_or_else(|| self.node.member.region.clone())
-    }
-}
-
 /// Returns a manifest in the form that the transfer policy takes. Its digest, which stands for the version in the
 /// assignment of chunks, depends on the digests of all chunks.
 fn policy_manifest(manifest: &engine::Manifest) -> Result<manifest::Manifest, String> {
@@ -180,8 +77,25 @@
     manifest::Manifest::new(size, total, list).map_err(|reason| reason.to_string())
 }
 
+/// Fetches all chunks of `version` that are not held.
+pub(crate) async fn run<E, O>(
+    sources: &sources::Sources<'_, E, O>,
+    version: &chunks::Version,
+) -> Result<(), String>
+where
+    E: 'static,
+    O: engine::Origin + 'static,
+{
+    let set = sources.node.chunks.borrow().find(version).cloned();
+    let set = set.ok_or_else(|| "the version is closed".to_owned())?;
+    let mut driver = Driver::new(sources, version, &set)?;
+    let outcome = driver.run().await;
+    driver.abort();
+    outcome
+}
+
 struct Driver<'a, E, O> {
-    sources: &'a Sources<'a, E, O>,
+    sources: &'a sources::Sources<'a, E, O>,
     version: chunks::Version,
     transfer: transfer::Transfer,
     tasks: collections::BTreeMap<(usize, Source), task::JoinHandle<()>>,
@@ -206,7 +120,7 @@
     O: engine::Origin + 'static,
 {
     fn new(
-        sources: &'a Sources<'a, E, O>,
+        sources: &'a sources::Sources<'a, E, O>,
         version: &chunks::Version,
         set: &chunks::Set,
     ) -> Result<Self, String> {
@@ -404,7 +318,7 @@
                     .chunk(address, &version.0, version.1, chunk)
                     .await
                     .map_err(|_| Failure::Timeout),
-                Source::Peer(host) => from_peer(&node, &version, chunk, host).await,
+                Source::Peer(host) => sources::from_peer(&node, &version, chunk, host).await,
             };
             let event = match fetched {
                 Ok(data) => Event::Chunk(chunk, source, data),
@@ -427,8 +341,8 @@
         let (node, count) = (rc::Rc::clone(self.sources.node), self.count);
         let path = serve::path(&self.version, "held");
         actix_rt::spawn(async move {
-            let answer = match address_of(&node, &peer) {
-                Some(ip) => ask(&node, ip, path).await,
+            let answer = match sources::address_of(&node, &peer) {
+                Some(ip) => sources::ask(&node, ip, path).await,
                 None => Ok(None),
             };
             let event = match answer {
@@ -468,47 +382,3 @@
         Source::Peer(host) => host.to_string(),
     }
 }
-
-fn address_of<E>(node: &node::Node<E>, host: &id::HostId) -> Option<net::IpAddr> {
-    node.peers.borrow().iter().find(|peer| peer.member.host == *host).map(|peer| peer.ip)
-}
-
-/// Asks a peer; nothing if it does not hold what is asked for.
-async fn ask<E>(
-    node: &node::Node<E>,
-    ip: net::IpAddr,
-    path: String,
-) -> Result<Option<Bytes>, client::CallError> {
-    let request = client::Request::new("GET", path);
-    let address = node.host.chunk_address(ip);
-    let mut response = node.client.call(address, request, ASK_TIMEOUT).await?;
-    if response.status != 200 {
-        return Ok(None);
-    }
-    response.read(MANIFEST_LIMIT).await.map(Some)
-}
-
-async fn from_peer<E>(
-    node: &node::Node<E>,
-    version: &chunks::Version,
-    chunk: usize,
-    host: &id::HostId,
-) -> Result<Bytes, Failure> {
-    let ip = address_of(node, host).ok_or(Failure::NotHeld)?;
-    let request = client::Request::new("GET", serve::path(version, &format!("chunks/{chunk}")));
-    let answer = async {
-        let address = node.host.chunk_address(ip);
-        let called = node.client.call(address, request, CHUNK_TIMEOUT).await;
-        let mut response = called.map_err(|_| Failure::Timeout)?;
-        match response.status {
-            200 => response.read(MANIFEST_LIMIT).await.map_err(|_| Failure::Timeout),
-            503 => {
-                let wait = response.header("x-retry-ms").and_then(|text| text.parse().ok());
-                Err(Failure::Refused(time::Millis(wait.unwrap_or(100))))
-            }
-            _ => Err(Failure::NotHeld),
-        }
-    };
-    let answer = tokio::time::timeout(CHUNK_TIMEOUT.to_duration(), answer).await;
-    answer.unwrap_or(Err(Failure::Timeout))
-}
--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -11,4 +11,5 @@
 mod node;
 mod publish;
 mod serve;
+mod sources;
 mod watch;
