--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -53,6 +53,42 @@
     failing: bool,
 }
 
+/// A response of the store, as received from the store or from another router.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    /// Router that relayed the response; `None` if this router called the store.
+    reader: Option<net::IpAddr>,
+    /// Time at which the call started.
+    start: time::Millis,
+    /// Latest time at which the response is known to have matched the store.
+    confirmed_at: time::Millis,
+    /// Length of the response, in bytes.
+    len: usize,
+}
+
+impl Read {
+    /// Returns the name of the source for logs.
+    fn source(&self) -> String {
+        self.reader.map_or_else(|| "store".to_owned(), |reader| reader.to_string())
+    }
+
+    /// Records the size and duration of the call, and logs a call that took longer than usual.
+    fn record<C>(&self, node: &node::Node<C>) {
+        let took = node.now().since(self.start);
+        let relayed = self.reader.is_some().to_string();
+        metrics::histogram!("store_read_bytes", "relayed" => relayed.clone())
+            .record(self.len as f64);
+        metrics::histogram!("store_read_ms", "relayed" => relayed).record(took.0 as f64);
+        if took > relay::reader_timeout(node) {
+            event::Event::new("store_read_slow")
+                .with("source", self.source())
+                .with("took", took)
+                .with("bytes", self.len)
+                .info();
+        }
+    }
+}
+
 impl<C, D> Follower<C, D>
 where
     D: directory::Directory,
@@ -99,7 +135,8 @@
         match outcome {
             Ok(batch) => {
                 *revision = Some(batch.revision);
-                self.apply_batch(start, batch, true);
+                let read = Read { reader: None, start, confirmed_at: start, len: 0 };
+                self.apply_batch(read, batch, true);
                 time::Millis::ZERO
             }
             Err(reason) => self.on_error(start, &reason),
@@ -114,11 +151,13 @@
         after: u64,
         revision: &mut Option<u64>,
     ) -> Result<(), directory::Error> {
+        let start = self.node.now();
         let (raw, confirmed_at) = relay::query_reader(&self.node, reader, timeout, after).await?;
         let batch = self.store.parse_batch(&raw)?;
         *revision = Some(batch.revision.max(after));
+        let read = Read { reader: Some(reader), start, confirmed_at, len: raw.len() };
         self.pass_on(after, &batch, raw, confirmed_at);
-        self.apply_batch(confirmed_at, batch, false);
+        self.apply_batch(read, batch, false);
         Ok(())
     }
 
@@ -138,8 +177,9 @@
                 let waited = !self.failing && batch.changes.is_empty();
                 let confirmed_at =
                     if waited { (start + WATCH_WAIT).min(self.node.now()) } else { start };
+                let read = Read { reader: None, start, confirmed_at, len: raw.len() };
                 self.pass_on(after, &batch, raw, confirmed_at);
-                self.apply_batch(confirmed_at, batch, false);
+                self.apply_batch(read, batch, false);
                 self.node.bounds.get().store_interval()
             }
             Err(reason) => {
@@ -162,24 +202,25 @@
         self.node.relay_changed.notify_waiters();
     }
 
-    /// Applies changes or a listing that matched the store at `confirmed_at`.
-    fn apply_batch(&mut self, confirmed_at: time::Millis, batch: directory::Batch, listed: bool) {
+    /// Applies changes or a listing.
+    fn apply_batch(&mut self, read: Read, batch: directory::Batch, listed: bool) {
         let now = self.node.now();
+        read.record(&self.node);
         if std::mem::take(&mut self.failing) {
             self.node.view.borrow_mut().on_store_recovered(now);
             event::Event::new("store_regained").with("revision", batch.revision).info();
         }
         let new_endpoint = self.has_new_endpoint(&batch.changes);
         if listed {
-            batch.changes.iter().for_each(|change| self.log(change));
+            batch.changes.iter().for_each(|change| self.log(read, change));
             self.node.view.borrow_mut().replace(now, batch.changes);
         } else {
             for change in batch.changes {
-                self.log(&change);
+                self.log(read, &change);
                 self.node.view.borrow_mut().apply(now, change);
             }
         }
-        self.node.view.borrow_mut().on_confirmed(confirmed_at);
+        self.node.view.borrow_mut().on_confirmed(read.confirmed_at);
         if new_endpoint {
             self.node.engines_changed.notify_one();
         }
@@ -194,12 +235,14 @@
         })
     }
 
-    fn log(&self, change: &directory::Change) {
+    fn log(&self, read: Read, change: &directory::Change) {
         let view = self.node.view.borrow();
         match change {
             directory::Change::Config(config) => event::Event::new("config_learnt")
                 .with("version", config.version)
                 .with("routes", config.route_count())
+                .with("source", read.source())
+                .with("age", self.node.now().since(read.confirmed_at))
                 .info(),
             directory::Change::Announced(endpoint) => {
                 let endpoint_view = view.endpoints.get(&endpoint.id);
