Let two routers of a zone always read the store, and probe failed ones aside

Cause: when the back-off of a zone's failed first reader ended, the second reader itself asked the first one again and waited its whole time-out, during which it answered nobody. The rest of the zone then gave up the second reader too, and each router read the store by itself through the same link between regions. A reader without the store kept its followers waiting until their time-out. Change: the first two routers of a zone always read the store. A router asks only those before it in the order, each with what is left of one time-out, so the next one takes over and the rest follow it. A router that did not respond is asked again only after a probe beside the reads has succeeded. A reader whose call failed says so at once, and asks other routers until its next call. Listings are relayed, so a reader that had to list everything again does not send its followers to the store.

--- a/crates/chestnutpick_fleet/src/directory.rs
+++ b/crates/chestnutpick_fleet/src/directory.rs
@@ -94,7 +94,12 @@
 /// Read access to the platform's store.
 pub trait Directory {
     /// Returns all items in `scope`.
-    fn list(&self, scope: Scope) -> impl Future<Output = Result<Batch, Error>>;
+    fn list(&self, scope: Scope) -> impl Future<Output = Result<Batch, Error>> {
+        async move { self.parse_batch(&self.list_raw(scope).await?) }
+    }
+
+    /// Does the same as [`Directory::list`], but returns the encoded items, which other processes can parse.
+    fn list_raw(&self, scope: Scope) -> impl Future<Output = Result<Bytes, Error>>;
 
     /// Waits until something changes after a revision, or for `wait` at most, and returns the changes.
     fn watch(
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,10 +1,11 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`events`], [`routers`], [`view`], [`window`]) take the current time as an argument and do
+//! The policies ([`choice`], [`events`], [`readers`], [`routers`], [`view`], [`window`]) take the current time as an argument and do
 //! no I/O; the other modules connect them to sockets and clocks.
 
 pub mod choice;
 pub mod events;
+pub mod readers;
 pub mod routers;
 pub mod run;
 pub mod view;
--- /dev/null
+++ b/crates/chestnutpick_router/src/readers.rs
@@ -0,0 +1,90 @@
+//! Choice of the routers that read the store for their availability zone.
+//!
+//! All routers of a zone agree on an order, by address, among those that the zone's loaders report. The first two read
+//! the store; the others ask these, and a router reads the store itself only if all routers before it have failed. A
+//! failed router is asked again only after a probe has succeeded, so that no router waits for it.
+
+use std::collections;
+use std::net;
+
+use chestnutpick_types::time;
+
+/// Number of routers of a zone that always read the store. With two, a zone whose first reader has failed depends on a
+/// router that is up to date.
+const READERS: usize = 2;
+
+/// Maximum number of routers that are asked before this router reads the store itself. Bounds the time that failed
+/// routers cost.
+const MAX_SOURCES: usize = 3;
+
+/// Time from the failure of a router to the next probe of it.
+const PROBE_INTERVAL: time::Millis = time::Millis(3_000);
+
+/// Age at which the list of routers is too old to be used.
+const MAX_PEERS_AGE: time::Millis = time::Millis(2_500);
+
+/// Routers of a zone and their state, as known to one of them.
+#[derive(Debug, Default)]
+pub struct Readers {
+    /// Routers of the zone in their order, and the time at which a loader reported them.
+    peers: Option<(Vec<net::IpAddr>, time::Millis)>,
+    /// Routers that did not respond, and the time of the next probe of each.
+    failed: collections::BTreeMap<net::IpAddr, time::Millis>,
+}
+
+impl Readers {
+    /// Updates the list of routers in the zone.
+    ///
+    /// ```
+    /// use chestnutpick_router::readers;
+    /// use chestnutpick_types::time::Millis;
+    /// let peers = ["10.0.0.1", "10.0.0.2", "10.0.0.3"].map(|ip| ip.parse().unwrap());
+    /// let mut readers = readers::Readers::default();
+    /// assert!(readers.is_reader(Millis(0), peers[2]));
+    /// readers.on_peers(Millis(0), peers.to_vec());
+    /// assert!(!readers.is_reader(Millis(0), peers[2]));
+    /// assert_eq!(readers.sources(Millis(0), peers[2]), peers[..2]);
+    /// ```
+    pub fn on_peers(&mut self, now: time::Millis, peers: Vec<net::IpAddr>) {
+        self.failed.retain(|ip, _| peers.contains(ip));
+        self.peers = Some((peers, now));
+    }
+
+    /// Returns whether the router `own` reads the store even if others do. This is also the case while the routers of
+    /// the zone are not known.
+    pub fn is_reader(&self, now: time::Millis, own: net::IpAddr) -> bool {
+        self.current(now).is_none_or(|peers| peers.iter().take(READERS).any(|ip| *ip == own))
+    }
+
+    /// Returns the routers to ask, in order. A reader asks others only while it has no access to the store.
+    pub fn sources(&self, now: time::Millis, own: net::IpAddr) -> Vec<net::IpAddr> {
+        let Some(peers) = self.current(now) else { return Vec::new() };
+        let before = peers.iter().take_while(|ip| **ip != own);
+        let after = peers.iter().skip_while(|ip| **ip != own).skip(1);
+        let is_reader = self.is_reader(now, own);
+        let others = before.chain(after.filter(|_| is_reader));
+        others.filter(|ip| !self.failed.contains_key(*ip)).take(MAX_SOURCES).copied().collect()
+    }
+
+    /// Records that a router did not respond.
+    pub fn on_failed(&mut self, now: time::Millis, ip: net::IpAddr) {
+        self.failed.insert(ip, now + PROBE_INTERVAL);
+    }
+
+    /// Records that a router responded.
+    pub fn on_responded(&mut self, ip: net::IpAddr) {
+        self.failed.remove(&ip);
+    }
+
+    /// Returns a failed router whose next probe is due, and schedules the probe after that.
+    pub fn due_probe(&mut self, now: time::Millis) -> Option<net::IpAddr> {
+        let (ip, due) = self.failed.iter_mut().find(|(_, due)| now >= **due)?;
+        *due = now + PROBE_INTERVAL;
+        Some(*ip)
+    }
+
+    fn current(&self, now: time::Millis) -> Option<&[net::IpAddr]> {
+        let (peers, at) = self.peers.as_ref()?;
+        (now.since(*at) < MAX_PEERS_AGE).then_some(peers)
+    }
+}
--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -1,9 +1,7 @@
 //! Relaying of the store's responses within a zone.
 //!
-//! All routers of a zone agree on the router that reads the store: the first by address among those that the zone's
-//! loaders report, or the second if the first fails. The other routers ask the reader for the store's responses, so
-//! that neither the calls to the store nor the traffic between regions grows with the number of routers. A router that
-//! gets no response in time reads the store itself.
+//! The readers of a zone ([`readers`]) read the store. The other routers ask a reader for the store's responses, so that
+//! neither the calls to the store nor the traffic between regions grows with the number of routers.
 
 use std::collections;
 use std::net;
@@ -17,28 +15,20 @@
 use chestnutpick_types::{error, size, time};
 
 use crate::node;
+use crate::readers;
 use crate::watch;
 
 /// Maximum number of responses kept for routers that are slightly behind.
 const MAX_RESPONSES: usize = 16;
 
-/// Added to the store interval to get the time after which the reader is considered to have failed. A reader without
-/// new data responds when its watch ends, after [`watch::WATCH_WAIT`]; 50 ms more cover the transfer. Together with
-/// [`SECOND_READER_TIMEOUT`] and one slow call to the store, this time must fit the drain bound. A margin of 400 ms
-/// with 500 ms for the second reader exceeds it.
+/// Added to the store interval to get the time after which a reader is considered to have failed. A reader without new
+/// data responds when its watch ends, after [`watch::WATCH_WAIT`]; 50 ms more cover the transfer. Together with
+/// [`NEXT_READER_TIMEOUT`] and one slow call to the store, this time must fit the drain bound. A margin of 400 ms with
+/// 500 ms for the second reader exceeds it.
 const READER_MARGIN: time::Millis = time::Millis(watch::WATCH_WAIT.0 + 50);
 
-/// Time-out for the second reader, after the first has failed.
-pub(crate) const SECOND_READER_TIMEOUT: time::Millis = time::Millis(250);
-
-/// Number of routers of a zone that can become its reader, in order.
-const READERS: usize = 2;
-
-/// Time for which a failed reader is not asked again.
-const READER_BACKOFF: time::Millis = time::Millis(3_000);
-
-/// Maximum age of the list of routers in the zone.
-const MAX_PEERS_AGE: time::Millis = time::Millis(2_500);
+/// Time-out for each further reader after the first has failed.
+pub(crate) const NEXT_READER_TIMEOUT: time::Millis = time::Millis(250);
 
 /// Maximum size of a relayed response.
 const RESPONSE_LIMIT: size::Bytes = size::Bytes::from_mib(16);
@@ -50,89 +40,98 @@
 /// the response was confirmed before the query arrived.
 const CONFIRMED_HEADER: &str = "x-confirmed-after-ms";
 
-/// A response of the store to be relayed.
+/// Header with the [`Content`] of the response.
+const CONTENT_HEADER: &str = "x-content";
+
+/// What a response of the store contains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Content {
+    /// Changes since a revision.
+    Changes,
+    /// All items.
+    Listing,
+    /// All items, listed after an outage of the store in which announcements of live endpoints may have expired.
+    RecoveryListing,
+}
+
+impl Content {
+    /// Returns whether the response contains all items.
+    pub(crate) fn is_listing(self) -> bool {
+        match self {
+            Self::Changes => false,
+            Self::Listing | Self::RecoveryListing => true,
+        }
+    }
+}
+
+/// A response of the store that can be relayed.
+#[derive(Debug, Clone)]
+pub(crate) struct Response {
+    pub(crate) content: Content,
+    /// Encoded items or changes.
+    pub(crate) body: Bytes,
+    /// Latest time at which the response is known to have matched the store.
+    pub(crate) confirmed_at: time::Millis,
+}
+
+/// A response and the revisions that it spans.
 #[derive(Debug, Clone)]
 struct CachedResponse {
     /// Revision that precedes the changes.
     after: u64,
     revision: u64,
-    body: Bytes,
-    /// Latest time at which the response is known to have matched the store.
-    confirmed_at: time::Millis,
+    response: Response,
 }
 
 /// Responses that this router relays, and the state of the zone's readers.
 #[derive(Default)]
 pub(crate) struct Relay {
+    /// Routers that read the store.
+    pub(crate) readers: readers::Readers,
     responses: collections::VecDeque<CachedResponse>,
-    /// Routers of the zone, and the time at which a loader reported them.
-    peers: Option<(Vec<net::IpAddr>, time::Millis)>,
-    /// Readers that have failed recently, and the time until which each is not asked.
-    backed_off: collections::BTreeMap<net::IpAddr, time::Millis>,
+    /// Whether this router's last call to the store failed.
+    pub(crate) failing: bool,
 }
 
 impl Relay {
-    /// Adds a response of the store. A gap in the revisions discards all earlier responses.
-    pub(crate) fn on_response(
-        &mut self,
-        after: u64,
-        revision: u64,
-        body: Bytes,
-        confirmed_at: time::Millis,
-    ) {
+    /// Adds a response of the store. A listing, or a gap in the revisions, discards all earlier responses.
+    pub(crate) fn on_response(&mut self, after: u64, revision: u64, response: Response) {
         let is_contiguous = self.responses.back().is_some_and(|last| last.revision == after);
-        if !is_contiguous {
+        if response.content.is_listing() || !is_contiguous {
             self.responses.clear();
         }
-        self.responses.push_back(CachedResponse { after, revision, body, confirmed_at });
+        self.responses.push_back(CachedResponse { after, revision, response });
         while self.responses.len() > MAX_RESPONSES {
             self.responses.pop_front();
         }
     }
 
-    /// Updates the list of routers in the zone.
-    pub(crate) fn on_peers(&mut self, now: time::Millis, peers: Vec<net::IpAddr>) {
-        self.peers = Some((peers, now));
-    }
-
-    /// Records that a reader failed to respond.
-    pub(crate) fn on_failed(&mut self, now: time::Millis, reader: net::IpAddr) {
-        self.backed_off.retain(|_, until| *until > now);
-        self.backed_off.insert(reader, now + READER_BACKOFF);
-    }
-
-    /// Returns the router to ask, or `None` if this router must read the store itself. Readers that failed recently are
-    /// skipped, so that only the next router takes over from a failed reader, not all routers of the zone.
-    pub(crate) fn reader(&self, now: time::Millis, own: net::IpAddr) -> Option<net::IpAddr> {
-        let (peers, at) = self.peers.as_ref()?;
-        if now.since(*at) >= MAX_PEERS_AGE {
-            return None;
-        }
-        let available =
-            |ip: &&net::IpAddr| self.backed_off.get(*ip).is_none_or(|until| now >= *until);
-        let first = peers.iter().take(READERS).find(available)?;
-        (*first != own).then_some(*first)
-    }
-
-    /// Returns the first response that is new to a router that knows the store up to revision `after` and whose query
-    /// arrived at `arrived`: one with later changes, or one that was confirmed after `arrived` and contains none.
-    fn next(&self, after: u64, arrived: time::Millis) -> Next {
+    /// Returns the first response that is new to a router that knows the store up to revision `after`: one with later
+    /// changes, or one that was confirmed after `known_until` and contains none.
+    fn next(&self, after: u64, known_until: time::Millis) -> Next {
         if let Some(cached) = self.responses.iter().find(|cached| cached.revision > after) {
-            let includes_next = cached.after <= after;
-            return if includes_next { Next::Response(cached.clone()) } else { Next::Gap };
+            let includes_next = cached.response.content.is_listing() || cached.after <= after;
+            return if includes_next { Next::Response(cached.response.clone()) } else { Next::Gap };
+        }
+        let last = self.responses.back().filter(|last| last.revision == after);
+        match last.filter(|last| last.response.confirmed_at > known_until) {
+            Some(last) => Next::Response(last.response.clone()),
+            None if self.failing => Next::Failing,
+            None => Next::Pending,
         }
-        let confirms =
-            |last: &&CachedResponse| last.revision == after && last.confirmed_at > arrived;
-        self.responses.back().filter(confirms).cloned().map_or(Next::None, Next::Response)
     }
 }
 
 /// Next response for another router.
 enum Next {
-    Response(CachedResponse),
+    Response(Response),
     /// Changes directly after the known revision are no longer kept.
     Gap,
-    None,
+    /// This router cannot read the store.
+    Failing,
+    /// There is nothing new yet.
+    Pending,
 }
 
 /// Serves another router's query as soon as there is a response that is new to it.
@@ -141,59 +140,84 @@
     http_request: http::Request,
 ) -> respond::Response {
     let query = http_request.uri().query().unwrap_or_default();
-    let after = request::query_value(query, "after").and_then(|text| text.parse().ok());
-    let (PATH, Some(after)) = (http_request.path(), after) else {
+    let value = |name| request::query_value(query, name).and_then(|text| text.parse().ok());
+    let (PATH, Some(after)) = (http_request.path(), value("after")) else {
         return respond::refusal(&request::not_found(&http_request));
     };
     let arrived = node.now();
+    let known_until = arrived.since(time::Millis(value("recent_ms").unwrap_or(0)));
     let deadline = arrived + reader_timeout(&node);
     loop {
-        let next = node.relay.borrow().next(after, arrived);
-        match next {
-            Next::Response(cached) => {
-                let mut response = respond::bytes(200, "application/json", cached.body);
-                let offset = cached.confirmed_at.0.cast_signed() - arrived.0.cast_signed();
-                respond::set_header(&mut response, CONFIRMED_HEADER, &offset.to_string());
-                return response;
-            }
-            Next::None if node.now() < deadline => {
+        let next = node.relay.borrow().next(after, known_until);
+        let (kind, message) = match next {
+            Next::Response(response) => return respond_with(&response, arrived),
+            Next::Gap => (error::ErrorKind::NotFound, "the changes are no longer kept"),
+            Next::Failing => (error::ErrorKind::StoreUnavailable, "the store does not respond"),
+            Next::Pending if node.now() < deadline => {
                 let remaining = deadline.since(node.now()).to_duration();
                 let _ = tokio::time::timeout(remaining, node.relay_changed.notified()).await;
+                continue;
             }
-            Next::Gap | Next::None => {
-                let refusal = error::Refusal::new(error::ErrorKind::NotFound, "not known here");
-                return respond::refusal(&refusal);
-            }
-        }
+            Next::Pending => (error::ErrorKind::EndpointSilent, "no response of the store in time"),
+        };
+        return respond::refusal(&error::Refusal::new(kind, message));
     }
 }
 
+fn respond_with(cached: &Response, arrived: time::Millis) -> respond::Response {
+    let mut response = respond::bytes(200, "application/json", cached.body.clone());
+    let offset = cached.confirmed_at.0.cast_signed() - arrived.0.cast_signed();
+    respond::set_header(&mut response, CONFIRMED_HEADER, &offset.to_string());
+    respond::set_header(&mut response, CONTENT_HEADER, &cached.content.to_string());
+    response
+}
+
 /// Returns the time-out for a query to the reader.
 pub(crate) fn reader_timeout<C>(node: &node::Node<C>) -> time::Millis {
     node.bounds.get().store_interval() + READER_MARGIN
 }
 
-/// Queries the zone's reader for the changes after a revision. Returns the response and its confirmation time.
+/// A query to a reader.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Query {
+    /// Revision after which changes are queried; 0 if nothing is known.
+    pub(crate) after: u64,
+    /// Time before the query in which the store may have been read without a change. Above zero if an earlier query has
+    /// taken that long and failed.
+    pub(crate) recent: time::Millis,
+    /// Time-out of the query.
+    pub(crate) timeout: time::Millis,
+}
+
+/// Returns whether a reader responded that it cannot answer a query, as opposed to not responding in time.
+pub(crate) fn is_declined(error: &directory::Error) -> bool {
+    matches!(error, directory::Error::Refused { status: 404 | 503 })
+}
+
+/// Queries a reader for the changes after a revision.
 pub(crate) async fn query_reader<C>(
     node: &node::Node<C>,
     reader: net::IpAddr,
-    reader_timeout: time::Millis,
-    after: u64,
-) -> Result<(Bytes, time::Millis), directory::Error> {
+    query: Query,
+) -> Result<Response, directory::Error> {
     let sent_at = node.now();
-    let request = client::Request::new("GET", format!("{PATH}?after={after}"));
+    let Query { after, recent, timeout } = query;
+    let path = format!("{PATH}?after={after}&recent_ms={}", recent.0);
+    let request = client::Request::new("GET", path);
     let address = node.host.relay_address(reader);
-    let mut response = node.relay_client.call(address, request, reader_timeout).await?;
+    let mut response = node.relay_client.call(address, request, timeout).await?;
     if response.status != 200 {
         return Err(directory::Error::Refused { status: response.status });
     }
+    let malformed = |reason: &str| directory::Error::Malformed { reason: reason.into() };
     let offset: Option<i64> = response.header(CONFIRMED_HEADER).and_then(|text| text.parse().ok());
-    let without_time =
-        || directory::Error::Malformed { reason: "the response has no confirmation time".into() };
-    let offset = offset.ok_or_else(without_time)?;
+    let offset = offset.ok_or_else(|| malformed("the response has no confirmation time"))?;
+    let content = response.header(CONTENT_HEADER).and_then(|text| text.parse().ok());
+    let content = content.ok_or_else(|| malformed("the response does not name its content"))?;
     let body = response.read(RESPONSE_LIMIT).await?;
     // The offset counts from the time at which the query was sent, which precedes its arrival. A response that waits in
     // the buffers of a suspended process therefore never appears newer than it is.
     let confirmed_at = sent_at.0.cast_signed() + offset;
-    Ok((body, time::Millis(u64::try_from(confirmed_at).unwrap_or(0))))
+    let confirmed_at = time::Millis(u64::try_from(confirmed_at).unwrap_or(0));
+    Ok(Response { content, body, confirmed_at })
 }
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -4,7 +4,6 @@
 use std::rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use chestnutpick_fleet::directory;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::time;
@@ -27,16 +26,21 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: time::Millis = time::Millis(250);
 
+/// Pause after a failed call to the store by a router that other routers read for. It asks these every [`RETRY_PAUSE`].
+const FOLLOWER_RETRY_PAUSE: time::Millis = time::Millis(1_000);
+
 /// Keeps the view up to date with the store until `stop` is cancelled.
 pub(crate) async fn follow<C, D>(
     node: rc::Rc<node::Node<C>>,
     store: D,
     stop: sync::CancellationToken,
 ) where
+    C: 'static,
     D: directory::Directory,
 {
-    let mut follower = Follower { node, store, failing: false };
-    let mut revision = None;
+    let mut follower =
+        Follower { node, store, failing: false, must_list: true, call_at: time::Millis::ZERO };
+    let mut revision = 0;
     while !stop.is_cancelled() {
         let start = follower.node.now();
         let pause = tokio::select! {
@@ -50,20 +54,23 @@
 struct Follower<C, D> {
     node: rc::Rc<node::Node<C>>,
     store: D,
+    /// Whether this router's last call to the store failed.
     failing: bool,
+    /// Whether the next call must list everything: the changes since the last revision may be larger, since they contain
+    /// each version of the configuration in full.
+    must_list: bool,
+    /// Earliest time of the next call to the store after a failure.
+    call_at: time::Millis,
 }
 
 /// A response of the store, as received from the store or from another router.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Read {
     /// Router that relayed the response; `None` if this router called the store.
     reader: Option<net::IpAddr>,
     /// Time at which the call started.
     start: time::Millis,
-    /// Latest time at which the response is known to have matched the store.
-    confirmed_at: time::Millis,
-    /// Length of the response, in bytes.
-    len: usize,
+    response: relay::Response,
 }
 
 impl Read {
@@ -75,15 +82,15 @@
     /// Records the size and duration of the call, and logs a call that took longer than usual.
     fn record<C>(&self, node: &node::Node<C>) {
         let took = node.now().since(self.start);
+        let len = self.response.body.len();
         let relayed = self.reader.is_some().to_string();
-        metrics::histogram!("store_read_bytes", "relayed" => relayed.clone())
-            .record(self.len as f64);
+        metrics::histogram!("store_read_bytes", "relayed" => relayed.clone()).record(len as f64);
         metrics::histogram!("store_read_ms", "relayed" => relayed).record(took.0 as f64);
         if took > relay::reader_timeout(node) {
             event::Event::new("store_read_slow")
                 .with("source", self.source())
                 .with("took", took)
-                .with("bytes", self.len)
+                .with("bytes", len)
                 .info();
         }
     }
@@ -91,6 +98,7 @@
 
 impl<C, D> Follower<C, D>
 where
+    C: 'static,
     D: directory::Directory,
 {
     /// Sleeps until `pause` has passed since `start`, or less while an announcement is awaited.
@@ -105,122 +113,160 @@
         }
     }
 
-    /// Makes one call and returns the minimum time from its start to the next call.
-    async fn step(&mut self, revision: &mut Option<u64>) -> time::Millis {
-        let Some(after) = *revision else { return self.list(revision).await };
-        // The second reader detects the failure of the first at the same time as this router, and responds soon
-        // afterwards.
-        for timeout in [relay::reader_timeout(&self.node), relay::SECOND_READER_TIMEOUT] {
-            let reader = self.node.relay.borrow().reader(self.node.now(), self.node.host.ip);
-            let Some(reader) = reader else { break };
-            match self.ask(reader, timeout, after, revision).await {
-                Ok(()) => return time::Millis::ZERO,
+    /// Reads the store once, from another router or by a call, and returns the minimum time from the start to the next
+    /// read.
+    async fn step(&mut self, revision: &mut u64) -> time::Millis {
+        let (now, own) = (self.node.now(), self.node.host.ip);
+        self.probe(*revision);
+        let is_reader = self.node.relay.borrow().readers.is_reader(now, own);
+        let calls_first = is_reader && (!self.failing || now >= self.call_at);
+        if !calls_first && self.ask_any(revision).await {
+            return time::Millis::ZERO;
+        }
+        if self.failing && self.node.now() < self.call_at {
+            return RETRY_PAUSE;
+        }
+        if self.must_list { self.list(revision).await } else { self.watch(revision).await }
+    }
+
+    /// Probes a router that has failed, without waiting for the result.
+    fn probe(&self, after: u64) {
+        let due = self.node.relay.borrow_mut().readers.due_probe(self.node.now());
+        let Some(reader) = due else { return };
+        let node = rc::Rc::clone(&self.node);
+        let timeout = relay::reader_timeout(&node);
+        let query = relay::Query { after, recent: timeout, timeout };
+        actix_rt::spawn(async move {
+            let outcome = relay::query_reader(&node, reader, query).await;
+            if outcome.is_ok() || outcome.is_err_and(|reason| relay::is_declined(&reason)) {
+                node.relay.borrow_mut().readers.on_responded(reader);
+                event::Event::new("reader_trusted").with("reader", reader).info();
+            }
+        });
+    }
+
+    /// Asks the readers of the zone in turn. Returns whether one responded.
+    async fn ask_any(&mut self, revision: &mut u64) -> bool {
+        let (start, own) = (self.node.now(), self.node.host.ip);
+        let budget = relay::reader_timeout(&self.node);
+        let sources = self.node.relay.borrow().readers.sources(start, own);
+        for reader in sources {
+            let elapsed = self.node.now().since(start);
+            let timeout = budget.since(elapsed).max(relay::NEXT_READER_TIMEOUT);
+            let query = relay::Query { after: *revision, recent: elapsed, timeout };
+            match self.ask(reader, query, revision).await {
+                Ok(()) => return true,
+                Err(reason) if relay::is_declined(&reason) => {}
                 Err(reason) => {
                     event::Event::new("reader_distrusted")
                         .with("reader", reader)
                         .with("reason", reason)
                         .info();
-                    self.node.relay.borrow_mut().on_failed(self.node.now(), reader);
+                    self.node.relay.borrow_mut().readers.on_failed(self.node.now(), reader);
                 }
             }
         }
-        self.watch(after, revision).await
+        false
+    }
+
+    /// Queries one router.
+    async fn ask(
+        &mut self,
+        reader: net::IpAddr,
+        query: relay::Query,
+        revision: &mut u64,
+    ) -> Result<(), directory::Error> {
+        let start = self.node.now();
+        let response = relay::query_reader(&self.node, reader, query).await?;
+        let batch = self.store.parse_batch(&response.body)?;
+        *revision = batch.revision.max(query.after);
+        self.apply(Read { reader: Some(reader), start, response }, query.after, batch);
+        Ok(())
     }
 
     /// Lists the whole content of the store.
-    async fn list(&mut self, revision: &mut Option<u64>) -> time::Millis {
+    async fn list(&mut self, revision: &mut u64) -> time::Millis {
         let start = self.node.now();
-        let outcome = self.store.list(directory::Scope::All).await;
+        let outcome = self.store.list_raw(directory::Scope::All).await;
+        let outcome = outcome.and_then(|body| Ok((self.store.parse_batch(&body)?, body)));
         count_call("list", outcome.is_ok());
         match outcome {
-            Ok(batch) => {
-                *revision = Some(batch.revision);
-                let read = Read { reader: None, start, confirmed_at: start, len: 0 };
-                self.apply_batch(read, batch, true);
+            Ok((batch, body)) => {
+                let content = if self.failing {
+                    relay::Content::RecoveryListing
+                } else {
+                    relay::Content::Listing
+                };
+                *revision = batch.revision;
+                let response = relay::Response { content, body, confirmed_at: start };
+                self.on_called(Read { reader: None, start, response }, 0, batch);
                 time::Millis::ZERO
             }
             Err(reason) => self.on_error(start, &reason),
         }
     }
 
-    /// Queries the reader of the zone.
-    async fn ask(
-        &mut self,
-        reader: net::IpAddr,
-        timeout: time::Millis,
-        after: u64,
-        revision: &mut Option<u64>,
-    ) -> Result<(), directory::Error> {
-        let start = self.node.now();
-        let (raw, confirmed_at) = relay::query_reader(&self.node, reader, timeout, after).await?;
-        let batch = self.store.parse_batch(&raw)?;
-        *revision = Some(batch.revision.max(after));
-        let read = Read { reader: Some(reader), start, confirmed_at, len: raw.len() };
-        self.pass_on(after, &batch, raw, confirmed_at);
-        self.apply_batch(read, batch, false);
-        Ok(())
-    }
-
     /// Watches the store for changes.
-    async fn watch(&mut self, after: u64, revision: &mut Option<u64>) -> time::Millis {
-        let start = self.node.now();
-        // After a failure the store is asked to answer immediately, so that its recovery is detected early.
-        let wait = if self.failing { time::Millis::ZERO } else { WATCH_WAIT };
-        let outcome = self.store.watch_raw(directory::Scope::All, after, wait).await;
-        let outcome = outcome.and_then(|raw| Ok((self.store.parse_batch(&raw)?, raw)));
+    async fn watch(&mut self, revision: &mut u64) -> time::Millis {
+        let (start, after) = (self.node.now(), *revision);
+        let outcome = self.store.watch_raw(directory::Scope::All, after, WATCH_WAIT).await;
+        let outcome = outcome.and_then(|body| Ok((self.store.parse_batch(&body)?, body)));
         count_call("watch", outcome.is_ok());
         match outcome {
-            Ok((batch, raw)) => {
-                *revision = Some(batch.revision);
+            Ok((batch, body)) => {
+                *revision = batch.revision;
                 // A watch that ends without a change has waited at the store, which received the call no earlier than
                 // its start.
-                let waited = !self.failing && batch.changes.is_empty();
+                let waited = batch.changes.is_empty();
                 let confirmed_at =
                     if waited { (start + WATCH_WAIT).min(self.node.now()) } else { start };
-                let read = Read { reader: None, start, confirmed_at, len: raw.len() };
-                self.pass_on(after, &batch, raw, confirmed_at);
-                self.apply_batch(read, batch, false);
+                let content = relay::Content::Changes;
+                let response = relay::Response { content, body, confirmed_at };
+                self.on_called(Read { reader: None, start, response }, after, batch);
                 self.node.bounds.get().store_interval()
             }
             Err(reason) => {
-                // The next call lists everything again: the changes since the last revision may be larger, since they
-                // contain each version of the configuration in full.
-                *revision = None;
+                self.must_list = true;
                 self.on_error(start, &reason)
             }
         }
     }
 
-    fn pass_on(
-        &self,
-        after: u64,
-        batch: &directory::Batch,
-        raw: Bytes,
-        confirmed_at: time::Millis,
-    ) {
-        self.node.relay.borrow_mut().on_response(after, batch.revision, raw, confirmed_at);
-        self.node.relay_changed.notify_waiters();
+    /// Applies the response to a call to the store.
+    fn on_called(&mut self, read: Read, after: u64, batch: directory::Batch) {
+        self.node.relay.borrow_mut().failing = false;
+        if std::mem::take(&mut self.failing) {
+            event::Event::new("store_regained").with("revision", batch.revision).info();
+        }
+        self.apply(read, after, batch);
     }
 
-    /// Applies changes or a listing.
-    fn apply_batch(&mut self, read: Read, batch: directory::Batch, listed: bool) {
-        let now = self.node.now();
+    /// Applies a response and relays it to the routers that ask this one.
+    fn apply(&mut self, read: Read, after: u64, batch: directory::Batch) {
         read.record(&self.node);
-        if std::mem::take(&mut self.failing) {
-            self.node.view.borrow_mut().on_store_recovered(now);
-            event::Event::new("store_regained").with("revision", batch.revision).info();
+        self.must_list = false;
+        let revision = batch.revision;
+        if read.response.content == relay::Content::RecoveryListing {
+            self.node.view.borrow_mut().on_store_recovered(self.node.now());
         }
-        let new_endpoint = self.has_new_endpoint(&batch.changes);
-        if listed {
-            batch.changes.iter().for_each(|change| self.log(read, change));
-            self.node.view.borrow_mut().replace(now, batch.changes);
+        self.apply_changes(&read, batch.changes);
+        self.node.view.borrow_mut().on_confirmed(read.response.confirmed_at);
+        self.node.relay.borrow_mut().on_response(after, revision, read.response);
+        self.node.relay_changed.notify_waiters();
+    }
+
+    fn apply_changes(&self, read: &Read, changes: Vec<directory::Change>) {
+        let now = self.node.now();
+        let new_endpoint = self.has_new_endpoint(&changes);
+        if read.response.content.is_listing() {
+            changes.iter().for_each(|change| self.log(read, change));
+            self.node.view.borrow_mut().replace(now, changes);
         } else {
-            for change in batch.changes {
+            for change in changes {
                 self.log(read, &change);
                 self.node.view.borrow_mut().apply(now, change);
             }
         }
-        self.node.view.borrow_mut().on_confirmed(read.confirmed_at);
         if new_endpoint {
             self.node.engines_changed.notify_one();
         }
@@ -235,14 +281,14 @@
         })
     }
 
-    fn log(&self, read: Read, change: &directory::Change) {
+    fn log(&self, read: &Read, change: &directory::Change) {
         let view = self.node.view.borrow();
         match change {
             directory::Change::Config(config) => event::Event::new("config_learnt")
                 .with("version", config.version)
                 .with("routes", config.route_count())
                 .with("source", read.source())
-                .with("age", self.node.now().since(read.confirmed_at))
+                .with("age", self.node.now().since(read.response.confirmed_at))
                 .info(),
             directory::Change::Announced(endpoint) => {
                 let endpoint_view = view.endpoints.get(&endpoint.id);
@@ -276,17 +322,30 @@
         }
     }
 
-    /// Logs a failed call and returns the minimum time until the next call.
+    /// Logs a failed call and returns the minimum time until the next read.
     fn on_error(&mut self, start: time::Millis, reason: &directory::Error) -> time::Millis {
+        let now = self.node.now();
         let forgotten = *reason == directory::Error::HistoryLost;
         if forgotten || !std::mem::replace(&mut self.failing, true) {
             event::Event::new("store_call_failed")
-                .with("took", self.node.now().since(start))
+                .with("took", now.since(start))
                 .with("reason", reason)
                 .warn();
         }
+        if !forgotten {
+            self.on_store_failed(now);
+        }
         RETRY_PAUSE
     }
+
+    /// Makes the routers that wait for this one ask another, and schedules the next call to the store.
+    fn on_store_failed(&mut self, now: time::Millis) {
+        let mut relay = self.node.relay.borrow_mut();
+        relay.failing = true;
+        let is_reader = relay.readers.is_reader(now, self.node.host.ip);
+        self.call_at = now + if is_reader { RETRY_PAUSE } else { FOLLOWER_RETRY_PAUSE };
+        self.node.relay_changed.notify_waiters();
+    }
 }
 
 fn count_call(kind: &'static str, ok: bool) {
