Tell a reader that waits for the store from one that does not respond

Change: a reader that has nothing new says so 100 ms before the time-out. Its followers then ask the other reader, and do not call the store while a reader waits for it.

--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -30,6 +30,10 @@
 /// Time-out for each further reader after the first has failed.
 pub(crate) const NEXT_READER_TIMEOUT: time::Millis = time::Millis(250);
 
+/// Part of a query's time-out that is reserved for its way and back. A reader that has nothing new by then says so, so
+/// that a reader that waits for the store is told from one that does not respond.
+const TRANSIT_TIME: time::Millis = time::Millis(100);
+
 /// Maximum size of a relayed response.
 const RESPONSE_LIMIT: size::Bytes = size::Bytes::from_mib(16);
 
@@ -146,7 +150,7 @@
     };
     let arrived = node.now();
     let known_until = arrived.since(time::Millis(value("recent_ms").unwrap_or(0)));
-    let deadline = arrived + reader_timeout(&node);
+    let deadline = arrived + time::Millis(value("wait_ms").unwrap_or(0)).min(reader_timeout(&node));
     loop {
         let next = node.relay.borrow().next(after, known_until);
         let (kind, message) = match next {
@@ -189,9 +193,26 @@
     pub(crate) timeout: time::Millis,
 }
 
-/// Returns whether a reader responded that it cannot answer a query, as opposed to not responding in time.
-pub(crate) fn is_declined(error: &directory::Error) -> bool {
-    matches!(error, directory::Error::Refused { status: 404 | 503 })
+/// State of a reader that did not answer a query.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum State {
+    /// It waits for the store.
+    Waiting,
+    /// It cannot read the store, or no longer keeps the changes.
+    Declined,
+    /// It does not respond as a reader does.
+    Unresponsive,
+}
+
+impl State {
+    /// Returns the state that an error shows.
+    pub(crate) fn of(error: &directory::Error) -> Self {
+        match error {
+            directory::Error::Refused { status: 504 } => Self::Waiting,
+            directory::Error::Refused { status: 404 | 503 } => Self::Declined,
+            _ => Self::Unresponsive,
+        }
+    }
 }
 
 /// Queries a reader for the changes after a revision.
@@ -202,7 +223,8 @@
 ) -> Result<Response, directory::Error> {
     let sent_at = node.now();
     let Query { after, recent, timeout } = query;
-    let path = format!("{PATH}?after={after}&recent_ms={}", recent.0);
+    let wait = timeout.since(TRANSIT_TIME);
+    let path = format!("{PATH}?after={after}&recent_ms={}&wait_ms={}", recent.0, wait.0);
     let request = client::Request::new("GET", path);
     let address = node.host.relay_address(reader);
     let mut response = node.relay_client.call(address, request, timeout).await?;
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -138,35 +138,38 @@
         let query = relay::Query { after, recent: timeout, timeout };
         actix_rt::spawn(async move {
             let outcome = relay::query_reader(&node, reader, query).await;
-            if outcome.is_ok() || outcome.is_err_and(|reason| relay::is_declined(&reason)) {
+            let state = outcome.as_ref().err().map(relay::State::of);
+            if state != Some(relay::State::Unresponsive) {
                 node.relay.borrow_mut().readers.on_responded(reader);
                 event::Event::new("reader_trusted").with("reader", reader).info();
             }
         });
     }
 
-    /// Asks the readers of the zone in turn. Returns whether one responded.
+    /// Asks the readers of the zone in turn. Returns whether this router may go on to rely on them: one has answered, or
+    /// waits for the store. In the latter case a call by this router would only slow down the others.
     async fn ask_any(&mut self, revision: &mut u64) -> bool {
         let (start, own) = (self.node.now(), self.node.host.ip);
         let budget = relay::reader_timeout(&self.node);
         let sources = self.node.relay.borrow().readers.sources(start, own);
+        let mut waiting = false;
         for reader in sources {
             let elapsed = self.node.now().since(start);
             let timeout = budget.since(elapsed).max(relay::NEXT_READER_TIMEOUT);
             let query = relay::Query { after: *revision, recent: elapsed, timeout };
-            match self.ask(reader, query, revision).await {
-                Ok(()) => return true,
-                Err(reason) if relay::is_declined(&reason) => {}
-                Err(reason) => {
-                    event::Event::new("reader_distrusted")
-                        .with("reader", reader)
-                        .with("reason", reason)
-                        .info();
-                    self.node.relay.borrow_mut().readers.on_failed(self.node.now(), reader);
-                }
+            let Err(reason) = self.ask(reader, query, revision).await else { return true };
+            match relay::State::of(&reason) {
+                relay::State::Waiting => waiting = true,
+                relay::State::Declined => {}
+                relay::State::Unresponsive => self.distrust(reader, &reason),
             }
         }
-        false
+        waiting
+    }
+
+    fn distrust(&self, reader: net::IpAddr, reason: &directory::Error) {
+        event::Event::new("reader_distrusted").with("reader", reader).with("reason", reason).info();
+        self.node.relay.borrow_mut().readers.on_failed(self.node.now(), reader);
     }
 
     /// Queries one router.
