Decide each send on the newest configuration the router knows

What callers saw: a request in progress was still handled by the configuration of its arrival after the router had learned a newer one.

Cause: handle::admit copied route, service and workspace into the call, and every later choice used the copies. The endpoints, evacuated zones, declared versions and bounds were already looked up at each choice.

Change: terms::Terms holds what one version of the configuration sets for a request. forward::choose, which precedes every send, renews them: by host, path and key, unless the version is unchanged. A region must be permitted by the terms on arrival and by the newest ones, so that neither added nor removed homes let a request out. If the newest configuration would refuse the request or does not lead to its service, nothing is sent: a request that has not run is answered as a fresh one (404, 401) or with 503, one that may have run with 502, and a stream ends without its last chunk. A request whose configuration changed while its body arrived is admitted anew and may then go to the route's new service. Deadline, target and number of attempts stay those of the admission. choice::Request takes the lists of regions in place of route and workspace, so that no choice can be made on the regions of one configuration only.

--- a/crates/chestnutpick_loader/tests/limits.rs
+++ b/crates/chestnutpick_loader/tests/limits.rs
@@ -224,14 +224,13 @@
 
     /// Sends a request through a router. The total rate is many times what the engines may get.
     fn request(&mut self, router: usize) {
-        let route = common::route("llm", config::Kind::Stream);
         let (service, regions) = (service(self.cold_rate), common::regions());
         let zone = "lima".parse().unwrap();
         let context = choice::Context { zone: &zone, regions: &regions, bounds: common::bounds() };
         let request = choice::Request {
-            route: &route,
+            target: common::route("llm", config::Kind::Stream).target,
             service: &service,
-            workspace: None,
+            regions: &[],
             tokens: 0,
             output_tokens: None,
             time_left: None,
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -59,12 +59,12 @@
 /// Properties of a request that determine the choice of an endpoint.
 #[derive(Debug, Clone)]
 pub struct Request<'a> {
-    /// Route of the request.
-    pub route: &'a config::Route,
+    /// Time within which a response counts as on time.
+    pub target: time::Millis,
     /// Service that serves the request.
     pub service: &'a config::Service,
-    /// Workspace to which the caller's key belongs.
-    pub workspace: Option<&'a config::Workspace>,
+    /// Lists of permitted regions, all of which apply; an empty list permits all regions.
+    pub regions: &'a [&'a [id::RegionId]],
     /// Prompt tokens.
     pub tokens: u32,
     /// Expected output tokens, if the caller provides an estimate.
@@ -276,15 +276,14 @@
 ) -> bool {
     let endpoint = &endpoint_view.endpoint;
     let region = context.regions.get(&endpoint.zone);
-    let allows = |regions: &[id::RegionId]| {
+    let allows = |regions: &&[id::RegionId]| {
         regions.is_empty() || region.is_some_and(|region| regions.contains(region))
     };
     endpoint.service == request.service.name
         && endpoint.state == endpoint::State::Ready
         && endpoint_view.superseded_at.is_none()
         && !view.evacuated.contains(&endpoint.zone)
-        && allows(&request.route.regions)
-        && request.workspace.is_none_or(|workspace| allows(&workspace.regions))
+        && request.regions.iter().all(allows)
         && !request.tried.contains(&endpoint.id)
 }
 
@@ -356,7 +355,7 @@
         // Without an engine, the expected time grows linearly and reaches a fifth of the route's target when all slots
         // are occupied.
         let occupancy = f64::from(occupied) / f64::from(endpoint_view.endpoint.slots.max(1));
-        return request.route.target.0 as f64 * 0.2 * occupancy;
+        return request.target.0 as f64 * 0.2 * occupancy;
     };
     let slots = f64::from(engine.slots.max(1));
     let running = f64::from(occupied.min(engine.slots));
--- a/crates/chestnutpick_router/src/crash.rs
+++ b/crates/chestnutpick_router/src/crash.rs
@@ -82,7 +82,7 @@
 
 /// Returns the fingerprint of a request, which is the same when a caller repeats the request.
 fn fingerprint(call: &handle::Call) -> digest::Digest {
-    let workspace = call.workspace.as_deref().map_or("", |workspace| &*workspace.name);
+    let workspace = call.admitted.workspace.as_deref().map_or("", |workspace| &*workspace.name);
     let head = format!("{}\n{}\n{workspace}\n", call.method, call.path);
     digest::Digest::of(&[head.as_bytes(), &call.body].concat())
 }
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -16,6 +16,7 @@
 use crate::node;
 use crate::outcome;
 use crate::stream;
+use crate::terms;
 
 /// Maximum size of a response that is not a stream.
 const RESPONSE_LIMIT: size::Bytes = size::Bytes::from_mib(8);
@@ -58,6 +59,15 @@
     pub(crate) _slot: node::Slot<C>,
 }
 
+/// Decision to send a request to an endpoint.
+#[derive(Debug)]
+pub(crate) struct Placement {
+    /// Chosen endpoint.
+    chosen: choice::Chosen,
+    /// Terms under which the request is sent.
+    terms: terms::Terms,
+}
+
 /// Record of a request's tries.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
@@ -80,7 +90,7 @@
 where
     C: codec::Codec + 'static,
 {
-    node.on_first_try(&call.service.name);
+    node.on_first_try(&call.admitted.service.name);
     let mut tries = Tries::default();
     let outcome = match crash::check(&node, &call) {
         Ok(()) => attempt_all(&node, &call, &mut tries).await,
@@ -127,8 +137,8 @@
             }
             Failed::Unknown(kind, reason) => {
                 tries.runs += 1;
-                let retry = call.route.is_repeatable()
-                    && tries.runs < call.route.attempts
+                let retry = call.admitted.route.is_repeatable()
+                    && tries.runs < call.admitted.route.attempts
                     && may_retry(node, call);
                 if retry {
                     continue;
@@ -146,7 +156,7 @@
 }
 
 fn may_retry<C>(node: &node::Node<C>, call: &handle::Call) -> bool {
-    call.time_left(node.now()).is_some() && node.try_retry(&call.service.name)
+    call.time_left(node.now()).is_some() && node.try_retry(&call.admitted.service.name)
 }
 
 /// Makes one try. An error of the outer result ends the request.
@@ -158,8 +168,8 @@
 where
     C: codec::Codec,
 {
-    let chosen = choose(node, call, tries, None).map_err(|none| no_choice(tries, &none))?;
-    let opened = match open(node, call, tries, &chosen, None).await {
+    let placement = choose(node, call, tries, None)?;
+    let opened = match open(node, call, tries, &placement, None).await {
         Ok(opened) => opened,
         Err(failed) => return Ok(Err(failed)),
     };
@@ -180,26 +190,50 @@
     error::Refusal::new(kind, none.to_string())
 }
 
-/// Chooses an endpoint for a request, or for a resumed stream that started on `version`.
+/// Renews the terms of a request. They must also permit a repetition if the request may have run.
+fn renew_terms<C>(
+    node: &node::Node<C>,
+    call: &handle::Call,
+    tries: &Tries,
+) -> Result<terms::Terms, error::Refusal> {
+    let renewed = call.admitted.renew(node, &call.lookup);
+    if tries.runs == 0 {
+        return renewed;
+    }
+    let refuse = |message| error::Refusal::new(error::ErrorKind::EndpointLost, message);
+    let terms = renewed.map_err(|refusal| refuse(refusal.message))?;
+    if !terms.route.is_repeatable() {
+        let message = format!("requests of route {} are no longer repeated", terms.route.name);
+        return Err(refuse(message.into()));
+    }
+    Ok(terms)
+}
+
+/// Chooses an endpoint for a request, or for a resumed stream that started on `version`. The endpoint is in a region
+/// that both the terms on arrival and the newest terms permit.
 pub(crate) fn choose<C>(
     node: &node::Node<C>,
     call: &handle::Call,
     tries: &Tries,
     version: Option<u64>,
-) -> Result<choice::Chosen, choice::NoChoice> {
+) -> Result<Placement, error::Refusal> {
+    let terms = renew_terms(node, call, tries)?;
     let elapsed = node.now().since(call.arrived);
     // Refusing a request that may have partly run counts as a failure; a late response is better.
-    let time_left = (tries.runs == 0).then(|| call.route.target.since(elapsed));
-    node.choose(&choice::Request {
-        route: &call.route,
-        service: &call.service,
-        workspace: call.workspace.as_deref(),
+    let time_left = (tries.runs == 0).then(|| call.admitted.route.target.since(elapsed));
+    let regions = [call.admitted.regions(), terms.regions()].concat();
+    let chosen = node.choose(&choice::Request {
+        target: call.admitted.route.target,
+        service: &terms.service,
+        regions: &regions,
         tokens: call.tokens(),
         output_tokens: call.head.length_hint.or(call.head.tokens.map(|(_, made)| made)),
         time_left,
         tried: &tries.failed,
         version,
-    })
+    });
+    let chosen = chosen.map_err(|none| no_choice(tries, &none))?;
+    Ok(Placement { chosen, terms })
 }
 
 /// Sends a request to the chosen endpoint and waits for the response headers.
@@ -207,20 +241,20 @@
     node: &rc::Rc<node::Node<C>>,
     call: &handle::Call,
     tries: &mut Tries,
-    chosen: &choice::Chosen,
+    placement: &Placement,
     last_event: Option<u64>,
 ) -> Result<Opened<C>, Failed>
 where
     C: codec::Codec,
 {
-    let endpoint = &chosen.endpoint;
+    let endpoint = &placement.chosen.endpoint;
     let Some(time_left) = call.time_left(node.now()) else {
         return Err(Failed::NotRun(Rejection::NoTime, "no time is left".to_owned()));
     };
     tries.sends += 1;
-    tries.chosen = Some(chosen.clone());
+    tries.chosen = Some(placement.chosen.clone());
     let slot = node::Slot::new(node, &endpoint.id, call.tokens());
-    let request = request(node, call, chosen, time_left, last_event);
+    let request = request(node, call, placement, time_left, last_event);
     let outcome = node.client.call(endpoint.address, request, time_left).await;
     let failed = match outcome {
         Ok(response) => match check(node, call, endpoint, &response) {
@@ -253,19 +287,20 @@
 fn request<C>(
     node: &node::Node<C>,
     call: &handle::Call,
-    chosen: &choice::Chosen,
+    placement: &Placement,
     time_left: time::Millis,
     last_event: Option<u64>,
 ) -> client::Request
 where
     C: codec::Codec,
 {
-    let rank = call.workspace.as_deref().and_then(|workspace| workspace.priority);
-    let rank = rank.unwrap_or(call.route.priority).min(codec::LEAST_URGENT.into());
+    let Placement { chosen, terms } = placement;
+    let rank = terms.workspace.as_deref().and_then(|workspace| workspace.priority);
+    let rank = rank.unwrap_or(terms.route.priority).min(codec::LEAST_URGENT.into());
     let forward = codec::Forward {
         endpoint: &chosen.endpoint,
         deadline: time_left,
-        workspace: call.workspace.as_deref().map(|workspace| &*workspace.name),
+        workspace: terms.workspace.as_deref().map(|workspace| &*workspace.name),
         version: chosen.version,
         urgency: u8::try_from(rank).unwrap_or(codec::LEAST_URGENT),
         last_event,
@@ -367,8 +402,8 @@
             return Err(call_failed(&reason));
         }
     };
-    if status >= 500 && call.route.kind == config::Kind::Idempotent {
-        let retry = tries.runs + 1 < call.route.attempts && may_retry(node, call);
+    if status >= 500 && call.admitted.route.kind == config::Kind::Idempotent {
+        let retry = tries.runs + 1 < call.admitted.route.attempts && may_retry(node, call);
         if retry {
             tries.runs += 1;
             tries.failed.push(opened.endpoint.clone());
@@ -380,7 +415,7 @@
     }
     crash::on_answered(node, call);
     // Load reports of engines arrive by datagram and are more recent.
-    if let (Some((running, waiting)), None) = (opened.head.load, &call.service.engine) {
+    if let (Some((running, waiting)), None) = (opened.head.load, &call.admitted.service.engine) {
         node.view.borrow_mut().on_response_load(node.now(), &opened.endpoint, running, waiting);
     }
     let response = build_response(node, status, &opened.response.headers, body);
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -18,4 +18,5 @@
 mod outcome;
 mod relay;
 mod stream;
+mod terms;
 mod watch;
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -33,7 +33,7 @@
     metrics::counter!("requests_refused", "kind" => <&str>::from(refusal.kind)).increment(1);
     event::Event::new("request_refused")
         .with("request", &call.head.request_id)
-        .with("route", &call.route.name)
+        .with("route", &call.admitted.route.name)
         .with("kind", refusal.kind)
         .with("reason", &refusal.message)
         .with("sends", tries.sends)
@@ -74,7 +74,7 @@
     metrics::counter!("requests_answered").increment(1);
     let mut event = event::Event::new("request_answered")
         .with("request", &call.head.request_id)
-        .with("route", &call.route.name)
+        .with("route", &call.admitted.route.name)
         .with("endpoint", endpoint)
         .with("status", status)
         .with("sends", tries.sends)
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -150,7 +150,7 @@
     /// Logs a stream with a longer pause between events than its route allows.
     fn on_end(&self) {
         let longest = self.pauses.longest;
-        if longest > self.call.route.gap {
+        if longest > self.call.admitted.route.gap {
             self.log("stream_paused", &format!("pause of {longest} between two events"));
         }
     }
@@ -165,12 +165,13 @@
         self.tries.runs += 1;
         let mut reason = reason.to_owned();
         while self.may_resume() {
-            let chosen = forward::choose(&self.node, &self.call, &self.tries, self.version)
-                .map_err(|none| {
-                    self.on_broken(&format!("{reason}; no endpoint to resume at: {none}"))
+            let placement = forward::choose(&self.node, &self.call, &self.tries, self.version)
+                .map_err(|refusal| {
+                    let message = &refusal.message;
+                    self.on_broken(&format!("{reason}; not resumed: {message}"))
                 })?;
             let last_event_id = self.last_event_id;
-            match forward::open(&self.node, &self.call, &mut self.tries, &chosen, last_event_id)
+            match forward::open(&self.node, &self.call, &mut self.tries, &placement, last_event_id)
                 .await
             {
                 Ok(opened) if opened.head.is_stream && opened.response.status == 200 => {
@@ -194,10 +195,10 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.call.route.is_repeatable()
-            && self.tries.runs < self.call.route.attempts
+        self.call.admitted.route.is_repeatable()
+            && self.tries.runs < self.call.admitted.route.attempts
             && self.call.time_left(self.node.now()).is_some()
-            && self.node.try_retry(&self.call.service.name)
+            && self.node.try_retry(&self.call.admitted.service.name)
     }
 
     fn on_broken(&self, reason: &str) -> io::Error {
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -170,11 +170,11 @@
     use rand_core::SeedableRng;
     let (regions, zone) = (regions(), "lima".parse().unwrap());
     let context = choice::Context { zone: &zone, regions: &regions, bounds: bounds() };
-    let (route, service) = (route("llm", config::Kind::Stream), engine_service());
+    let service = engine_service();
     let request = choice::Request {
-        route: &route,
+        target: route("llm", config::Kind::Stream).target,
         service: &service,
-        workspace: None,
+        regions: &[],
         tokens: 977,
         output_tokens: None,
         time_left,
