--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -19,4 +19,5 @@
 mod outcome;
 mod relay;
 mod stream;
+mod terms;
 mod watch;
