Ask the routers after those that have no store

Change: only routers that do not respond count; a router that cannot read the store asks those after it too.

--- a/crates/chestnutpick_router/src/readers.rs
+++ b/crates/chestnutpick_router/src/readers.rs
@@ -13,9 +13,9 @@
 /// router that is up to date.
 const READERS: usize = 2;
 
-/// Maximum number of routers that are asked before this router reads the store itself. Bounds the time that failed
-/// routers cost.
-const MAX_SOURCES: usize = 3;
+/// Maximum number of routers that may fail to respond before this router reads the store itself. Bounds the time that
+/// they cost. Routers that decline cost a round trip within the zone and do not count.
+pub const MAX_FAILURES: usize = 3;
 
 /// Time from the failure of a router to the next probe of it.
 const PROBE_INTERVAL: time::Millis = time::Millis(3_000);
@@ -23,6 +23,16 @@
 /// Age at which the list of routers is too old to be used.
 const MAX_PEERS_AGE: time::Millis = time::Millis(2_500);
 
+/// Whether a router can read the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Access {
+    /// Its last call succeeded, or it has made none.
+    Granted,
+    /// Its last call failed.
+    Refused,
+}
+
 /// Routers of a zone and their state, as known to one of them.
 #[derive(Debug, Default)]
 pub struct Readers {
@@ -43,7 +53,8 @@
     /// assert!(readers.is_reader(Millis(0), peers[2]));
     /// readers.on_peers(Millis(0), peers.to_vec());
     /// assert!(!readers.is_reader(Millis(0), peers[2]));
-    /// assert_eq!(readers.sources(Millis(0), peers[2]), peers[..2]);
+    /// let sources = readers.sources(Millis(0), peers[2], readers::Access::Granted);
+    /// assert_eq!(sources, peers[..2]);
     /// ```
     pub fn on_peers(&mut self, now: time::Millis, peers: Vec<net::IpAddr>) {
         self.failed.retain(|ip, _| peers.contains(ip));
@@ -56,14 +67,13 @@
         self.current(now).is_none_or(|peers| peers.iter().take(READERS).any(|ip| *ip == own))
     }
 
-    /// Returns the routers to ask, in order. A reader asks others only while it has no access to the store.
-    pub fn sources(&self, now: time::Millis, own: net::IpAddr) -> Vec<net::IpAddr> {
+    /// Returns the routers to ask, in order: those before `own`, and those after it too if `own` cannot read the store.
+    pub fn sources(&self, now: time::Millis, own: net::IpAddr, access: Access) -> Vec<net::IpAddr> {
         let Some(peers) = self.current(now) else { return Vec::new() };
         let before = peers.iter().take_while(|ip| **ip != own);
         let after = peers.iter().skip_while(|ip| **ip != own).skip(1);
-        let is_reader = self.is_reader(now, own);
-        let others = before.chain(after.filter(|_| is_reader));
-        others.filter(|ip| !self.failed.contains_key(*ip)).take(MAX_SOURCES).copied().collect()
+        let others = before.chain(after.filter(|_| access == Access::Refused));
+        others.filter(|ip| !self.failed.contains_key(*ip)).copied().collect()
     }
 
     /// Records that a router did not respond.
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync;
 
 use crate::node;
+use crate::readers;
 use crate::relay;
 
 /// Maximum wait of a watch. The end of a watch confirms that nothing has changed, which the validity of callers' keys
@@ -151,8 +152,9 @@
     async fn ask_any(&mut self, revision: &mut u64) -> bool {
         let (start, own) = (self.node.now(), self.node.host.ip);
         let budget = relay::reader_timeout(&self.node);
-        let sources = self.node.relay.borrow().readers.sources(start, own);
-        let mut waiting = false;
+        let access = if self.failing { readers::Access::Refused } else { readers::Access::Granted };
+        let sources = self.node.relay.borrow().readers.sources(start, own, access);
+        let (mut waiting, mut failures) = (false, 0);
         for reader in sources {
             let elapsed = self.node.now().since(start);
             let timeout = budget.since(elapsed).max(relay::NEXT_READER_TIMEOUT);
@@ -161,7 +163,13 @@
             match relay::State::of(&reason) {
                 relay::State::Waiting => waiting = true,
                 relay::State::Declined => {}
-                relay::State::Unresponsive => self.distrust(reader, &reason),
+                relay::State::Unresponsive => {
+                    self.distrust(reader, &reason);
+                    failures += 1;
+                }
+            }
+            if failures == readers::MAX_FAILURES {
+                break;
             }
         }
         waiting
