--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -90,7 +90,7 @@
                 node.suspects.borrow_mut().merge(time::unix_now(), [record]);
             }
             Some(load::ToRouter::Peers(peers)) => {
-                node.relay.borrow_mut().readers.on_peers(node.now(), peers);
+                node.relay.borrow_mut().readers.on_peers(peers);
             }
             Some(load::ToRouter::Cleared(fingerprint)) => {
                 node.suspects.borrow_mut().clear(&fingerprint);
--- a/crates/chestnutpick_router/src/readers.rs
+++ b/crates/chestnutpick_router/src/readers.rs
@@ -20,9 +20,6 @@
 /// Time from the failure of a router to the next probe of it.
 const PROBE_INTERVAL: time::Millis = time::Millis(3_000);
 
-/// Age at which the list of routers is too old to be used.
-const MAX_PEERS_AGE: time::Millis = time::Millis(2_500);
-
 /// Whether a router can read the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -36,8 +33,9 @@
 /// Routers of a zone and their state, as known to one of them.
 #[derive(Debug, Default)]
 pub struct Readers {
-    /// Routers of the zone in their order, and the time at which a loader reported them.
-    peers: Option<(Vec<net::IpAddr>, time::Millis)>,
+    /// Routers of the zone in their order, as last reported by a loader; empty until then. Routers that have stopped since
+    /// count as failed once they do not respond.
+    peers: Vec<net::IpAddr>,
     /// Routers that did not respond, and the time of the next probe of each.
     failed: collections::BTreeMap<net::IpAddr, time::Millis>,
 }
@@ -47,31 +45,28 @@
     ///
     /// ```
     /// use chestnutpick_router::readers;
-    /// use chestnutpick_types::time::Millis;
     /// let peers = ["10.0.0.1", "10.0.0.2", "10.0.0.3"].map(|ip| ip.parse().unwrap());
     /// let mut readers = readers::Readers::default();
-    /// assert!(readers.is_reader(Millis(0), peers[2]));
-    /// readers.on_peers(Millis(0), peers.to_vec());
-    /// assert!(!readers.is_reader(Millis(0), peers[2]));
-    /// let sources = readers.sources(Millis(0), peers[2], readers::Access::Granted);
+    /// assert!(readers.is_reader(peers[2]));
+    /// readers.on_peers(peers.to_vec());
+    /// assert!(!readers.is_reader(peers[2]));
+    /// let sources = readers.sources(peers[2], readers::Access::Granted);
     /// assert_eq!(sources, peers[..2]);
     /// ```
-    pub fn on_peers(&mut self, now: time::Millis, peers: Vec<net::IpAddr>) {
-        self.failed.retain(|ip, _| peers.contains(ip));
-        self.peers = Some((peers, now));
+    pub fn on_peers(&mut self, peers: Vec<net::IpAddr>) {
+        self.peers = peers;
     }
 
     /// Returns whether the router `own` reads the store even if others do. This is also the case while the routers of
     /// the zone are not known.
-    pub fn is_reader(&self, now: time::Millis, own: net::IpAddr) -> bool {
-        self.current(now).is_none_or(|peers| peers.iter().take(READERS).any(|ip| *ip == own))
+    pub fn is_reader(&self, own: net::IpAddr) -> bool {
+        self.peers.is_empty() || self.peers.iter().take(READERS).any(|ip| *ip == own)
     }
 
     /// Returns the routers to ask, in order: those before `own`, and those after it too if `own` cannot read the store.
-    pub fn sources(&self, now: time::Millis, own: net::IpAddr, access: Access) -> Vec<net::IpAddr> {
-        let Some(peers) = self.current(now) else { return Vec::new() };
-        let before = peers.iter().take_while(|ip| **ip != own);
-        let after = peers.iter().skip_while(|ip| **ip != own).skip(1);
+    pub fn sources(&self, own: net::IpAddr, access: Access) -> Vec<net::IpAddr> {
+        let before = self.peers.iter().take_while(|ip| **ip != own);
+        let after = self.peers.iter().skip_while(|ip| **ip != own).skip(1);
         let others = before.chain(after.filter(|_| access == Access::Refused));
         others.filter(|ip| !self.failed.contains_key(*ip)).copied().collect()
     }
@@ -86,15 +81,16 @@
         self.failed.remove(&ip);
     }
 
-    /// Returns a failed router whose next probe is due, and schedules the probe after that.
-    pub fn due_probe(&mut self, now: time::Millis) -> Option<net::IpAddr> {
-        let (ip, due) = self.failed.iter_mut().find(|(_, due)| now >= **due)?;
-        *due = now + PROBE_INTERVAL;
-        Some(*ip)
-    }
-
-    fn current(&self, now: time::Millis) -> Option<&[net::IpAddr]> {
-        let (peers, at) = self.peers.as_ref()?;
-        (now.since(*at) < MAX_PEERS_AGE).then_some(peers)
+    /// Returns the failed routers whose next probe is due, and schedules the probes after that. A failed router that is
+    /// no longer listed is forgotten instead.
+    pub fn due_probes(&mut self, now: time::Millis) -> Vec<net::IpAddr> {
+        let Self { peers, failed } = self;
+        failed.retain(|ip, due| now < *due || peers.contains(ip));
+        let due = failed.iter_mut().filter(|(_, due)| now >= **due);
+        due.map(|(ip, due)| {
+            *due = now + PROBE_INTERVAL;
+            *ip
+        })
+        .collect()
     }
 }
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -117,9 +117,9 @@
     /// Reads the store once, from another router or by a call, and returns the minimum time from the start to the next
     /// read.
     async fn step(&mut self, revision: &mut u64) -> time::Millis {
-        let (now, own) = (self.node.now(), self.node.host.ip);
+        let now = self.node.now();
         self.probe(*revision);
-        let is_reader = self.node.relay.borrow().readers.is_reader(now, own);
+        let is_reader = self.node.relay.borrow().readers.is_reader(self.node.host.ip);
         let calls_first = is_reader && (!self.failing || now >= self.call_at);
         if !calls_first && self.ask_any(revision).await {
             return time::Millis::ZERO;
@@ -130,21 +130,12 @@
         if self.must_list { self.list(revision).await } else { self.watch(revision).await }
     }
 
-    /// Probes a router that has failed, without waiting for the result.
+    /// Probes the routers that have failed, without waiting for the results.
     fn probe(&self, after: u64) {
-        let due = self.node.relay.borrow_mut().readers.due_probe(self.node.now());
-        let Some(reader) = due else { return };
-        let node = rc::Rc::clone(&self.node);
-        let timeout = relay::reader_timeout(&node);
-        let query = relay::Query { after, recent: timeout, timeout };
-        actix_rt::spawn(async move {
-            let outcome = relay::query_reader(&node, reader, query).await;
-            let state = outcome.as_ref().err().map(relay::State::of);
-            if state != Some(relay::State::Unresponsive) {
-                node.relay.borrow_mut().readers.on_responded(reader);
-                event::Event::new("reader_trusted").with("reader", reader).info();
-            }
-        });
+        let due = self.node.relay.borrow_mut().readers.due_probes(self.node.now());
+        for reader in due {
+            actix_rt::spawn(probe(rc::Rc::clone(&self.node), reader, after));
+        }
     }
 
     /// Asks the readers of the zone in turn. Returns whether this router may go on to rely on them: one has answered, or
@@ -153,7 +144,7 @@
         let (start, own) = (self.node.now(), self.node.host.ip);
         let budget = relay::reader_timeout(&self.node);
         let access = if self.failing { readers::Access::Refused } else { readers::Access::Granted };
-        let sources = self.node.relay.borrow().readers.sources(start, own, access);
+        let sources = self.node.relay.borrow().readers.sources(own, access);
         let (mut waiting, mut failures) = (false, 0);
         for reader in sources {
             let elapsed = self.node.now().since(start);
@@ -353,12 +344,24 @@
     fn on_store_failed(&mut self, now: time::Millis) {
         let mut relay = self.node.relay.borrow_mut();
         relay.failing = true;
-        let is_reader = relay.readers.is_reader(now, self.node.host.ip);
+        let is_reader = relay.readers.is_reader(self.node.host.ip);
         self.call_at = now + if is_reader { RETRY_PAUSE } else { FOLLOWER_RETRY_PAUSE };
         self.node.relay_changed.notify_waiters();
     }
 }
 
+/// Queries a router that has failed, and trusts it again if it responds.
+async fn probe<C>(node: rc::Rc<node::Node<C>>, reader: net::IpAddr, after: u64) {
+    let timeout = relay::reader_timeout(&node);
+    let query = relay::Query { after, recent: timeout, timeout };
+    let outcome = relay::query_reader(&node, reader, query).await;
+    let state = outcome.as_ref().err().map(relay::State::of);
+    if state != Some(relay::State::Unresponsive) {
+        node.relay.borrow_mut().readers.on_responded(reader);
+        event::Event::new("reader_trusted").with("reader", reader).info();
+    }
+}
+
 fn count_call(kind: &'static str, ok: bool) {
     metrics::counter!("store_calls", "kind" => kind, "ok" => ok.to_string()).increment(1);
 }
