--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -150,10 +150,16 @@
     };
     let arrived = node.now();
     let known_until = arrived.since(time::Millis(value("recent_ms").unwrap_or(0)));
-    let deadline = arrived + time::Millis(value("wait_ms").unwrap_or(0)).min(reader_timeout(&node));
+    let wait = value("wait_ms").map(time::Millis);
+    let deadline =
+        arrived + wait.map_or(reader_timeout(&node), |wait| wait.min(reader_timeout(&node)));
     loop {
         let next = node.relay.borrow().next(after, known_until);
         let (kind, message) = match next {
+            // A router of an earlier version, which sends no wait time, would take a listing for changes.
+            Next::Response(response) if wait.is_none() && response.content.is_listing() => {
+                (error::ErrorKind::NotFound, "the changes are no longer kept")
+            }
             Next::Response(response) => return respond_with(&response, arrived),
             Next::Gap => (error::ErrorKind::NotFound, "the changes are no longer kept"),
             Next::Failing => (error::ErrorKind::StoreUnavailable, "the store does not respond"),
@@ -234,8 +240,9 @@
     let malformed = |reason: &str| directory::Error::Malformed { reason: reason.into() };
     let offset: Option<i64> = response.header(CONFIRMED_HEADER).and_then(|text| text.parse().ok());
     let offset = offset.ok_or_else(|| malformed("the response has no confirmation time"))?;
-    let content = response.header(CONTENT_HEADER).and_then(|text| text.parse().ok());
-    let content = content.ok_or_else(|| malformed("the response does not name its content"))?;
+    // Routers of an earlier version relay only changes and do not name them.
+    let content = response.header(CONTENT_HEADER).map_or(Ok(Content::Changes), str::parse);
+    let content = content.map_err(|_| malformed("the content of the response is unknown"))?;
     let body = response.read(RESPONSE_LIMIT).await?;
     // The offset counts from the time at which the query was sent, which precedes its arrival. A response that waits in
     // the buffers of a suspended process therefore never appears newer than it is.
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -248,7 +248,7 @@
         read.record(&self.node);
         self.must_list = false;
         let revision = batch.revision;
-        if read.response.content == relay::Content::RecoveryListing {
+        if self.ends_outage(&read) {
             self.node.view.borrow_mut().on_store_recovered(self.node.now());
         }
         self.apply_changes(&read, batch.changes);
@@ -257,6 +257,15 @@
         self.node.relay_changed.notify_waiters();
     }
 
+    /// Returns whether a response is the first after an outage of the store, during which announcements of live endpoints
+    /// may have expired. The outage of a reader is not one of a router that has followed another reader meanwhile.
+    fn ends_outage(&self, read: &Read) -> bool {
+        let confirmed_at = self.node.view.borrow().confirmed_at.unwrap_or_default();
+        let is_behind = self.node.now().since(confirmed_at) > relay::reader_timeout(&self.node);
+        read.response.content == relay::Content::RecoveryListing
+            && (read.reader.is_none() || is_behind)
+    }
+
     fn apply_changes(&self, read: &Read, changes: Vec<directory::Change>) {
         let now = self.node.now();
         let new_endpoint = self.has_new_endpoint(&changes);
