--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -79,6 +79,8 @@
     pub(crate) sends: usize,
     /// Most recent choice of an endpoint.
     pub(crate) chosen: Option<choice::Chosen>,
+    /// Version of the configuration under which the request was last sent.
+    pub(crate) config: u64,
 }
 
 /// Forwards a request and returns the response for the caller.
@@ -253,6 +255,7 @@
     };
     tries.sends += 1;
     tries.chosen = Some(placement.chosen.clone());
+    tries.config = placement.terms.version;
     let slot = node::Slot::new(node, &endpoint.id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
     let outcome = node.client.call(endpoint.address, request, time_left).await;
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -37,6 +37,7 @@
         .with("kind", refusal.kind)
         .with("reason", &refusal.message)
         .with("sends", tries.sends)
+        .with("config", call.admitted.version)
         .with("deadline_ms", call.head.deadline.map_or(0, |deadline| deadline.0))
         .with("ms", now.since(call.arrived).0)
         .info();
@@ -83,6 +84,8 @@
     if let Some(chosen) = &tries.chosen {
         let age = chosen.load_age.map_or_else(|| "none".to_owned(), |age| age.0.to_string());
         event = event
+            .with("config", tries.config)
+            .with("zone", &chosen.endpoint.zone)
             .with("expected_ms", chosen.expected.0)
             .with("occupied", chosen.occupied)
             .with("load_age_ms", age);
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -211,6 +211,7 @@
         event::Event::new(name)
             .with("request", &self.call.head.request_id)
             .with("endpoint", &self.opened.endpoint)
+            .with("config", self.tries.config)
             .with(
                 "last_event",
                 self.last_event_id.map_or_else(|| "none".to_owned(), |id| id.to_string()),
