--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -17,6 +17,7 @@
 mod loads;
 mod node;
 mod outcome;
+mod read;
 mod relay;
 mod stream;
 mod terms;
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync;
 
 use crate::node;
+use crate::read;
 use crate::readers;
 use crate::relay;
 
@@ -64,39 +65,6 @@
     call_at: time::Millis,
 }
 
-/// A response of the store, as received from the store or from another router.
-#[derive(Debug)]
-struct Read {
-    /// Router that relayed the response; `None` if this router called the store.
-    reader: Option<net::IpAddr>,
-    /// Time at which the call started.
-    start: time::Millis,
-    response: relay::Response,
-}
-
-impl Read {
-    /// Returns the name of the source for logs.
-    fn source(&self) -> String {
-        self.reader.map_or_else(|| "store".to_owned(), |reader| reader.to_string())
-    }
-
-    /// Records the size and duration of the call, and logs a call that took longer than usual.
-    fn record<C>(&self, node: &node::Node<C>) {
-        let took = node.now().since(self.start);
-        let len = self.response.body.len();
-        let relayed = self.reader.is_some().to_string();
-        metrics::histogram!("store_read_bytes", "relayed" => relayed.clone()).record(len as f64);
-        metrics::histogram!("store_read_ms", "relayed" => relayed).record(took.0 as f64);
-        if took > relay::reader_timeout(node) {
-            event::Event::new("store_read_slow")
-                .with("source", self.source())
-                .with("took", took)
-                .with("bytes", len)
-                .info();
-        }
-    }
-}
-
 impl<C, D> Follower<C, D>
 where
     C: 'static,
@@ -182,7 +150,7 @@
         let response = relay::query_reader(&self.node, reader, query).await?;
         let batch = self.store.parse_batch(&response.body)?;
         *revision = batch.revision.max(query.after);
-        self.apply(Read { reader: Some(reader), start, response }, query.after, batch);
+        self.apply(read::Read { reader: Some(reader), start, response }, query.after, batch);
         Ok(())
     }
 
@@ -201,7 +169,7 @@
                 };
                 *revision = batch.revision;
                 let response = relay::Response { content, body, confirmed_at: start };
-                self.on_called(Read { reader: None, start, response }, 0, batch);
+                self.on_called(read::Read { reader: None, start, response }, 0, batch);
                 time::Millis::ZERO
             }
             Err(reason) => self.on_error(start, &reason),
@@ -224,7 +192,7 @@
                     if waited { (start + WATCH_WAIT).min(self.node.now()) } else { start };
                 let content = relay::Content::Changes;
                 let response = relay::Response { content, body, confirmed_at };
-                self.on_called(Read { reader: None, start, response }, after, batch);
+                self.on_called(read::Read { reader: None, start, response }, after, batch);
                 self.node.bounds.get().store_interval()
             }
             Err(reason) => {
@@ -235,7 +203,7 @@
     }
 
     /// Applies the response to a call to the store.
-    fn on_called(&mut self, read: Read, after: u64, batch: directory::Batch) {
+    fn on_called(&mut self, read: read::Read, after: u64, batch: directory::Batch) {
         self.node.relay.borrow_mut().failing = false;
         if std::mem::take(&mut self.failing) {
             event::Event::new("store_regained").with("revision", batch.revision).info();
@@ -244,7 +212,7 @@
     }
 
     /// Applies a response and relays it to the routers that ask this one.
-    fn apply(&mut self, read: Read, after: u64, batch: directory::Batch) {
+    fn apply(&mut self, read: read::Read, after: u64, batch: directory::Batch) {
         read.record(&self.node);
         self.must_list = false;
         let revision = batch.revision;
@@ -259,22 +227,22 @@
 
     /// Returns whether a response is the first after an outage of the store, during which announcements of live endpoints
     /// may have expired. The outage of a reader is not one of a router that has followed another reader meanwhile.
-    fn ends_outage(&self, read: &Read) -> bool {
+    fn ends_outage(&self, read: &read::Read) -> bool {
         let confirmed_at = self.node.view.borrow().confirmed_at.unwrap_or_default();
         let is_behind = self.node.now().since(confirmed_at) > relay::reader_timeout(&self.node);
         read.response.content == relay::Content::RecoveryListing
             && (read.reader.is_none() || is_behind)
     }
 
-    fn apply_changes(&self, read: &Read, changes: Vec<directory::Change>) {
+    fn apply_changes(&self, read: &read::Read, changes: Vec<directory::Change>) {
         let now = self.node.now();
         let new_endpoint = self.has_new_endpoint(&changes);
         if read.response.content.is_listing() {
-            changes.iter().for_each(|change| self.log(read, change));
+            changes.iter().for_each(|change| read.log(&self.node, change));
             self.node.view.borrow_mut().replace(now, changes);
         } else {
             for change in changes {
-                self.log(read, &change);
+                read.log(&self.node, &change);
                 self.node.view.borrow_mut().apply(now, change);
             }
         }
@@ -292,47 +260,6 @@
         })
     }
 
-    fn log(&self, read: &Read, change: &directory::Change) {
-        let view = self.node.view.borrow();
-        match change {
-            directory::Change::Config(config) => event::Event::new("config_learnt")
-                .with("version", config.version)
-                .with("routes", config.route_count())
-                .with("source", read.source())
-                .with("age", self.node.now().since(read.response.confirmed_at))
-                .info(),
-            directory::Change::Announced(endpoint) => {
-                let endpoint_view = view.endpoints.get(&endpoint.id);
-                if endpoint_view
-                    .is_none_or(|endpoint_view| endpoint_view.endpoint.state != endpoint.state)
-                {
-                    event::Event::new("endpoint_announced")
-                        .with("endpoint", &endpoint.id)
-                        .with("service", &endpoint.service)
-                        .with("address", endpoint.address)
-                        .with("state", endpoint.state)
-                        .info();
-                }
-            }
-            directory::Change::Removed(id) => {
-                event::Event::new("endpoint_gone").with("endpoint", id).info();
-            }
-            directory::Change::Evacuated(zone) => {
-                event::Event::new("zone_evacuated").with("zone", zone).info();
-            }
-            directory::Change::Restored(zone) => {
-                event::Event::new("zone_restored").with("zone", zone).info();
-            }
-            directory::Change::Declared(model, version) => event::Event::new("version_declared")
-                .with("model", model)
-                .with("version", version)
-                .info(),
-            directory::Change::Unreadable { key, reason, .. } => {
-                event::Event::new("item_unreadable").with("key", key).with("reason", reason).warn();
-            }
-        }
-    }
-
     /// Logs a failed call and returns the minimum time until the next read.
     fn on_error(&mut self, start: time::Millis, reason: &directory::Error) -> time::Millis {
         let now = self.node.now();
