Skip interim responses in place of returning them as final ones

Callers saw: an endpoint that sends 100 or 103 responses without end, or a single one before its answer, gave the caller "HTTP/1.1 100 Continue" as the final response, after which nothing came. A purchase or a read was thus never answered, and no repeat was tried.

Cause: awc returns the first head that it reads, whatever its status, and the connection passed every head on. Ruled out: the router's own check of heads, which asks for the seal of 2xx responses only.

Change: the connection reads the head of each response itself (new module `head`), from the request on, also on connections that are reused. It skips up to 16 interim responses and the blank lines before a head; an upgrade, which is never requested, and a 17th interim response fail the call as lost. What cannot become a head ends the call in the connection, and a head that arrives in small pieces is parsed at the end of a line or once it has doubled, no longer after each read.

Failed before: endless_response_is_lost (continued: "status 100", early_hints: "status 103", upgrade: "status 101", with and without reuse), interim_responses_are_skipped ("status 103"), endless_response_fails_the_endpoint (continued, three requests: the response is "HTTP/1.1 100 Continue"). That a head in small pieces costs less was not measured.

--- a/crates/chestnutpick_client/src/connection.rs
+++ b/crates/chestnutpick_client/src/connection.rs
@@ -6,10 +6,11 @@
 //! awc also treats the body of an HTTP/1.1 response without a stated length as empty, although RFC 9112, section 6.3,
 //! lets such a body extend to the close of the connection. awc does read such a body from an HTTP/1.0 response. A
 //! connection that serves a single request therefore rewrites the version of such a response to HTTP/1.0.
+//!
+//! awc returns an interim response (1xx) as the final one. The connection therefore skips interim responses.
 
 use std::cell;
 use std::io;
-use std::mem;
 use std::pin;
 use std::rc;
 use std::task;
@@ -21,18 +22,11 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::head;
+
 /// Number of bytes per read until the head of a response is complete.
 const READ_SIZE: usize = 4_096;
 
-/// Maximum number of headers of a response; awc has the same limit.
-const MAX_HEADERS: usize = 96;
-
-/// Maximum length of the head of a response, in bytes.
-const MAX_HEAD: usize = 128 << 10;
-
-/// Version that starts the head of an HTTP/1.1 response.
-const HTTP_1_1: &[u8] = b"HTTP/1.1";
-
 /// Flag that is set when any connection of a client reads the end of its stream.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct EofFlag(rc::Rc<cell::Cell<bool>>);
@@ -74,10 +68,10 @@
     fn call(&self, info: connect::ConnectInfo<R>) -> Self::Future {
         let connecting = self.inner.call(info);
         let eof = self.eof.clone();
-        let head = (!self.reuse).then(BytesMut::new);
+        let reuse = self.reuse;
         async move {
             let (inner, request) = connecting.await?.into_parts();
-            let stream = Stream { inner, eof, head, unread: BytesMut::new() };
+            let stream = Stream { inner, eof, reuse, head: None, unread: BytesMut::new() };
             Ok(connect::Connection::new(request, stream))
         }
         .boxed_local()
@@ -89,8 +83,10 @@
 pub(crate) struct Stream {
     inner: net::TcpStream,
     eof: EofFlag,
-    /// Received part of the head of the only response, until the head is complete.
-    head: Option<BytesMut>,
+    /// Whether the connection can carry more than one response.
+    reuse: bool,
+    /// Received part of the head of a response, from the request until the head is complete.
+    head: Option<head::Head>,
     /// Bytes read from the connection that awc has not consumed yet.
     unread: BytesMut,
 }
@@ -103,37 +99,31 @@
             let mut piece = [0; READ_SIZE];
             let mut buffer = ReadBuf::new(&mut piece);
             task::ready!(pin::Pin::new(&mut self.inner).poll_read(context, &mut buffer))?;
-            head.extend_from_slice(buffer.filled());
-            if buffer.filled().is_empty() || is_head_complete(head) {
-                self.unread = mem::take(head);
-                downgrade_version(&mut self.unread);
-                self.head = None;
-                return task::Poll::Ready(Ok(()));
+            let response = match buffer.filled() {
+                // The connection has ended within the head, which awc reports.
+                [] => Some(head.take()),
+                piece => head.push(piece).map_err(invalid_data)?,
+            };
+            let Some(mut response) = response else { continue };
+            if !self.reuse {
+                head::downgrade_version(&mut response);
             }
+            self.unread = response;
+            self.head = None;
+            return task::Poll::Ready(Ok(()));
         }
     }
-}
 
-/// Returns whether `head` is complete, cannot be parsed, or is too long to be read further.
-fn is_head_complete(head: &[u8]) -> bool {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let parsed = httparse::Response::new(&mut headers).parse(head);
-    !matches!(parsed, Ok(httparse::Status::Partial)) || head.len() > MAX_HEAD
+    /// Expects the head of a response, now that a request is being sent.
+    fn expect_head(&mut self) {
+        if self.unread.is_empty() {
+            self.head.get_or_insert_default();
+        }
+    }
 }
 
-/// Changes the version of a response whose body extends to the close of the connection to HTTP/1.0.
-fn downgrade_version(head: &mut BytesMut) {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut headers);
-    let Ok(httparse::Status::Complete(_)) = response.parse(head) else { return };
-    let states_length = response.headers.iter().any(|header| {
-        header.name.eq_ignore_ascii_case("content-length")
-            || header.name.eq_ignore_ascii_case("transfer-encoding")
-    });
-    let has_body = response.code.is_some_and(|code| code >= 200 && code != 204 && code != 304);
-    if !states_length && has_body && head.starts_with(HTTP_1_1) {
-        head[HTTP_1_1.len() - 1] = b'0';
-    }
+fn invalid_data(reason: head::HeadError) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reason)
 }
 
 impl AsyncRead for Stream {
@@ -164,6 +154,7 @@
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
+        self.expect_head();
         pin::Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
@@ -172,6 +163,7 @@
         context: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
+        self.expect_head();
         pin::Pin::new(&mut self.inner).poll_write_vectored(context, slices)
     }
 
--- a/crates/chestnutpick_client/src/lib.rs
+++ b/crates/chestnutpick_client/src/lib.rs
@@ -7,6 +7,7 @@
 mod connection;
 pub mod engine;
 pub mod fault;
+mod head;
 pub mod hosts;
 pub mod origin;
 pub mod service;
--- a/crates/chestnutpick_client/tests/endless.rs
+++ b/crates/chestnutpick_client/tests/endless.rs
@@ -119,6 +119,9 @@
 #[case::header_line("HTTP/1.1 200 OK\r\nx-filler: ", "y")]
 #[case::reason("HTTP/1.1 200 ", "y")]
 #[case::blank_lines("", "\r\n")]
+#[case::continued("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::early_hints("", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n")]
+#[case::upgrade("HTTP/1.1 101 Switching Protocols\r\n\r\n", "noise")]
 #[case::noise("", "\u{1}noise\u{7f}")]
 #[case::noise_in_head("HTTP/1.1 200 OK\r\nx-a: 1\r\n", "\u{1}noise\u{7f}")]
 #[case::body("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 99999999999\r\n\r\n", "y")]
@@ -202,3 +205,14 @@
         assert_eq!(read(&client(reuse), peer.address).await.unwrap().len(), len);
     });
 }
+
+/// Guards against failing a call because the peer sends interim responses before the final one.
+#[test]
+fn interim_responses_are_skipped() {
+    common::run(async move {
+        let interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(3);
+        let sent = format!("{interim}HTTP/1.1 200 OK\r\n\r\nthe whole body");
+        let peer = common::start(vec![common::Reply::SendAndClose(sent)]).await;
+        assert_eq!(read(&client(false), peer.address).await.unwrap(), "the whole body");
+    });
+}
