Bound the chunk framing that a response may have

Callers saw nothing wrong at once, but an endpoint (or origin, peer or router) that sends a chunk size, a chunk extension or trailers without end was read until the deadline of the request: the caller waited that long for its 504, a repeat came too late or never, and the process spent its link and processor on bytes that cannot become an answer.

Cause: awc consumes the framing of chunks byte by byte and without a limit; it yields no piece, so that neither the limit of the body nor the time-out for a piece of it sees them (a read has the whole rest of the deadline as that time-out). Ruled out: growth of memory, since awc drops what it has parsed.

Change: the connection, which already records the end of its stream during a poll of the body, records the number of bytes as well. A response whose framing exceeds 64 KiB and 16 bytes per byte of content is lost.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::rc;
 use std::sync;
+use std::task;
 use std::time;
 
 use actix_http::body;
@@ -27,6 +28,15 @@
 /// within this time counts as unreachable, and the request as not sent.
 const CONNECT_TIMEOUT: Millis = Millis::from_secs(1);
 
+/// Bytes of chunk framing and trailers that a body may have in any case.
+const MIN_FRAMING: u64 = 64 << 10;
+
+/// Bytes of chunk framing that a body may have per byte of content. A chunk of one byte takes five without extensions.
+const MAX_FRAMING_RATIO: u64 = 16;
+
+/// Reason for giving up a body beyond these limits.
+const EXCESSIVE_FRAMING: &str = "the body consists mostly of chunk framing";
+
 /// Error of a call without a complete response.
 #[derive(Debug, Snafu, Clone, PartialEq, Eq)]
 pub enum CallError {
@@ -130,7 +140,7 @@
 /// never happens for a host that was replaced; so the whole pool is replaced at the age limit.
 struct Pool {
     inner: awc::Client,
-    eof: connection::EofFlag,
+    record: connection::Record,
     created: time::Instant,
 }
 
@@ -138,9 +148,9 @@
     fn new(options: Options) -> Self {
         // Admission control bounds the number of connections, not the pool: a request that waited for the pool would be
         // neither sent nor refused.
-        let eof = connection::EofFlag::default();
+        let record = connection::Record::default();
         let connector = awc::Connector::new()
-            .connector(connection::Connector::new(eof.clone(), options.reuse))
+            .connector(connection::Connector::new(record.clone(), options.reuse))
             .timeout(options.connect_timeout.to_duration())
             .conn_keep_alive(IDLE_LIMIT)
             .conn_lifetime(options.age_limit.to_duration())
@@ -151,7 +161,7 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Self { inner, eof, created: time::Instant::now() }
+        Self { inner, record, created: time::Instant::now() }
     }
 }
 
@@ -181,12 +191,12 @@
 
     /// Returns the current pool, after replacing it if it has reached the age limit. Calls in progress keep the old
     /// pool until they end.
-    fn pool(&self) -> (awc::Client, connection::EofFlag) {
+    fn pool(&self) -> (awc::Client, connection::Record) {
         let mut pool = self.pool.borrow_mut();
         if pool.created.elapsed() >= self.options.age_limit.to_duration() {
             *pool = Pool::new(self.options);
         }
-        (pool.inner.clone(), pool.eof.clone())
+        (pool.inner.clone(), pool.record.clone())
     }
 
     /// Sends `request` to `address` and returns when the head of the response has arrived.
@@ -220,7 +230,7 @@
         let method = actix_http::Method::from_bytes(request.method.as_bytes())
             .map_err(|reason| invalid(reason.to_string()))?;
         let is_head_request = method == actix_http::Method::HEAD;
-        let (client, eof) = self.pool();
+        let (client, record) = self.pool();
         let mut call = client.request(method, format!("http://{address}{}", request.path));
         if !self.options.reuse {
             call = call.force_close();
@@ -238,7 +248,9 @@
             call.send_body(sized_body(request.body))
         };
         match tokio::time::timeout(timeout.to_duration(), sending).await {
-            Ok(Ok(response)) => Ok(Response::new(address, timeout, response, is_head_request, eof)),
+            Ok(Ok(response)) => {
+                Ok(Response::new(address, timeout, response, is_head_request, record))
+            }
             Ok(Err(reason)) => Err(call_error(address, &reason)),
             Err(_) => Err(CallError::Timeout {
                 address,
@@ -266,10 +278,12 @@
     /// Announced bytes (`content-length`) that have not arrived yet. awc reports a connection that closes early as the
     /// end of the body.
     remaining: Option<u64>,
-    /// Set by the connection while the body is polled.
-    eof: connection::EofFlag,
-    /// Whether the connection has reached the end of its stream during this body.
-    eof_seen: bool,
+    /// Filled by the connection while the body is polled.
+    record: connection::Record,
+    /// What the connection has read during this body.
+    progress: connection::Progress,
+    /// Number of bytes of the body that have arrived.
+    arrived: u64,
 }
 
 impl Response {
@@ -278,7 +292,7 @@
         timeout: Millis,
         body: awc::ClientResponse,
         is_head_request: bool,
-        eof: connection::EofFlag,
+        record: connection::Record,
     ) -> Self {
         let headers: Vec<Header> = body
             .headers()
@@ -286,8 +300,17 @@
             .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
             .collect();
         let status = body.status().as_u16();
-        let mut response =
-            Self { status, headers, address, timeout, body, remaining: None, eof, eof_seen: false };
+        let mut response = Self {
+            status,
+            headers,
+            address,
+            timeout,
+            body,
+            remaining: None,
+            record,
+            progress: connection::Progress::default(),
+            arrived: 0,
+        };
         if !is_head_request && status != 304 {
             response.remaining =
                 response.header("content-length").and_then(|length| length.parse().ok());
@@ -310,28 +333,39 @@
     /// # Errors
     ///
     /// Returns [`CallError::Timeout`] if no piece arrives within `timeout`, and [`CallError::Lost`] if the body ends
-    /// early.
+    /// early or consists mostly of chunk framing.
     pub async fn next(&mut self, timeout: Millis) -> Result<Option<Bytes>, CallError> {
         let address = self.address;
         let lost = |reason: String| CallError::Lost { address, reason: reason.into() };
         let piece = futures::future::poll_fn(|context| {
-            self.eof.take();
+            self.record.take();
             let poll = self.body.poll_next_unpin(context);
-            self.eof_seen |= self.eof.take();
+            let progress = self.record.take();
+            self.progress.bytes += progress.bytes;
+            self.progress.eof |= progress.eof;
+            // awc reads framing until a piece is complete, which may never be.
+            if poll.is_pending() && self.has_excessive_framing() {
+                return task::Poll::Ready(None);
+            }
             poll
         });
         match tokio::time::timeout(timeout.to_duration(), piece).await {
             Ok(Some(Ok(piece))) => {
                 let len = size::Bytes::of_len(piece.len()).0;
+                self.arrived += len;
+                if self.has_excessive_framing() {
+                    return Err(lost(EXCESSIVE_FRAMING.to_owned()));
+                }
                 self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(len));
                 Ok(Some(piece))
             }
             Ok(Some(Err(reason))) => Err(lost(format!("the body broke off: {reason}"))),
+            Ok(None) if self.has_excessive_framing() => Err(lost(EXCESSIVE_FRAMING.to_owned())),
             Ok(None) => match self.remaining {
                 Some(remaining) if remaining > 0 => {
                     Err(lost(format!("the body broke off {remaining} bytes before its end")))
                 }
-                _ if self.eof_seen && self.header("transfer-encoding").is_some() => {
+                _ if self.progress.eof && self.header("transfer-encoding").is_some() => {
                     Err(lost("the body broke off before its last chunk".to_owned()))
                 }
                 _ => Ok(None),
@@ -343,6 +377,11 @@
         }
     }
 
+    fn has_excessive_framing(&self) -> bool {
+        let framing = self.progress.bytes.saturating_sub(self.arrived);
+        framing > MIN_FRAMING.saturating_add(self.arrived.saturating_mul(MAX_FRAMING_RATIO))
+    }
+
     /// Reads the rest of the body. Each piece must arrive within the time-out of the call.
     ///
     /// # Errors
--- a/crates/chestnutpick_client/src/connection.rs
+++ b/crates/chestnutpick_client/src/connection.rs
@@ -1,7 +1,8 @@
-//! TCP connections that record when the peer closes them.
+//! TCP connections that record how much they read and when the peer closes them.
 //!
-//! awc ends a chunked body without an error when the connection closes before the last chunk. The connection therefore
-//! records the end of the stream, and the response checks it. Both happen on one thread within one poll of the body.
+//! awc ends a chunked body without an error when the connection closes before the last chunk, and reads the framing of
+//! chunks without a limit. The connection therefore records what it reads, and the response checks it. Both happen on
+//! one thread within one poll of the body.
 //!
 //! awc also treats the body of an HTTP/1.1 response without a stated length as empty, although RFC 9112, section 6.3,
 //! lets such a body extend to the close of the connection. awc does read such a body from an HTTP/1.0 response. A
@@ -19,6 +20,7 @@
 use actix_service::Service;
 use actix_tls::connect;
 use bytes::BytesMut;
+use chestnutpick_types::size;
 use futures::future::{FutureExt, LocalBoxFuture};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -27,29 +29,44 @@
 /// Number of bytes per read until the head of a response is complete.
 const READ_SIZE: usize = 4_096;
 
-/// Flag that is set when any connection of a client reads the end of its stream.
+/// What the connections of a client have read since the last check.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Progress {
+    /// Number of bytes.
+    pub(crate) bytes: u64,
+    /// Whether a connection has reached the end of its stream.
+    pub(crate) eof: bool,
+}
+
+/// Record of what any connection of a client reads.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct EofFlag(rc::Rc<cell::Cell<bool>>);
+pub(crate) struct Record(rc::Rc<cell::Cell<Progress>>);
 
-impl EofFlag {
-    /// Clears the flag and returns its previous value.
-    pub(crate) fn take(&self) -> bool {
+impl Record {
+    /// Clears the record and returns its previous value.
+    pub(crate) fn take(&self) -> Progress {
         self.0.take()
     }
+
+    fn add(&self, progress: Progress) {
+        let before = self.0.get();
+        let bytes = before.bytes + progress.bytes;
+        self.0.set(Progress { bytes, eof: before.eof || progress.eof });
+    }
 }
 
-/// Connector whose connections set a common flag at the end of their streams.
+/// Connector whose connections record what they read.
 #[derive(Clone)]
 pub(crate) struct Connector {
     inner: connect::ConnectorService,
-    eof: EofFlag,
+    record: Record,
     /// Whether connections are reused and can therefore carry more than one response.
     reuse: bool,
 }
 
 impl Connector {
-    pub(crate) fn new(eof: EofFlag, reuse: bool) -> Self {
-        Self { inner: connect::Connector::default().service(), eof, reuse }
+    pub(crate) fn new(record: Record, reuse: bool) -> Self {
+        Self { inner: connect::Connector::default().service(), record, reuse }
     }
 }
 
@@ -67,22 +84,22 @@
 
     fn call(&self, info: connect::ConnectInfo<R>) -> Self::Future {
         let connecting = self.inner.call(info);
-        let eof = self.eof.clone();
+        let record = self.record.clone();
         let reuse = self.reuse;
         async move {
             let (inner, request) = connecting.await?.into_parts();
-            let stream = Stream { inner, eof, reuse, head: None, unread: BytesMut::new() };
+            let stream = Stream { inner, record, reuse, head: None, unread: BytesMut::new() };
             Ok(connect::Connection::new(request, stream))
         }
         .boxed_local()
     }
 }
 
-/// A TCP connection that records the end of its stream.
+/// A TCP connection that records what it reads.
 #[derive(Debug)]
 pub(crate) struct Stream {
     inner: net::TcpStream,
-    eof: EofFlag,
+    record: Record,
     /// Whether the connection can carry more than one response.
     reuse: bool,
     /// Received part of the head of a response, from the request until the head is complete.
@@ -140,9 +157,10 @@
         }
         let before = buffer.filled().len();
         let poll = pin::Pin::new(&mut self.inner).poll_read(context, buffer);
-        let is_end = matches!(poll, task::Poll::Ready(Ok(()))) && buffer.filled().len() == before;
-        if is_end && buffer.remaining() > 0 {
-            self.eof.0.set(true);
+        if matches!(poll, task::Poll::Ready(Ok(()))) {
+            let len = buffer.filled().len() - before;
+            let eof = len == 0 && buffer.remaining() > 0;
+            self.record.add(Progress { bytes: size::Bytes::of_len(len).0, eof });
         }
         poll
     }
--- a/crates/chestnutpick_client/tests/endless.rs
+++ b/crates/chestnutpick_client/tests/endless.rs
@@ -126,6 +126,15 @@
 #[case::noise_in_head("HTTP/1.1 200 OK\r\nx-a: 1\r\n", "\u{1}noise\u{7f}")]
 #[case::body("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 99999999999\r\n\r\n", "y")]
 #[case::chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\nhalf\r\n")]
+#[case::size_digits("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0")]
+#[case::size_spaces("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4", " ")]
+#[case::extension("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;", "y")]
+#[case::extensions(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "1;yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\na\r\n"
+)]
+#[case::trailer("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "y")]
+#[case::trailers("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-a: y\r\n")]
 fn endless_response_is_lost(
     #[case] begin: &str,
     #[case] unit: &str,
