Bound the memory of all unfinished responses of one endpoint

Callers saw nothing until the process was out of memory: bodies are limited to 8 MiB and partial events to 1 MiB per request, but one endpoint that sends without end to all of its requests multiplies this by their number.

Cause: no limit over the concurrent requests of an endpoint; the number of requests in flight is bounded by expected time only. Ruled out: the memory budget of chestnutpick_streams, which parks responses whose readers are slow and resumes them. Here the sender is at fault, and the response must fail.

Change: a client counts the bytes that it or its caller keeps for unfinished responses per peer (new module `usage`), and a response that exceeds `Options::peer_limit` is lost. Routers allow 16 MiB per endpoint, two of the largest responses; other clients have no limit yet. Streams report their partial event by `Response::hold`. A response that announces more than the limit of its body is lost at once.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -16,6 +16,7 @@
 use snafu::Snafu;
 
 use crate::connection;
+use crate::usage;
 
 /// Idle time after which a pooled connection is not reused. Half of the servers' keep-alive time
 /// (`chestnutpick_http::server::KEEP_ALIVE`), so that no request is sent on a connection that the server is closing.
@@ -115,6 +116,7 @@
 #[derive(Clone)]
 pub struct Client {
     pool: rc::Rc<cell::RefCell<Pool>>,
+    usage: usage::Usage,
     options: Options,
 }
 
@@ -128,11 +130,18 @@
     /// Whether connections are reused. Without reuse, no request is sent on a connection that has gone silent or that
     /// still carries a late response to another request.
     pub reuse: bool,
+    /// Maximum number of bytes that the unfinished responses of one peer may take, or `None` for no limit.
+    pub peer_limit: Option<size::Bytes>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { age_limit: AGE_LIMIT, connect_timeout: CONNECT_TIMEOUT, reuse: true }
+        Self {
+            age_limit: AGE_LIMIT,
+            connect_timeout: CONNECT_TIMEOUT,
+            reuse: true,
+            peer_limit: None,
+        }
     }
 }
 
@@ -186,7 +195,8 @@
     /// let _client = client::Client::with_options(options);
     /// ```
     pub fn with_options(options: Options) -> Self {
-        Self { pool: rc::Rc::new(cell::RefCell::new(Pool::new(options))), options }
+        let pool = rc::Rc::new(cell::RefCell::new(Pool::new(options)));
+        Self { pool, usage: usage::Usage::default(), options }
     }
 
     /// Returns the current pool, after replacing it if it has reached the age limit. Calls in progress keep the old
@@ -249,7 +259,8 @@
         };
         match tokio::time::timeout(timeout.to_duration(), sending).await {
             Ok(Ok(response)) => {
-                Ok(Response::new(address, timeout, response, is_head_request, record))
+                let share = self.usage.share(address, self.options.peer_limit);
+                Ok(Response::new(share, timeout, response, is_head_request, record))
             }
             Ok(Err(reason)) => Err(call_error(address, &reason)),
             Err(_) => Err(CallError::Timeout {
@@ -272,7 +283,7 @@
     pub status: u16,
     /// Headers whose values are text.
     pub headers: Vec<Header>,
-    address: net::SocketAddr,
+    share: usage::Share,
     timeout: Millis,
     body: awc::ClientResponse,
     /// Announced bytes (`content-length`) that have not arrived yet. awc reports a connection that closes early as the
@@ -288,7 +299,7 @@
 
 impl Response {
     fn new(
-        address: net::SocketAddr,
+        share: usage::Share,
         timeout: Millis,
         body: awc::ClientResponse,
         is_head_request: bool,
@@ -303,7 +314,7 @@
         let mut response = Self {
             status,
             headers,
-            address,
+            share,
             timeout,
             body,
             remaining: None,
@@ -320,7 +331,7 @@
 
     /// Returns the peer's address.
     pub fn address(&self) -> net::SocketAddr {
-        self.address
+        self.share.peer()
     }
 
     /// Returns the value of a header. `name` must be in lower case.
@@ -335,7 +346,7 @@
     /// Returns [`CallError::Timeout`] if no piece arrives within `timeout`, and [`CallError::Lost`] if the body ends
     /// early or consists mostly of chunk framing.
     pub async fn next(&mut self, timeout: Millis) -> Result<Option<Bytes>, CallError> {
-        let address = self.address;
+        let address = self.address();
         let lost = |reason: String| CallError::Lost { address, reason: reason.into() };
         let piece = futures::future::poll_fn(|context| {
             self.record.take();
@@ -386,15 +397,19 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::Lost`] if the body ends early or exceeds `limit`, and [`CallError::Timeout`].
+    /// Returns [`CallError::Lost`] if the body ends early, exceeds `limit`, or makes the peer exceed its limit, and
+    /// [`CallError::Timeout`].
     pub async fn read(&mut self, limit: size::Bytes) -> Result<Bytes, CallError> {
+        self.check_limit(size::Bytes(self.remaining.unwrap_or(0)), limit)?;
         let Some(first) = self.next(self.timeout).await? else { return Ok(Bytes::new()) };
-        self.check_limit(first.len(), limit)?;
+        self.check_limit(size::Bytes::of_len(first.len()), limit)?;
         let Some(second) = self.next(self.timeout).await? else { return Ok(first) };
         let mut body = BytesMut::from(first);
         let mut piece = second;
         loop {
-            self.check_limit(body.len() + piece.len(), limit)?;
+            let len = size::Bytes::of_len(body.len() + piece.len());
+            self.check_limit(len, limit)?;
+            self.hold(len)?;
             body.extend_from_slice(&piece);
             match self.next(self.timeout).await? {
                 Some(next) => piece = next,
@@ -403,12 +418,25 @@
         }
     }
 
-    fn check_limit(&self, len: usize, limit: size::Bytes) -> Result<(), CallError> {
-        if size::Bytes::of_len(len) <= limit {
+    /// Counts `len` bytes of this response that the caller keeps until it is complete, in place of any earlier number.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Lost`] if the unfinished responses of the peer now exceed its limit.
+    pub fn hold(&mut self, len: size::Bytes) -> Result<(), CallError> {
+        if self.share.resize(len) {
+            return Ok(());
+        }
+        let reason = "the unfinished responses of the peer exceed its limit".into();
+        Err(CallError::Lost { address: self.address(), reason })
+    }
+
+    fn check_limit(&self, len: size::Bytes, limit: size::Bytes) -> Result<(), CallError> {
+        if len <= limit {
             return Ok(());
         }
         let reason = format!("the body exceeds the limit of {limit}").into();
-        Err(CallError::Lost { address: self.address, reason })
+        Err(CallError::Lost { address: self.address(), reason })
     }
 }
 
--- a/crates/chestnutpick_client/src/lib.rs
+++ b/crates/chestnutpick_client/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod origin;
 pub mod service;
 pub mod store;
+mod usage;
--- a/crates/chestnutpick_client/tests/endless.rs
+++ b/crates/chestnutpick_client/tests/endless.rs
@@ -103,7 +103,8 @@
 }
 
 fn client(reuse: bool) -> Client {
-    Client::with_options(Options { reuse, ..Options::default() })
+    let peer_limit = Some(size::Bytes::from_mib(16));
+    Client::with_options(Options { reuse, peer_limit, ..Options::default() })
 }
 
 async fn read(client: &Client, address: SocketAddr) -> Result<bytes::Bytes, CallError> {
@@ -191,6 +192,45 @@
     });
 }
 
+/// Guards against one peer that makes the client hold as many unfinished bodies as it has connections, and against a
+/// peer that fails because of another.
+#[rstest]
+fn bodies_of_one_peer_share_a_limit(#[values(false, true)] reuse: bool) {
+    /// Concurrent responses of the peer, which would hold 96 MiB together.
+    const RESPONSES: usize = 12;
+    /// Bytes of each body before the peer stalls.
+    const BODY_LEN: usize = 7 << 20;
+    /// Bodies within the limit of a peer, with the length of the body.
+    const MAX_HELD: usize = (16 << 20) / BODY_LEN;
+    common::run(async move {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", BODY_LEN + 1);
+        let stalled = head + &"y".repeat(BODY_LEN);
+        let peer = common::start(vec![common::Reply::SendAndHang(stalled); RESPONSES]).await;
+        let good = common::start(vec![common::response(200, "", &"g".repeat(BODY_LEN))]).await;
+        let client = client(reuse);
+        let failed = Rc::new(Cell::new(0));
+        let reads: Vec<_> = (0..RESPONSES)
+            .map(|_| {
+                let (client, failed, address) = (client.clone(), Rc::clone(&failed), peer.address);
+                actix_rt::spawn(async move {
+                    let error = read(&client, address).await.unwrap_err();
+                    assert!(matches!(error, CallError::Lost { .. }), "{error}");
+                    failed.set(failed.get() + 1);
+                })
+            })
+            .collect();
+        let held = async {
+            while RESPONSES - failed.get() > MAX_HELD {
+                actix_rt::time::sleep(std::time::Duration::from_millis(1)).await;
+            }
+        };
+        let held = tokio::time::timeout(std::time::Duration::from_secs(15), held).await;
+        assert!(held.is_ok(), "{} responses are held", RESPONSES - failed.get());
+        assert_eq!(read(&client, good.address).await.unwrap().len(), BODY_LEN);
+        reads.iter().for_each(actix_rt::task::JoinHandle::abort);
+    });
+}
+
 /// Guards against refusing large, finely chunked and slowly arriving bodies, and a response after interim ones.
 #[rstest]
 #[case::large("content-length: 8388608\r\n\r\n", "y", 8 << 20, "")]
--- a/crates/chestnutpick_router/src/events.rs
+++ b/crates/chestnutpick_router/src/events.rs
@@ -63,6 +63,18 @@
         self.buffer.is_empty()
     }
 
+    /// Returns the number of bytes of the partial event in the buffer.
+    ///
+    /// ```
+    /// use chestnutpick_router::events;
+    /// let mut framer = events::Framer::default();
+    /// framer.push(b"data: a\n\nda").unwrap();
+    /// assert_eq!(framer.len(), 2);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the length of the first event, if it is complete.
     fn end(&mut self) -> Option<usize> {
         // The end of an event may span the bytes that were already searched.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -20,6 +20,9 @@
 /// Maximum size of a response that is not a stream.
 const RESPONSE_LIMIT: size::Bytes = size::Bytes::from_mib(8);
 
+/// Memory that the unfinished responses of one endpoint may take, a tenth of the smallest hosts' memory.
+pub(crate) const ENDPOINT_MEMORY: size::Bytes = size::Bytes::from_mib(16);
+
 /// Maximum number of times that a request is sent if no endpoint runs it.
 const MAX_REJECTIONS: usize = 4;
 
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::choice;
 use crate::crash;
+use crate::forward;
 use crate::loads;
 use crate::relay;
 use crate::view;
@@ -74,6 +75,7 @@
         let options = client::Options {
             connect_timeout: CONNECT_TIMEOUT,
             reuse: false,
+            peer_limit: Some(forward::ENDPOINT_MEMORY),
             ..client::Options::default()
         };
         let mut rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(seed(&host.name));
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -11,7 +11,7 @@
 use chestnutpick_fleet::codec;
 use chestnutpick_http::respond;
 use chestnutpick_telemetry::event;
-use chestnutpick_types::time;
+use chestnutpick_types::{size, time};
 use futures::stream;
 
 use crate::crash;
@@ -114,12 +114,9 @@
                 return Err(self.on_broken("the deadline has passed"));
             };
             let reason = match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
-                Ok(Some(bytes)) => match self.framer.push(&bytes) {
-                    Ok(new_events) => {
-                        self.queue_events(new_events);
-                        continue;
-                    }
-                    Err(reason) => reason.to_string(),
+                Ok(Some(bytes)) => match self.accept(&bytes) {
+                    Ok(()) => continue,
+                    Err(reason) => reason,
                 },
                 Ok(None) if self.framer.is_empty() => {
                     self.on_end();
@@ -132,6 +129,14 @@
         }
     }
 
+    /// Queues the events that `bytes` complete. Returns a reason to give up the endpoint.
+    fn accept(&mut self, bytes: &[u8]) -> Result<(), String> {
+        let new_events = self.framer.push(bytes).map_err(|reason| reason.to_string())?;
+        self.queue_events(new_events);
+        let partial = size::Bytes::of_len(self.framer.len());
+        self.opened.response.hold(partial).map_err(|reason| reason.to_string())
+    }
+
     /// Queues the events that the caller has not received.
     fn queue_events(&mut self, new_events: Vec<events::Event>) {
         if !new_events.is_empty() && self.last_event_id == self.call.head.last_event {
