Give up a stream that sends bytes but no further event

Callers saw: an endpoint that sends blank lines, comments or an event that the caller already has, without end, kept the stream open until the deadline. The caller got 8 to 24 MB of padding within its 4 s, or silence, and the stream never resumed at another endpoint.

Ruled out: the limit of 1 MiB per event, which such bytes never reach.

Change: events say whether they have a data field, and a stream is given up after 64 KiB of comments, blank lines and repeated events between two new events. It is counted in bytes, so that comments which keep a slow stream alive never add up to a failure.

Events with data and without ids are forwarded as before until the deadline: they may be an answer.

--- a/crates/chestnutpick_router/src/events.rs
+++ b/crates/chestnutpick_router/src/events.rs
@@ -18,6 +18,8 @@
     pub bytes: Bytes,
     /// Id of the event, if it has one.
     pub id: Option<u64>,
+    /// Whether the event has a data field. Blank lines and comments have none.
+    pub has_data: bool,
 }
 
 /// Splits a stream into whole events, so that a stream that is interrupted within an event can be resumed at another
@@ -50,7 +52,7 @@
         while let Some(end) = self.end() {
             let bytes = self.buffer.split_to(end).freeze();
             self.searched = 0;
-            found.push(Event { id: event_id(&bytes), bytes });
+            found.push(Event { id: event_id(&bytes), has_data: has_data(&bytes), bytes });
         }
         if self.buffer.len() > MAX_EVENT {
             return TooLongSnafu.fail();
@@ -93,6 +95,10 @@
     }
 }
 
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -24,6 +24,9 @@
 /// milliseconds.
 const EVENT_TIMEOUT: time::Millis = time::Millis(1_500);
 
+/// Maximum length of comments, blank lines and repeated events between two events, in bytes.
+const MAX_PADDING: usize = 64 << 10;
+
 /// Time for flushing events before a body error. The connection discards unsent data when the body fails.
 const FLUSH_TIME: Duration = Duration::from_millis(10);
 
@@ -48,6 +51,7 @@
         tries,
         opened,
         framer: events::Framer::default(),
+        padding: 0,
         ready: collections::VecDeque::new(),
         _guard: guard,
     };
@@ -75,6 +79,8 @@
     tries: forward::Tries,
     opened: forward::Opened<C>,
     framer: events::Framer,
+    /// Length of the comments, blank lines and repeated events since the last event.
+    padding: usize,
     /// Events that have not been sent to the caller.
     ready: collections::VecDeque<Bytes>,
     /// Id of the last event sent to the caller.
@@ -133,6 +139,9 @@
     fn accept(&mut self, bytes: &[u8]) -> Result<(), String> {
         let new_events = self.framer.push(bytes).map_err(|reason| reason.to_string())?;
         self.queue_events(new_events);
+        if self.padding > MAX_PADDING {
+            return Err(format!("more than {MAX_PADDING} bytes without an event"));
+        }
         let partial = size::Bytes::of_len(self.framer.len());
         self.opened.response.hold(partial).map_err(|reason| reason.to_string())
     }
@@ -143,7 +152,13 @@
             crash::on_answered(&self.node, &self.call);
         }
         for event in new_events {
-            if event.id.is_some() && event.id <= self.last_event_id {
+            let is_repeated = event.id.is_some() && event.id <= self.last_event_id;
+            if is_repeated || event.id.is_none() && !event.has_data {
+                self.padding += event.bytes.len();
+            } else {
+                self.padding = 0;
+            }
+            if is_repeated {
                 continue;
             }
             self.last_event_id = event.id.or(self.last_event_id);
@@ -181,6 +196,7 @@
                 Ok(opened) if opened.head.is_stream && opened.response.status == 200 => {
                     self.log("stream_resumed", &reason);
                     self.framer = events::Framer::default();
+                    self.padding = 0;
                     self.opened = opened;
                     return Ok(());
                 }
--- a/crates/chestnutpick_router/tests/events.rs
+++ b/crates/chestnutpick_router/tests/events.rs
@@ -38,3 +38,16 @@
     let outcome = (0..4).map(|_| framer.push(&piece)).find(Result::is_err);
     assert!(outcome.is_some());
 }
+
+/// Guards against counting comments and blank lines as events, and events as padding.
+#[rstest]
+#[case::blank_line("\n\n", false)]
+#[case::comment(": data: a\n\n", false)]
+#[case::comment_with_carriage_return(": a\r\n\r\n", false)]
+#[case::retry("retry: 5\n\n", false)]
+#[case::data("data: a\n\n", true)]
+#[case::data_after_comment(": a\r\nevent: b\r\ndata: c\r\n\r\n", true)]
+fn comments_have_no_data(#[case] text: &str, #[case] has_data: bool) {
+    let found = events::Framer::default().push(text.as_bytes()).unwrap();
+    assert_eq!(found.iter().map(|event| event.has_data).collect::<Vec<_>>(), [has_data]);
+}
