Give up a body that arrives byte by byte

Users of the fleet saw: an origin, a peer loader or an engine that sends one byte at a time kept a loader in the same call for hours, so that an engine stayed without weights although the configuration or a peer offered another source, or its load was no longer reported. A reader or a store in the same state would keep a router on its old view (by the code; not tested).

Cause: `Response::read` limits the time for each piece of a body and its size, never the time for all of it; one byte per 4 s and a limit of 1 MiB make 48 days. The router's reads of endpoints are not affected, because they also end at the request's deadline.

Change: once the time-out of the call has passed, the body must have arrived at 16 KB/s or faster on average. A limit on the whole time would fail large pages of the store on a narrowed link, where each piece still arrives in time; a tenth of the 26 Mbit/s between two regions is 20 times this rate.

Failed before: trickling_body_times_out ("the body is still being read: Elapsed(())", both cases), loader_gives_up_a_trickling_origin and, in two of four runs because it depends on which hosts ask the origin, weights_load_despite_an_endless_source (trickle): "the weights were not loaded". The loader rereads the configuration after four failed tries of 4 s, so the first of these two takes 16 s.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -35,6 +35,9 @@
 /// Bytes of chunk framing that a body may have per byte of content. A chunk of one byte takes five without extensions.
 const MAX_FRAMING_RATIO: u64 = 16;
 
+/// Rate, in bytes per millisecond, below which a body is given up once the time-out of the call has passed.
+const MIN_BODY_RATE: u64 = 16;
+
 /// Reason for giving up a body beyond these limits.
 const EXCESSIVE_FRAMING: &str = "the body consists mostly of chunk framing";
 
@@ -393,7 +396,8 @@
         framing > MIN_FRAMING.saturating_add(self.arrived.saturating_mul(MAX_FRAMING_RATIO))
     }
 
-    /// Reads the rest of the body. Each piece must arrive within the time-out of the call.
+    /// Reads the rest of the body. Each piece must arrive within the time-out of the call. A body that takes longer than
+    /// that in all must arrive at 16 KB/s or faster.
     ///
     /// # Errors
     ///
@@ -401,9 +405,10 @@
     /// [`CallError::Timeout`].
     pub async fn read(&mut self, limit: size::Bytes) -> Result<Bytes, CallError> {
         self.check_limit(size::Bytes(self.remaining.unwrap_or(0)), limit)?;
-        let Some(first) = self.next(self.timeout).await? else { return Ok(Bytes::new()) };
+        let start = time::Instant::now();
+        let Some(first) = self.next_in_time(start).await? else { return Ok(Bytes::new()) };
         self.check_limit(size::Bytes::of_len(first.len()), limit)?;
-        let Some(second) = self.next(self.timeout).await? else { return Ok(first) };
+        let Some(second) = self.next_in_time(start).await? else { return Ok(first) };
         let mut body = BytesMut::from(first);
         let mut piece = second;
         loop {
@@ -411,13 +416,25 @@
             self.check_limit(len, limit)?;
             self.hold(len)?;
             body.extend_from_slice(&piece);
-            match self.next(self.timeout).await? {
+            match self.next_in_time(start).await? {
                 Some(next) => piece = next,
                 None => return Ok(body.freeze()),
             }
         }
     }
 
+    /// Returns the next piece of a body that is being read since `start`.
+    async fn next_in_time(&mut self, start: time::Instant) -> Result<Option<Bytes>, CallError> {
+        let elapsed = Millis(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let allowed = self.timeout + Millis(self.arrived / MIN_BODY_RATE);
+        let time_left = allowed.since(elapsed);
+        if time_left == Millis::ZERO {
+            let reason = format!("only {} bytes of the body within {allowed}", self.arrived);
+            return Err(CallError::Timeout { address: self.address(), reason: reason.into() });
+        }
+        self.next(self.timeout.min(time_left)).await
+    }
+
     /// Counts `len` bytes of this response that the caller keeps until it is complete, in place of any earlier number.
     ///
     /// # Errors
--- a/crates/chestnutpick_client/tests/endless.rs
+++ b/crates/chestnutpick_client/tests/endless.rs
@@ -192,6 +192,25 @@
     });
 }
 
+/// Guards against a body that keeps a call going for hours because each byte arrives within the time-out.
+#[rstest]
+#[case::sized("HTTP/1.1 200 OK\r\ncontent-length: 999999\r\n\r\n", "y")]
+#[case::chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\ny\r\n")]
+fn trickling_body_times_out(#[case] begin: &str, #[case] unit: &str) {
+    common::run(async move {
+        let peer = start(begin, unit, Pace::Trickle).await;
+        let call = client(true);
+        let request = Request::new("GET", "/");
+        let mut response = call.call(peer.address, request, Millis(500)).await.unwrap();
+        let read = response.read(BODY_LIMIT);
+        let read = tokio::time::timeout(LONG_TIMEOUT.to_duration(), read).await;
+        let error = read.expect("the body is still being read").unwrap_err();
+        assert!(matches!(error, CallError::Timeout { .. }), "{error}");
+        drop(response);
+        assert_eq!(peer.ends().await, [End::ClosedByClient]);
+    });
+}
+
 /// Guards against one peer that makes the client hold as many unfinished bodies as it has connections, and against a
 /// peer that fails because of another.
 #[rstest]
