Log the failure of an endpoint within a body

Operators saw nothing when an endpoint failed within the body of a response and the request was repeated elsewhere: the endpoint counted as failed, but `try_failed` and the metric `tries_failed` only covered failures before the body. An endpoint in trouble could not be found in the logs.

Change: both are also recorded for a body. Whether a loss within a body makes the request a crash suspect is unchanged: it does not.

Failed before: endless_response_fails_the_endpoint (chunks, until_close, size_digits, extension, trailers, three requests each: "event=try_failed is not logged").

--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -341,13 +341,23 @@
             (error::Ran::Unknown, reason)
         }
     };
+    log_failed(node, call, &endpoint.id, ran, reason);
+}
+
+fn log_failed<C>(
+    node: &node::Node<C>,
+    call: &handle::Call,
+    endpoint: &id::EndpointId,
+    ran: error::Ran,
+    reason: &str,
+) {
     metrics::counter!("tries_failed", "ran" => ran.to_string()).increment(1);
     event::Event::new("try_failed")
         .with("request", &call.head.request_id)
-        .with("endpoint", &endpoint.id)
+        .with("endpoint", endpoint)
         .with("ran", ran)
         .with("reason", reason)
-        .with("ms", now.since(call.arrived).0)
+        .with("ms", node.now().since(call.arrived).0)
         .info();
 }
 
@@ -366,6 +376,7 @@
         Ok(body) => body,
         Err(reason) => {
             node.view.borrow_mut().on_failed(node.now(), &opened.endpoint);
+            log_failed(node, call, &opened.endpoint, error::Ran::Unknown, &reason.to_string());
             tries.failed.push(opened.endpoint);
             return Err(call_failed(&reason));
         }
