Give up a body of tiny chunks before it costs seconds

Callers saw: a read whose first endpoint sends chunks of four bytes without end got 504 ("the response was not complete in time") in place of the repeat's answer, once the machine was busy. Each chunk is a piece of its own, and the limit of 8 MiB is two million of them. A router has a quarter of a core or little more, and one such endpoint occupies it for all callers.

Cause: the bound on framing of this branch allowed 16 bytes of framing per byte of content, so that only the size of the content ended such a body. Change: 256 KiB of framing in any case, and beyond that one byte per four bytes of content. A body of four-byte chunks now ends after some 60,000 of them; chunks of 24 bytes and more are bounded by the content alone, as before.

Whole bodies of more than 256 KiB of framing in chunks below 20 bytes are no longer read; none of the known services sends such.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -30,10 +30,10 @@
 const CONNECT_TIMEOUT: Millis = Millis::from_secs(1);
 
 /// Bytes of chunk framing and trailers that a body may have in any case.
-const MIN_FRAMING: u64 = 64 << 10;
+const MIN_FRAMING: u64 = 256 << 10;
 
-/// Bytes of chunk framing that a body may have per byte of content. A chunk of one byte takes five without extensions.
-const MAX_FRAMING_RATIO: u64 = 16;
+/// Bytes of content per byte of chunk framing beyond that. Smaller chunks than 20 bytes take more time than all else.
+const MIN_CONTENT_RATIO: u64 = 4;
 
 /// Rate, in bytes per millisecond, below which a body is given up once the time-out of the call has passed.
 const MIN_BODY_RATE: u64 = 16;
@@ -393,7 +393,7 @@
 
     fn has_excessive_framing(&self) -> bool {
         let framing = self.progress.bytes.saturating_sub(self.arrived);
-        framing > MIN_FRAMING.saturating_add(self.arrived.saturating_mul(MAX_FRAMING_RATIO))
+        framing > MIN_FRAMING + self.arrived / MIN_CONTENT_RATIO
     }
 
     /// Reads the rest of the body. Each piece must arrive within the time-out of the call. A body that takes longer than
