--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::rc;
 use std::sync;
+use std::task;
 use std::time;
 
 use actix_http::body;
@@ -15,6 +16,7 @@
 use snafu::Snafu;
 
 use crate::connection;
+use crate::usage;
 
 /// Idle time after which a pooled connection is not reused. Half of the servers' keep-alive time
 /// (`chestnutpick_http::server::KEEP_ALIVE`), so that no request is sent on a connection that the server is closing.
@@ -27,6 +29,18 @@
 /// within this time counts as unreachable, and the request as not sent.
 const CONNECT_TIMEOUT: Millis = Millis::from_secs(1);
 
+/// Bytes of chunk framing and trailers that a body may have in any case.
+const MIN_FRAMING: u64 = 256 << 10;
+
+/// Bytes of content per byte of chunk framing beyond that. Smaller chunks than 20 bytes take more time than all else.
+const MIN_CONTENT_RATIO: u64 = 4;
+
+/// Rate, in bytes per millisecond, below which a body is given up once the time-out of the call has passed.
+const MIN_BODY_RATE: u64 = 16;
+
+/// Reason for giving up a body beyond these limits.
+const EXCESSIVE_FRAMING: &str = "the body consists mostly of chunk framing";
+
 /// Error of a call without a complete response.
 #[derive(Debug, Snafu, Clone, PartialEq, Eq)]
 pub enum CallError {
@@ -105,6 +119,7 @@
 #[derive(Clone)]
 pub struct Client {
     pool: rc::Rc<cell::RefCell<Pool>>,
+    usage: usage::Usage,
     options: Options,
 }
 
@@ -118,11 +133,18 @@
     /// Whether connections are reused. Without reuse, no request is sent on a connection that has gone silent or that
     /// still carries a late response to another request.
     pub reuse: bool,
+    /// Maximum number of bytes that the unfinished responses of one peer may take, or `None` for no limit.
+    pub peer_limit: Option<size::Bytes>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { age_limit: AGE_LIMIT, connect_timeout: CONNECT_TIMEOUT, reuse: true }
+        Self {
+            age_limit: AGE_LIMIT,
+            connect_timeout: CONNECT_TIMEOUT,
+            reuse: true,
+            peer_limit: None,
+        }
     }
 }
 
@@ -130,7 +152,7 @@
 /// never happens for a host that was replaced; so the whole pool is replaced at the age limit.
 struct Pool {
     inner: awc::Client,
-    eof: connection::EofFlag,
+    record: connection::Record,
     created: time::Instant,
 }
 
@@ -138,9 +160,9 @@
     fn new(options: Options) -> Self {
         // Admission control bounds the number of connections, not the pool: a request that waited for the pool would be
         // neither sent nor refused.
-        let eof = connection::EofFlag::default();
+        let record = connection::Record::default();
         let connector = awc::Connector::new()
-            .connector(connection::Connector::new(eof.clone(), options.reuse))
+            .connector(connection::Connector::new(record.clone(), options.reuse))
             .timeout(options.connect_timeout.to_duration())
             .conn_keep_alive(IDLE_LIMIT)
             .conn_lifetime(options.age_limit.to_duration())
@@ -151,7 +173,7 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Self { inner, eof, created: time::Instant::now() }
+        Self { inner, record, created: time::Instant::now() }
     }
 }
 
@@ -176,17 +198,18 @@
     /// let _client = client::Client::with_options(options);
     /// ```
     pub fn with_options(options: Options) -> Self {
-        Self { pool: rc::Rc::new(cell::RefCell::new(Pool::new(options))), options }
+        let pool = rc::Rc::new(cell::RefCell::new(Pool::new(options)));
+        Self { pool, usage: usage::Usage::default(), options }
     }
 
     /// Returns the current pool, after replacing it if it has reached the age limit. Calls in progress keep the old
     /// pool until they end.
-    fn pool(&self) -> (awc::Client, connection::EofFlag) {
+    fn pool(&self) -> (awc::Client, connection::Record) {
         let mut pool = self.pool.borrow_mut();
         if pool.created.elapsed() >= self.options.age_limit.to_duration() {
             *pool = Pool::new(self.options);
         }
-        (pool.inner.clone(), pool.eof.clone())
+        (pool.inner.clone(), pool.record.clone())
     }
 
     /// Sends `request` to `address` and returns when the head of the response has arrived.
@@ -220,7 +243,7 @@
         let method = actix_http::Method::from_bytes(request.method.as_bytes())
             .map_err(|reason| invalid(reason.to_string()))?;
         let is_head_request = method == actix_http::Method::HEAD;
-        let (client, eof) = self.pool();
+        let (client, record) = self.pool();
         let mut call = client.request(method, format!("http://{address}{}", request.path));
         if !self.options.reuse {
             call = call.force_close();
@@ -238,7 +261,10 @@
             call.send_body(sized_body(request.body))
         };
         match tokio::time::timeout(timeout.to_duration(), sending).await {
-            Ok(Ok(response)) => Ok(Response::new(address, timeout, response, is_head_request, eof)),
+            Ok(Ok(response)) => {
+                let share = self.usage.share(address, self.options.peer_limit);
+                Ok(Response::new(share, timeout, response, is_head_request, record))
+            }
             Ok(Err(reason)) => Err(call_error(address, &reason)),
             Err(_) => Err(CallError::Timeout {
                 address,
@@ -260,25 +286,27 @@
     pub status: u16,
     /// Headers whose values are text.
     pub headers: Vec<Header>,
-    address: net::SocketAddr,
+    share: usage::Share,
     timeout: Millis,
     body: awc::ClientResponse,
     /// Announced bytes (`content-length`) that have not arrived yet. awc reports a connection that closes early as the
     /// end of the body.
     remaining: Option<u64>,
-    /// Set by the connection while the body is polled.
-    eof: connection::EofFlag,
-    /// Whether the connection has reached the end of its stream during this body.
-    eof_seen: bool,
+    /// Filled by the connection while the body is polled.
+    record: connection::Record,
+    /// What the connection has read during this body.
+    progress: connection::Progress,
+    /// Number of bytes of the body that have arrived.
+    arrived: u64,
 }
 
 impl Response {
     fn new(
-        address: net::SocketAddr,
+        share: usage::Share,
         timeout: Millis,
         body: awc::ClientResponse,
         is_head_request: bool,
-        eof: connection::EofFlag,
+        record: connection::Record,
     ) -> Self {
         let headers: Vec<Header> = body
             .headers()
@@ -286,8 +314,17 @@
             .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
             .collect();
         let status = body.status().as_u16();
-        let mut response =
-            Self { status, headers, address, timeout, body, remaining: None, eof, eof_seen: false };
+        let mut response = Self {
+            status,
+            headers,
+            share,
+            timeout,
+            body,
+            remaining: None,
+            record,
+            progress: connection::Progress::default(),
+            arrived: 0,
+        };
         if !is_head_request && status != 304 {
             response.remaining =
                 response.header("content-length").and_then(|length| length.parse().ok());
@@ -297,7 +334,7 @@
 
     /// Returns the peer's address.
     pub fn address(&self) -> net::SocketAddr {
-        self.address
+        self.share.peer()
     }
 
     /// Returns the value of a header. `name` must be in lower case.
@@ -310,28 +347,39 @@
     /// # Errors
     ///
     /// Returns [`CallError::Timeout`] if no piece arrives within `timeout`, and [`CallError::Lost`] if the body ends
-    /// early.
+    /// early or consists mostly of chunk framing.
     pub async fn next(&mut self, timeout: Millis) -> Result<Option<Bytes>, CallError> {
-        let address = self.address;
+        let address = self.address();
         let lost = |reason: String| CallError::Lost { address, reason: reason.into() };
         let piece = futures::future::poll_fn(|context| {
-            self.eof.take();
+            self.record.take();
             let poll = self.body.poll_next_unpin(context);
-            self.eof_seen |= self.eof.take();
+            let progress = self.record.take();
+            self.progress.bytes += progress.bytes;
+            self.progress.eof |= progress.eof;
+            // awc reads framing until a piece is complete, which may never be.
+            if poll.is_pending() && self.has_excessive_framing() {
+                return task::Poll::Ready(None);
+            }
             poll
         });
         match tokio::time::timeout(timeout.to_duration(), piece).await {
             Ok(Some(Ok(piece))) => {
                 let len = size::Bytes::of_len(piece.len()).0;
+                self.arrived += len;
+                if self.has_excessive_framing() {
+                    return Err(lost(EXCESSIVE_FRAMING.to_owned()));
+                }
                 self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(len));
                 Ok(Some(piece))
             }
             Ok(Some(Err(reason))) => Err(lost(format!("the body broke off: {reason}"))),
+            Ok(None) if self.has_excessive_framing() => Err(lost(EXCESSIVE_FRAMING.to_owned())),
             Ok(None) => match self.remaining {
                 Some(remaining) if remaining > 0 => {
                     Err(lost(format!("the body broke off {remaining} bytes before its end")))
                 }
-                _ if self.eof_seen && self.header("transfer-encoding").is_some() => {
+                _ if self.progress.eof && self.header("transfer-encoding").is_some() => {
                     Err(lost("the body broke off before its last chunk".to_owned()))
                 }
                 _ => Ok(None),
@@ -343,33 +391,69 @@
         }
     }
 
-    /// Reads the rest of the body. Each piece must arrive within the time-out of the call.
+    fn has_excessive_framing(&self) -> bool {
+        let framing = self.progress.bytes.saturating_sub(self.arrived);
+        framing > MIN_FRAMING + self.arrived / MIN_CONTENT_RATIO
+    }
+
+    /// Reads the rest of the body. Each piece must arrive within the time-out of the call. A body that takes longer than
+    /// that in all must arrive at 16 KB/s or faster.
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::Lost`] if the body ends early or exceeds `limit`, and [`CallError::Timeout`].
+    /// Returns [`CallError::Lost`] if the body ends early, exceeds `limit`, or makes the peer exceed its limit, and
+    /// [`CallError::Timeout`].
     pub async fn read(&mut self, limit: size::Bytes) -> Result<Bytes, CallError> {
-        let Some(first) = self.next(self.timeout).await? else { return Ok(Bytes::new()) };
-        self.check_limit(first.len(), limit)?;
-        let Some(second) = self.next(self.timeout).await? else { return Ok(first) };
+        self.check_limit(size::Bytes(self.remaining.unwrap_or(0)), limit)?;
+        let start = time::Instant::now();
+        let Some(first) = self.next_in_time(start).await? else { return Ok(Bytes::new()) };
+        self.check_limit(size::Bytes::of_len(first.len()), limit)?;
+        let Some(second) = self.next_in_time(start).await? else { return Ok(first) };
         let mut body = BytesMut::from(first);
         let mut piece = second;
         loop {
-            self.check_limit(body.len() + piece.len(), limit)?;
+            let len = size::Bytes::of_len(body.len() + piece.len());
+            self.check_limit(len, limit)?;
+            self.hold(len)?;
             body.extend_from_slice(&piece);
-            match self.next(self.timeout).await? {
+            match self.next_in_time(start).await? {
                 Some(next) => piece = next,
                 None => return Ok(body.freeze()),
             }
         }
     }
 
-    fn check_limit(&self, len: usize, limit: size::Bytes) -> Result<(), CallError> {
-        if size::Bytes::of_len(len) <= limit {
+    /// Returns the next piece of a body that is being read since `start`.
+    async fn next_in_time(&mut self, start: time::Instant) -> Result<Option<Bytes>, CallError> {
+        let elapsed = Millis(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let allowed = self.timeout + Millis(self.arrived / MIN_BODY_RATE);
+        let time_left = allowed.since(elapsed);
+        if time_left == Millis::ZERO {
+            let reason = format!("only {} bytes of the body within {allowed}", self.arrived);
+            return Err(CallError::Timeout { address: self.address(), reason: reason.into() });
+        }
+        self.next(self.timeout.min(time_left)).await
+    }
+
+    /// Counts `len` bytes of this response that the caller keeps until it is complete, in place of any earlier number.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Lost`] if the unfinished responses of the peer now exceed its limit.
+    pub fn hold(&mut self, len: size::Bytes) -> Result<(), CallError> {
+        if self.share.resize(len) {
+            return Ok(());
+        }
+        let reason = "the unfinished responses of the peer exceed its limit".into();
+        Err(CallError::Lost { address: self.address(), reason })
+    }
+
+    fn check_limit(&self, len: size::Bytes, limit: size::Bytes) -> Result<(), CallError> {
+        if len <= limit {
             return Ok(());
         }
         let reason = format!("the body exceeds the limit of {limit}").into();
-        Err(CallError::Lost { address: self.address, reason })
+        Err(CallError::Lost { address: self.address(), reason })
     }
 }
 
