Limit the time for whole bodies of platform and engine answers

What callers saw: a host list, store, origin or engine that sends its body without end, one piece within each time-out, kept the reader in that call for good. The entry's and the agent's host list, the watch of the configuration, the engine's status and the manifest were then never read again, and an error response (status 503, 404 and so on) with such a body was not reported until 64 KiB had arrived.

Cause: the time-out applied to each piece.

Change: a whole body may take ten times the time-out of a piece, which is 20 s with the default of 2 s. The body of an error response may take 1 s; the status alone decides, and the reason now says why the message is missing instead of leaving it empty. A chunk of weights keeps the time limit of the transfer policy.

--- /dev/null
+++ b/crates/chestnutpick_client/src/body.rs
@@ -0,0 +1,43 @@
+//! Complete bodies, read within a time limit.
+
+use bytes::Bytes;
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+
+use crate::client;
+
+/// Maximum time for a whole body, as a multiple of the time-out of one of its pieces. At the default time-out of 2 s, a
+/// host list or manifest of 8 MiB may arrive at 3.4 Mbit/s.
+const MAX_TIMEOUTS: u64 = 10;
+
+/// Reads the rest of a body. Each piece must arrive within the time-out of the call, and the whole body within ten times
+/// `timeout`: pieces that arrive in time do not show that the body has an end.
+///
+/// # Errors
+///
+/// Returns [`client::CallError::Lost`] if the body ends early or exceeds `limit`, and [`client::CallError::Timeout`].
+pub(crate) async fn read(
+    response: &mut client::Response,
+    limit: size::Bytes,
+    timeout: Millis,
+) -> Result<Bytes, client::CallError> {
+    read_within(response, limit, Millis(timeout.0.saturating_mul(MAX_TIMEOUTS))).await
+}
+
+/// Reads the rest of a body within `timeout` in all.
+///
+/// # Errors
+///
+/// Returns the errors of [`read`].
+pub(crate) async fn read_within(
+    response: &mut client::Response,
+    limit: size::Bytes,
+    timeout: Millis,
+) -> Result<Bytes, client::CallError> {
+    let address = response.address();
+    let body = tokio::time::timeout(timeout.to_duration(), response.read(limit)).await;
+    body.unwrap_or_else(|_| {
+        let reason = format!("the body did not end within {timeout}").into();
+        Err(client::CallError::Timeout { address, reason })
+    })
+}
--- a/crates/chestnutpick_client/src/engine.rs
+++ b/crates/chestnutpick_client/src/engine.rs
@@ -11,6 +11,7 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 use serde::{Deserialize, Serialize};
 
+use crate::body;
 use crate::client;
 use crate::fault;
 
@@ -116,8 +117,8 @@
 }
 
 impl HttpEngine {
-    /// Returns a client of the engine at `address`. `timeout` limits the wait for the head of each response. Load
-    /// orders have a separate time-out of 300 s, which [`HttpEngine::with_load_timeout`] replaces.
+    /// Returns a client of the engine at `address`. `timeout` limits the wait for the head of each response; a
+    /// status may take ten times as long in all. Load orders have a separate time-out of 300 s, which [`HttpEngine::with_load_timeout`] replaces.
     ///
     /// ```
     /// use chestnutpick_client::{client, engine};
@@ -157,7 +158,8 @@
         let request = client::Request::new("GET", "/v1/status");
         async move {
             let response = client.call(address, request, timeout).await?;
-            let body = fault::check_status(response).await?.read(STATUS_LIMIT).await?;
+            let mut response = fault::check_status(response).await?;
+            let body = body::read(&mut response, STATUS_LIMIT, timeout).await?;
             fault::parse_json(address, &body)
         }
         .boxed_local()
--- a/crates/chestnutpick_client/src/fault.rs
+++ b/crates/chestnutpick_client/src/fault.rs
@@ -4,13 +4,18 @@
 use std::sync;
 
 use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
 use snafu::Snafu;
 
+use crate::body;
 use crate::client;
 
 /// Maximum size of an error response whose body is read for its message.
 const MESSAGE_LIMIT: size::Bytes = size::Bytes(64 << 10);
 
+/// Time-out of the body of an error response. The status alone decides what the error means.
+const MESSAGE_TIMEOUT: Millis = Millis::from_secs(1);
+
 /// Maximum length of the part of an error response that is kept as the reason, in characters.
 const MESSAGE_CHARS: usize = 200;
 
@@ -71,8 +76,11 @@
         _ => Kind::Rejected,
     };
     let address = response.address();
-    let text = response.read(MESSAGE_LIMIT).await.unwrap_or_default();
-    let text: String = String::from_utf8_lossy(&text).chars().take(MESSAGE_CHARS).collect();
+    let text: String = match body::read_within(&mut response, MESSAGE_LIMIT, MESSAGE_TIMEOUT).await
+    {
+        Ok(text) => String::from_utf8_lossy(&text).chars().take(MESSAGE_CHARS).collect(),
+        Err(error) => format!("without its message: {error}"),
+    };
     let reason = format!("status {}: {text}", response.status).into();
     Err(Error { kind, address, reason })
 }
--- a/crates/chestnutpick_client/src/hosts.rs
+++ b/crates/chestnutpick_client/src/hosts.rs
@@ -8,6 +8,7 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 use serde::{Deserialize, Serialize};
 
+use crate::body;
 use crate::client;
 use crate::fault;
 
@@ -103,7 +104,8 @@
 }
 
 impl HttpHostList {
-    /// Returns a client of the host list at `address`. `timeout` limits each call.
+    /// Returns a client of the host list at `address`. `timeout` limits the wait for the head and for each
+    /// piece of the body; the whole body may take ten times as long.
     ///
     /// ```
     /// use chestnutpick_client::{client, hosts};
@@ -122,7 +124,8 @@
         let request = client::Request::new("GET", "/v1/hosts");
         async move {
             let response = client.call(address, request, timeout).await?;
-            let body = fault::check_status(response).await?.read(LIST_LIMIT).await?;
+            let mut response = fault::check_status(response).await?;
+            let body = body::read(&mut response, LIST_LIMIT, timeout).await?;
             fault::parse_json(address, &body)
         }
         .boxed_local()
--- a/crates/chestnutpick_client/src/origin.rs
+++ b/crates/chestnutpick_client/src/origin.rs
@@ -8,6 +8,7 @@
 use chestnutpick_types::time::Millis;
 use futures::future::{FutureExt, LocalBoxFuture};
 
+use crate::body;
 use crate::client;
 use crate::fault;
 
@@ -51,7 +52,8 @@
 
 impl HttpOrigin {
     /// Returns a client of the weight store at `address`. `timeout` limits the wait for the head of each response and
-    /// for each piece of its body, not the whole transfer.
+    /// for each piece of its body. A manifest may take ten times as long in all; the time for a whole chunk is limited
+    /// by the caller.
     ///
     /// ```
     /// use chestnutpick_client::{client, origin};
@@ -63,16 +65,12 @@
         Self { client, address, timeout }
     }
 
-    fn read(
-        &self,
-        path: String,
-        limit: size::Bytes,
-    ) -> LocalBoxFuture<'static, Result<Bytes, fault::Error>> {
+    fn get(&self, path: String) -> LocalBoxFuture<'static, Result<client::Response, fault::Error>> {
         let Self { client, address, timeout } = self.clone();
         let request = client::Request::new("GET", path);
         async move {
             let response = client.call(address, request, timeout).await?;
-            Ok(fault::check_status(response).await?.read(limit).await?)
+            fault::check_status(response).await
         }
         .boxed_local()
     }
@@ -84,7 +82,10 @@
         model: id::ModelId,
         version: id::VersionId,
     ) -> LocalBoxFuture<'static, Result<Bytes, fault::Error>> {
-        self.read(format!("/v1/weights/{model}/{version}/manifest"), MANIFEST_LIMIT)
+        let response = self.get(format!("/v1/weights/{model}/{version}/manifest"));
+        let timeout = self.timeout;
+        async move { Ok(body::read(&mut response.await?, MANIFEST_LIMIT, timeout).await?) }
+            .boxed_local()
     }
 
     fn chunk(
@@ -94,6 +95,7 @@
         index: u32,
         limit: size::Bytes,
     ) -> LocalBoxFuture<'static, Result<Bytes, fault::Error>> {
-        self.read(format!("/v1/weights/{model}/{version}/chunks/{index}"), limit)
+        let response = self.get(format!("/v1/weights/{model}/{version}/chunks/{index}"));
+        async move { Ok(response.await?.read(limit).await?) }.boxed_local()
     }
 }
--- a/crates/chestnutpick_client/src/store.rs
+++ b/crates/chestnutpick_client/src/store.rs
@@ -9,6 +9,7 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 use snafu::Snafu;
 
+use crate::body;
 use crate::client;
 
 /// Maximum size of a value; the store refuses larger ones.
@@ -90,8 +91,9 @@
 }
 
 impl HttpStore {
-    /// Returns a client of the store at `address`. `timeout` limits each call; a watch takes up to
-    /// `timeout` longer than its own `wait`.
+    /// Returns a client of the store at `address`. `timeout` limits the wait for the head, for which a watch
+    /// takes up to `timeout` longer than its own `wait`, and for each piece of the body. The whole body may take ten
+    /// times as long.
     ///
     /// ```
     /// use chestnutpick_client::{client, store};
@@ -108,7 +110,7 @@
     fn get(&self, key: sync::Arc<str>) -> LocalBoxFuture<'static, Result<Option<Value>, Error>> {
         let Self { client, address, timeout } = self.clone();
         let request = client::Request::new("GET", format!("/v1/kv/{key}"));
-        async move { parse_value(client.call(address, request, timeout).await?).await }
+        async move { parse_value(client.call(address, request, timeout).await?, timeout).await }
             .boxed_local()
     }
 
@@ -134,7 +136,7 @@
         let Self { client, address, timeout } = self.clone();
         let path = format!("/v1/watch/{key}?after={after}&wait-ms={}", wait.0);
         let request = client::Request::new("GET", path);
-        async move { parse_value(client.call(address, request, wait + timeout).await?).await }
+        async move { parse_value(client.call(address, request, wait + timeout).await?, timeout).await }
             .boxed_local()
     }
 }
@@ -146,11 +148,14 @@
     }
 }
 
-async fn parse_value(mut response: client::Response) -> Result<Option<Value>, Error> {
+async fn parse_value(
+    mut response: client::Response,
+    timeout: Millis,
+) -> Result<Option<Value>, Error> {
     match response.status {
         200 => {
             let revision = parse_revision(&response)?;
-            let bytes = response.read(MAX_VALUE_SIZE).await?;
+            let bytes = body::read(&mut response, MAX_VALUE_SIZE, timeout).await?;
             Ok(Some(Value { revision, bytes }))
         }
         204 | 404 => Ok(None),
