Limit the time for a service's whole response and an agent's answers

What callers saw: a plain service that sends its body without end, one piece within each time-out, kept the attempt in flight at the agent for good. The slot was never free again, and the caller's call and the settling of its claim saw a running attempt instead of an unknown outcome.

Evidence: tests/endless_service.rs of the agent plays endless heads and bodies to a real agent over HTTP. Its case slow_chunks failed before ("no response within 30000ms"); the other cases passed. It now gets outcome_unknown, the attempt with the same id is not sent again, the service's connection is closed and nothing is in flight.

Change: body::read is public and limits these reads to ten times the time-out of a piece.

--- a/crates/chestnutpick_agent/src/calls.rs
+++ b/crates/chestnutpick_agent/src/calls.rs
@@ -6,8 +6,8 @@
 use actix_http as http;
 use bytes::Bytes;
 use chestnutpick_admission::attempt;
-use chestnutpick_client::client;
 use chestnutpick_client::service::Service;
+use chestnutpick_client::{body, client};
 use chestnutpick_http::{request, respond};
 use chestnutpick_types::{digest, error, id, size, time};
 
@@ -100,7 +100,7 @@
         let sent =
             node.service.call(call.method.into(), call.path.into(), call.headers, call.body).await;
         match sent {
-            Ok(response) => read_result(running, response).await,
+            Ok(response) => read_result(&node, running, response).await,
             Err(reason) => Err(call_refusal(running, &reason)),
         }
     });
@@ -112,10 +112,12 @@
 }
 
 async fn read_result(
+    node: &node::Node,
     running: node::RunningAttempt,
     mut response: client::Response,
 ) -> Result<node::StoredResponse, error::Refusal> {
-    match response.read(size::Bytes(settings::MAX_BODY)).await {
+    let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
+    match body::read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await {
         Ok(body) => {
             let content_type =
                 response.header("content-type").unwrap_or("application/octet-stream").into();
--- a/crates/chestnutpick_agent/src/settings.rs
+++ b/crates/chestnutpick_agent/src/settings.rs
@@ -85,7 +85,8 @@
     /// store before each order.
     #[serde(default)]
     pub fencing: bool,
-    /// Time without data from the endpoint after which an attempt counts as lost, in milliseconds.
+    /// Time without data from the endpoint after which an attempt counts as lost, in milliseconds. The body of a
+    /// service's response may take ten times as long in all.
     #[serde(default = "defaults::progress_timeout_ms")]
     pub progress_timeout_ms: u64,
 }
--- a/crates/chestnutpick_agent/src/transfer.rs
+++ b/crates/chestnutpick_agent/src/transfer.rs
@@ -7,10 +7,9 @@
 
 use actix_rt::task;
 use bytes::Bytes;
-use chestnutpick_client::client;
 use chestnutpick_client::engine::Engine;
-use chestnutpick_client::hosts;
 use chestnutpick_client::origin::Origin;
+use chestnutpick_client::{body, client, hosts};
 use chestnutpick_config::document;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, id, size, time as instant};
@@ -219,7 +218,8 @@
         if response.status != 200 {
             continue;
         }
-        let Ok(document) = response.read(MANIFEST_LIMIT).await else { continue };
+        let document = body::read(&mut response, MANIFEST_LIMIT, QUERY_TIMEOUT).await;
+        let Ok(document) = document else { continue };
         if let Ok(manifest) = parse_manifest(&document, required) {
             return Ok((manifest, document));
         }
@@ -509,7 +509,7 @@
     if response.status != 200 {
         return None;
     }
-    let body = response.read(MANIFEST_LIMIT).await.ok()?;
+    let body = body::read(&mut response, MANIFEST_LIMIT, QUERY_TIMEOUT).await.ok()?;
     bitmap::Bitmap::from_bytes(chunks, &body)
 }
 
--- /dev/null
+++ b/crates/chestnutpick_agent/tests/endless_service.rs
@@ -0,0 +1,54 @@
+//! The agent of a plain service whose answers never end.
+
+mod common;
+#[path = "../../chestnutpick_client/tests/common/endless.rs"]
+mod endless;
+
+use std::time::Duration;
+
+use chestnutpick_agent::settings;
+use chestnutpick_types::error::{ErrorKind, Ran};
+use chestnutpick_types::id;
+use chestnutpick_types::time::Millis;
+use endless::Answer;
+use rstest::rstest;
+
+/// Time-out of the service.
+const PROGRESS: Millis = Millis(300);
+
+/// Pause between two pieces of an answer that arrives slowly, shorter than the time-out of the service.
+const PAUSE: Duration = Duration::from_millis(30);
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const CHUNK: &str = "8\r\nabcdefgh\r\n";
+
+async fn start(answer: Answer) -> (endless::Peer, common::Agent) {
+    let peer = endless::start(answer).await;
+    let kind = settings::Kind::Service;
+    let agent = common::start(peer.address, kind, &["ledger"], PROGRESS).await;
+    (peer, agent)
+}
+
+/// Guards against an answer that looks complete or says "not run" after a call whose own answer never ends, against a
+/// call that is sent twice, and against a slot and a connection that are held for good.
+#[rstest]
+#[case::head(Answer::flood("HTTP/1.1 200 OK\r\n", "x-a: b\r\n"))]
+#[case::header(Answer::flood("HTTP/1.1 200 OK\r\nx-a: ", "a"))]
+#[case::no_http(Answer::flood("", "nonsense "))]
+#[case::slow_head(Answer::drip("HTTP/1.1 200 OK\r\nx-a: ", "a", PAUSE))]
+#[case::chunks(Answer::flood(CHUNKED, CHUNK))]
+#[case::slow_chunks(Answer::drip(CHUNKED, CHUNK, PAUSE))]
+#[actix_rt::test]
+async fn call_without_end_has_an_unknown_outcome(#[case] answer: Answer) {
+    let (peer, agent) = start(answer).await;
+    let attempt = id::AttemptId::random();
+    for _ in 0..2 {
+        let call = agent.call("records", &attempt);
+        let answer = tokio::time::timeout(common::DEADLINE, call).await.unwrap();
+        let error = answer.error();
+        assert_eq!((error.error, error.ran), (ErrorKind::OutcomeUnknown, Ran::Unknown));
+    }
+    endless::until_closed(&peer, common::DEADLINE).await;
+    agent.until_idle().await;
+    assert_eq!(peer.requests.borrow().len(), 1);
+}
--- a/crates/chestnutpick_client/src/body.rs
+++ b/crates/chestnutpick_client/src/body.rs
@@ -16,7 +16,27 @@
 /// # Errors
 ///
 /// Returns [`client::CallError::Lost`] if the body ends early or exceeds `limit`, and [`client::CallError::Timeout`].
-pub(crate) async fn read(
+///
+/// ```
+/// use std::io::{Read, Write};
+///
+/// use chestnutpick_client::{body, client};
+/// use chestnutpick_types::{size, time};
+///
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// let address = listener.local_addr().unwrap();
+/// std::thread::spawn(move || {
+///     let (mut connection, _) = listener.accept().unwrap();
+///     connection.read(&mut [0; 1024]).unwrap();
+///     connection.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").unwrap();
+/// });
+/// actix_rt::System::new().block_on(async {
+///     let (request, timeout) = (client::Request::new("GET", "/"), time::Millis(5_000));
+///     let mut response = client::Client::new().call(address, request, timeout).await.unwrap();
+///     assert_eq!(body::read(&mut response, size::Bytes(10), timeout).await.unwrap(), "ok");
+/// });
+/// ```
+pub async fn read(
     response: &mut client::Response,
     limit: size::Bytes,
     timeout: Millis,
--- a/crates/chestnutpick_client/tests/common/endless.rs
+++ b/crates/chestnutpick_client/tests/common/endless.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,23 +18,28 @@
 #[derive(Debug, Clone)]
 pub struct Answer {
     /// Bytes sent once.
-    pub start: String,
-    /// Bytes repeated until the connection is closed.
-    pub repeated: String,
+    pub start: Arc<str>,
+    /// Bytes repeated until the connection is closed. If there are none, the peer closes it after the start.
+    pub repeated: Arc<str>,
     /// Pause between two repetitions, or none.
     pub pause: Option<Duration>,
 }
 
 impl Answer {
+    /// Returns an answer that ends with its connection.
+    pub fn whole(text: &str) -> Self {
+        Self { start: text.into(), repeated: "".into(), pause: None }
+    }
+
     /// Returns an answer whose repeated bytes follow each other without pauses.
     pub fn flood(start: &str, repeated: &str) -> Self {
         let repeated = repeated.repeat(WRITE_SIZE.div_ceil(repeated.len()));
-        Self { start: start.to_owned(), repeated, pause: None }
+        Self { start: start.into(), repeated: repeated.into(), pause: None }
     }
 
     /// Returns an answer whose repeated bytes are `pause` apart.
     pub fn drip(start: &str, repeated: &str, pause: Duration) -> Self {
-        Self { start: start.to_owned(), repeated: repeated.to_owned(), pause: Some(pause) }
+        Self { start: start.into(), repeated: repeated.into(), pause: Some(pause) }
     }
 }
 
@@ -94,6 +100,9 @@
     if stream.write_all(answer.start.as_bytes()).await.is_err() {
         return;
     }
+    if answer.repeated.is_empty() {
+        return;
+    }
     let (mut reader, mut writer) = stream.split();
     let mut rest = [0; 1024];
     loop {
--- a/crates/chestnutpick_client/tests/endless.rs
+++ b/crates/chestnutpick_client/tests/endless.rs
@@ -168,8 +168,8 @@
     #[values(("8;", "extension"), ("0\r\n", "x-trailer: 1\r\n"))] framing: (&str, &str),
     #[values(None, Some(PAUSE))] pause: Option<Duration>,
 ) {
-    let (start, repeated) = (format!("{CHUNKED}2\r\n[]\r\n{}", framing.0), framing.1);
-    let answer = Answer { start, repeated: repeated.to_owned(), pause };
+    let start = format!("{CHUNKED}2\r\n[]\r\n{}", framing.0).into();
+    let answer = Answer { start, repeated: framing.1.into(), pause };
     run(async move {
         let peer = endless::start(answer).await;
         let error = tokio::time::timeout(DEADLINE, call(kind, peer.address)).await.unwrap();
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -5,7 +5,7 @@
 
 use actix_http as http;
 use bytes::Bytes;
-use chestnutpick_client::client;
+use chestnutpick_client::{body, client};
 use chestnutpick_config::{document, lookup};
 use chestnutpick_http::{request, respond};
 use chestnutpick_routing::report::Target;
@@ -43,6 +43,9 @@
 /// Maximum number of attempts per request, including refused ones.
 const MAX_ATTEMPTS: usize = 8;
 
+/// Maximum size of an agent's refusal.
+const REFUSAL_LIMIT: size::Bytes = size::Bytes::from_mib(1);
+
 #[derive(Debug, Deserialize)]
 struct Body {
     prompt: sync::Arc<str>,
@@ -401,8 +404,9 @@
         .await
         .map_err(|reason| call_refusal(&reason))?;
     if response.header("x-attempt-id").is_none() {
-        let body =
-            response.read(size::Bytes(1 << 20)).await.map_err(|reason| call_refusal(&reason))?;
+        let body = body::read(&mut response, REFUSAL_LIMIT, timeout)
+            .await
+            .map_err(|reason| call_refusal(&reason))?;
         return Err(agent_refusal(response.status, &body));
     }
     if response.header("x-attempt-id") != Some(attempt.as_str()) {
