Read a service's body that ends with its connection, or report it as lost

What callers saw: a plain service whose response states no length, as an HTTP/1.1 response may that ends with its connection, was answered with its status and an empty body, as if complete. That held for a body with an end, for one without end, and also when the connection broke off within the body. A key of the store with such a response was read as an empty value.

Cause: on a connection that is kept for further requests, awc takes a body without a stated length as empty. The client reads it only from connections for one request, and the agent called its service over the shared pool.

The clients of the host list, store, origin and engine status report an empty body that the response does not state as lost.

--- a/crates/chestnutpick_agent/tests/common/mod.rs
+++ b/crates/chestnutpick_agent/tests/common/mod.rs
@@ -106,9 +106,16 @@
 
     /// Sends a call of the service `ledger` and reads the answer.
     pub async fn call(&self, path: &str, attempt: &id::AttemptId) -> Answer {
-        let mut request = client::Request::new("POST", format!("/v1/calls/ledger/{path}"));
+        self.call_with("POST", path, attempt).await
+    }
+
+    /// Sends a call with this method and reads the answer.
+    pub async fn call_with(&self, method: &str, path: &str, attempt: &id::AttemptId) -> Answer {
+        let mut request = client::Request::new(method, format!("/v1/calls/ledger/{path}"));
         request.headers = vec![("x-attempt-id".into(), attempt.as_str().into())];
-        request.body = vec!["5 leaves".into()];
+        if method == "POST" {
+            request.body = vec!["5 leaves".into()];
+        }
         self.send(request).await
     }
 
--- a/crates/chestnutpick_client/src/body.rs
+++ b/crates/chestnutpick_client/src/body.rs
@@ -44,6 +44,38 @@
     read_within(response, limit, Millis(timeout.0.saturating_mul(MAX_TIMEOUTS))).await
 }
 
+/// Reads a body as [`read`] does and checks it with [`check_stated`].
+///
+/// # Errors
+///
+/// Returns the errors of both.
+pub(crate) async fn read_stated(
+    response: &mut client::Response,
+    limit: size::Bytes,
+    timeout: Millis,
+) -> Result<Bytes, client::CallError> {
+    let body = read(response, limit, timeout).await?;
+    check_stated(response, body)
+}
+
+/// Returns `body` unless it is empty and the response does not state so. On a connection that is reused, a body that
+/// extends to the close of the connection is read as empty.
+///
+/// # Errors
+///
+/// Returns [`client::CallError::Lost`].
+pub(crate) fn check_stated(
+    response: &client::Response,
+    body: Bytes,
+) -> Result<Bytes, client::CallError> {
+    let stated = ["content-length", "transfer-encoding"];
+    if !body.is_empty() || stated.iter().any(|name| response.header(name).is_some()) {
+        return Ok(body);
+    }
+    let reason = "the response states no length".into();
+    Err(client::CallError::Lost { address: response.address(), reason })
+}
+
 /// Reads the rest of a body within `timeout` in all.
 ///
 /// # Errors
--- a/crates/chestnutpick_client/src/engine.rs
+++ b/crates/chestnutpick_client/src/engine.rs
@@ -159,7 +159,7 @@
         async move {
             let response = client.call(address, request, timeout).await?;
             let mut response = fault::check_status(response).await?;
-            let body = body::read(&mut response, STATUS_LIMIT, timeout).await?;
+            let body = body::read_stated(&mut response, STATUS_LIMIT, timeout).await?;
             fault::parse_json(address, &body)
         }
         .boxed_local()
--- a/crates/chestnutpick_client/src/hosts.rs
+++ b/crates/chestnutpick_client/src/hosts.rs
@@ -125,7 +125,7 @@
         async move {
             let response = client.call(address, request, timeout).await?;
             let mut response = fault::check_status(response).await?;
-            let body = body::read(&mut response, LIST_LIMIT, timeout).await?;
+            let body = body::read_stated(&mut response, LIST_LIMIT, timeout).await?;
             fault::parse_json(address, &body)
         }
         .boxed_local()
--- a/crates/chestnutpick_client/src/origin.rs
+++ b/crates/chestnutpick_client/src/origin.rs
@@ -84,7 +84,7 @@
     ) -> LocalBoxFuture<'static, Result<Bytes, fault::Error>> {
         let response = self.get(format!("/v1/weights/{model}/{version}/manifest"));
         let timeout = self.timeout;
-        async move { Ok(body::read(&mut response.await?, MANIFEST_LIMIT, timeout).await?) }
+        async move { Ok(body::read_stated(&mut response.await?, MANIFEST_LIMIT, timeout).await?) }
             .boxed_local()
     }
 
@@ -96,6 +96,11 @@
         limit: size::Bytes,
     ) -> LocalBoxFuture<'static, Result<Bytes, fault::Error>> {
         let response = self.get(format!("/v1/weights/{model}/{version}/chunks/{index}"));
-        async move { Ok(response.await?.read(limit).await?) }.boxed_local()
+        async move {
+            let mut response = response.await?;
+            let chunk = response.read(limit).await?;
+            Ok(body::check_stated(&response, chunk)?)
+        }
+        .boxed_local()
     }
 }
--- a/crates/chestnutpick_client/src/store.rs
+++ b/crates/chestnutpick_client/src/store.rs
@@ -155,7 +155,7 @@
     match response.status {
         200 => {
             let revision = parse_revision(&response)?;
-            let bytes = body::read(&mut response, MAX_VALUE_SIZE, timeout).await?;
+            let bytes = body::read_stated(&mut response, MAX_VALUE_SIZE, timeout).await?;
             Ok(Some(Value { revision, bytes }))
         }
         204 | 404 => Ok(None),
--- a/crates/chestnutpick_client/tests/common/endless.rs
+++ b/crates/chestnutpick_client/tests/common/endless.rs
@@ -19,7 +19,8 @@
 pub struct Answer {
     /// Bytes sent once.
     pub start: Arc<str>,
-    /// Bytes repeated until the connection is closed. If there are none, the peer closes it after the start.
+    /// Bytes repeated until the connection is closed. If there are none and no pause, the peer closes it after
+    /// the start.
     pub repeated: Arc<str>,
     /// Pause between two repetitions, or none.
     pub pause: Option<Duration>,
@@ -100,7 +101,7 @@
     if stream.write_all(answer.start.as_bytes()).await.is_err() {
         return;
     }
-    if answer.repeated.is_empty() {
+    if answer.repeated.is_empty() && answer.pause.is_none() {
         return;
     }
     let (mut reader, mut writer) = stream.split();
--- a/crates/chestnutpick_client/tests/endless.rs
+++ b/crates/chestnutpick_client/tests/endless.rs
@@ -178,6 +178,20 @@
     });
 }
 
+/// Guards against taking a body that ends with its connection for an empty one, such as an empty value of a key.
+#[rstest]
+fn body_until_close_is_not_empty(
+    #[values(Call::Hosts, Call::Get, Call::Watch, Call::Status, Call::Manifest, Call::Chunk)]
+    kind: Call,
+    #[values(None, Some(PAUSE))] pause: Option<Duration>,
+) {
+    let start = "HTTP/1.1 200 OK\r\nx-revision: 1\r\n\r\n".into();
+    run(async move {
+        let error = call_endless(kind, Answer { start, repeated: "[".into(), pause }).await;
+        assert_eq!(error, Some(Kind::Lost));
+    });
+}
+
 /// Guards against reading a chunk of weights that never ends beyond its size.
 #[rstest]
 #[case::chunked(Answer::flood(CHUNKED, CHUNK))]
