Do not report "not run" for an attempt whose error response never ends

What callers saw: an engine that answers an attempt with an error status and a body without end made the agent answer endpoint_full, "not run", although nothing shows that the engine has refused the attempt. If the body came slowly the attempt stayed in flight for good.

Cause: the agent replaced the body that it could not read by an empty one, and took an empty body for a refusal before the attempt ran. A body that ends with its connection was read as empty from the shared pool, as for services.

Change: an error response without its end is a lost response, like a head that does not end: outcome unknown, and the engine's status is read at once. Its time is limited as for services, and the agent calls its engine on a connection for each request.

--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -5,9 +5,10 @@
 
 use actix_http as http;
 use chestnutpick_admission::attempt;
-use chestnutpick_client::client;
 use chestnutpick_client::engine::{self, Engine};
-use chestnutpick_http::{body, request, respond};
+use chestnutpick_client::{body, client};
+use chestnutpick_http::body as http_body;
+use chestnutpick_http::{request, respond};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, error, id, size, time};
 use serde::Deserialize;
@@ -86,12 +87,7 @@
     };
     match node.engine.generate(generate).await {
         Ok(response) => relay_or_refuse(node, headers, running, response).await,
-        Err(reason) => {
-            if !reason.is_not_sent() {
-                node.on_interrupted(headers.fingerprint);
-            }
-            Err(start_refusal(running, &reason))
-        }
+        Err(reason) => Err(start_refusal(&node, headers.fingerprint, running, &reason)),
     }
 }
 
@@ -119,7 +115,15 @@
     }
 }
 
-fn start_refusal(running: node::RunningAttempt, reason: &client::CallError) -> error::Refusal {
+fn start_refusal(
+    node: &node::Node,
+    fingerprint: digest::Digest,
+    running: node::RunningAttempt,
+    reason: &client::CallError,
+) -> error::Refusal {
+    if !reason.is_not_sent() {
+        node.on_interrupted(fingerprint);
+    }
     let (kind, outcome) = match reason {
         client::CallError::NotSent { .. } => {
             (error::ErrorKind::EndpointUnreachable, attempt::Outcome::NotSent)
@@ -140,9 +144,15 @@
     mut response: client::Response,
 ) -> Result<respond::Response, error::Refusal> {
     if response.status != 200 {
-        let reason = response.read(size::Bytes(settings::MAX_BODY)).await.unwrap_or_default();
-        running.end(attempt::Outcome::NotSent);
-        return Err(engine_refusal(&reason));
+        let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
+        return match body::read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await {
+            Ok(reason) => {
+                running.end(attempt::Outcome::NotSent);
+                Err(engine_refusal(&reason))
+            }
+            // Without its end, the response does not show that the engine has refused the attempt.
+            Err(reason) => Err(start_refusal(&node, headers.fingerprint, running, &reason)),
+        };
     }
     let response_digest = response.header("x-weights-digest").and_then(|text| text.parse().ok());
     if response_digest != Some(headers.digest) {
@@ -170,7 +180,7 @@
     running: node::RunningAttempt,
     upstream: client::Response,
 ) -> respond::Response {
-    let (sender, body) = body::channel();
+    let (sender, body) = http_body::channel();
     let mut response = respond::stream(200, "text/event-stream", body);
     respond::set_header(&mut response, "x-attempt-id", headers.attempt.as_str());
     respond::set_header(&mut response, "x-weights-digest", &headers.digest.to_string());
@@ -201,7 +211,7 @@
 
 async fn forward(
     node: &node::Node,
-    sender: &body::Sender,
+    sender: &http_body::Sender,
     mut upstream: client::Response,
 ) -> StreamEnd {
     let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
--- a/crates/chestnutpick_agent/src/node.rs
+++ b/crates/chestnutpick_agent/src/node.rs
@@ -96,9 +96,9 @@
             / u64::from(settings.endpoint.slots);
         let cold = limits(settings.endpoint.cold_slots, cold_memory.max(1));
         let client = client::Client::new();
-        // A response of a service may end with its connection, which is read only from a connection for one request.
+        // A response of an endpoint may end with its connection, which is read only from a connection for one request.
         let single = client::Options { reuse: false, ..client::Options::default() };
-        let service_client = client::Client::with_options(single);
+        let endpoint_client = client::Client::with_options(single);
         let timeout = time::Millis(settings.platform.call_timeout_ms);
         let progress = time::Millis(settings.endpoint.progress_timeout_ms);
         let address = settings.endpoint.address;
@@ -115,8 +115,8 @@
             hosts: cell::RefCell::default(),
             heartbeats: cell::RefCell::default(),
             epoch: cell::Cell::new(None),
-            engine: engine::HttpEngine::new(client.clone(), address, progress),
-            service: service::HttpService::new(service_client, address, progress),
+            engine: engine::HttpEngine::new(endpoint_client.clone(), address, progress),
+            service: service::HttpService::new(endpoint_client, address, progress),
             origin: origin::HttpOrigin::new(client.clone(), settings.platform.origin, timeout),
             store: store::HttpStore::new(client.clone(), settings.platform.store, timeout),
             host_list: hosts::HttpHostList::new(client.clone(), settings.platform.hosts, timeout),
