End an attempt whose stream sends bytes but no event in time

What callers saw: a completion hung for as long as its endpoint kept sending bytes that complete no event, such as comments, blank lines or fields of an event without its blank line. The time-outs for the first token and between two tokens did not apply, so the stream was not continued elsewhere, and the engine kept working on it.

Cause: the entry looks at the relay's deadline only when no piece has arrived. Once the deadline has passed it waits for 0 ms, and a piece that is already there comes first.

Change: on_bytes handles a deadline that has passed after the events of the piece. A piece with an event counts as progress even if it comes late.

--- a/crates/chestnutpick_entry/src/stream.rs
+++ b/crates/chestnutpick_entry/src/stream.rs
@@ -169,7 +169,9 @@
         let now = self.node.now();
         let Some(source) = &mut self.source else { return Vec::new() };
         match piece {
-            Ok(Some(bytes)) => feed_relay(&mut self.relay, source, now, &bytes),
+            Ok(Some(bytes)) => {
+                self.relay.on_bytes(now, &source.attempt, &mut source.parser, &bytes)
+            }
             Err(client::CallError::Timeout { .. }) => self.relay.tick(now),
             Ok(None) | Err(_) => self.relay.on_loss(now, &source.attempt, relay::Loss::Broken),
         }
@@ -313,21 +315,3 @@
         None => std::future::pending().await,
     }
 }
-
-fn feed_relay(
-    relay: &mut relay::Relay,
-    source: &mut Source,
-    now: time::Millis,
-    bytes: &[u8],
-) -> Vec<relay::Action> {
-    let mut events = Vec::new();
-    let parsed = source.parser.feed(bytes, &mut events);
-    let mut actions = Vec::new();
-    for event in events {
-        actions.extend(relay.on_event(now, &source.attempt, event));
-    }
-    if let Err(reason) = parsed {
-        actions.extend(relay.on_loss(now, &source.attempt, relay::Loss::Malformed(reason)));
-    }
-    actions
-}
--- a/crates/chestnutpick_streams/src/relay.rs
+++ b/crates/chestnutpick_streams/src/relay.rs
@@ -247,6 +247,40 @@
         }
     }
 
+    /// Handles bytes of `attempt`, which `parser` has read from its start. Then handles a deadline that has passed:
+    /// while bytes keep arriving, the caller has no other occasion to call [`Self::tick`].
+    ///
+    /// ```
+    /// use chestnutpick_streams::{relay, sse};
+    /// use chestnutpick_types::{digest, id, time};
+    /// let digest = digest::Digest::of(b"weights");
+    /// let attempt = id::AttemptId::random();
+    /// let mut relay = relay::Relay::new(time::Millis(0), relay::Config::default(), attempt.clone(), digest);
+    /// relay.on_head(time::Millis(1), &attempt, &attempt, digest);
+    /// let mut parser = sse::Parser::default();
+    /// let actions = relay.on_bytes(time::Millis(2), &attempt, &mut parser, b"data: [DONE]\n\n");
+    /// assert_eq!(actions, [relay::Action::Finish]);
+    /// ```
+    pub fn on_bytes(
+        &mut self,
+        now: time::Millis,
+        attempt: &id::AttemptId,
+        parser: &mut sse::Parser,
+        bytes: &[u8],
+    ) -> Vec<Action> {
+        let mut events = Vec::new();
+        let parsed = parser.feed(bytes, &mut events);
+        let mut actions = Vec::new();
+        for event in events {
+            actions.extend(self.on_event(now, attempt, event));
+        }
+        if let Err(cause) = parsed {
+            actions.extend(self.on_loss(now, attempt, Loss::Malformed(cause)));
+        }
+        actions.extend(self.tick(now));
+        actions
+    }
+
     /// Handles the end of `attempt` without `[DONE]` or an error event.
     ///
     /// ```
