Bound the memory for incomplete bodies over all requests of an endpoint

What callers saw: nothing, until the agent's process reached its memory limit. A service that leaves many bodies incomplete could make its agent hold up to 1 MiB for each attempt that the agent admits (up to 4,096); an entry holds as much for each call whose agent does not end its answer.

Cause: each body had a limit, all bodies together had none.

Change: bodies::Bodies holds the received parts and gives up the largest when they reach 32 MiB together, which closes its connection at once. Failing the newest body instead would let one sick request make small answers fail.

Not counted: heads of responses (up to 128 KiB each), bodies that are complete and kept for replay, and the event parser of a stream.

--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -5,10 +5,9 @@
 
 use actix_http as http;
 use chestnutpick_admission::attempt;
+use chestnutpick_client::client;
 use chestnutpick_client::engine::{self, Engine};
-use chestnutpick_client::{body, client};
-use chestnutpick_http::body as http_body;
-use chestnutpick_http::{request, respond};
+use chestnutpick_http::{body, request, respond};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, error, id, size, time};
 use serde::Deserialize;
@@ -145,7 +144,8 @@
 ) -> Result<respond::Response, error::Refusal> {
     if response.status != 200 {
         let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
-        return match body::read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await {
+        return match node.bodies.read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await
+        {
             Ok(reason) => {
                 running.end(attempt::Outcome::NotSent);
                 Err(engine_refusal(&reason))
@@ -180,7 +180,7 @@
     running: node::RunningAttempt,
     upstream: client::Response,
 ) -> respond::Response {
-    let (sender, body) = http_body::channel();
+    let (sender, body) = body::channel();
     let mut response = respond::stream(200, "text/event-stream", body);
     respond::set_header(&mut response, "x-attempt-id", headers.attempt.as_str());
     respond::set_header(&mut response, "x-weights-digest", &headers.digest.to_string());
@@ -211,7 +211,7 @@
 
 async fn forward(
     node: &node::Node,
-    sender: &http_body::Sender,
+    sender: &body::Sender,
     mut upstream: client::Response,
 ) -> StreamEnd {
     let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
--- a/crates/chestnutpick_agent/src/calls.rs
+++ b/crates/chestnutpick_agent/src/calls.rs
@@ -6,8 +6,8 @@
 use actix_http as http;
 use bytes::Bytes;
 use chestnutpick_admission::attempt;
+use chestnutpick_client::client;
 use chestnutpick_client::service::Service;
-use chestnutpick_client::{body, client};
 use chestnutpick_http::{request, respond};
 use chestnutpick_types::{digest, error, id, size, time};
 
@@ -117,7 +117,7 @@
     mut response: client::Response,
 ) -> Result<node::StoredResponse, error::Refusal> {
     let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
-    match body::read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await {
+    match node.bodies.read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await {
         Ok(body) => {
             let content_type =
                 response.header("content-type").unwrap_or("application/octet-stream").into();
--- a/crates/chestnutpick_agent/src/node.rs
+++ b/crates/chestnutpick_agent/src/node.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use chestnutpick_admission::{attempt, limits, table};
-use chestnutpick_client::{client, engine, hosts, origin, service, store};
+use chestnutpick_client::{bodies, client, engine, hosts, origin, service, store};
 use chestnutpick_config::replica;
 use chestnutpick_process::page;
 use chestnutpick_routing::suspects;
@@ -45,6 +45,10 @@
 /// Maximum time between an interrupted response and the detection of the crash that caused it.
 const MAX_INTERRUPTION_AGE: time::Millis = time::Millis(3_000);
 
+/// Maximum memory for the incomplete bodies of the endpoint's responses; a quarter of the 128 MB that a node has for
+/// control.
+const MAX_INCOMPLETE: size::Bytes = size::Bytes::from_mib(32);
+
 /// Shared state of an agent.
 pub struct Node {
     /// Settings of the process.
@@ -67,6 +71,8 @@
     pub heartbeats: cell::RefCell<collections::BTreeMap<id::HostId, ReceivedHeartbeat>>,
     /// Fencing epoch of this incarnation, once obtained from the store.
     pub epoch: cell::Cell<Option<u64>>,
+    /// Incomplete bodies of the endpoint's responses.
+    pub bodies: bodies::Bodies,
     /// HTTP client shared by all tasks.
     pub client: client::Client,
     /// Client of the engine.
@@ -120,6 +126,7 @@
             origin: origin::HttpOrigin::new(client.clone(), settings.platform.origin, timeout),
             store: store::HttpStore::new(client.clone(), settings.platform.store, timeout),
             host_list: hosts::HttpHostList::new(client.clone(), settings.platform.hosts, timeout),
+            bodies: bodies::Bodies::new(MAX_INCOMPLETE),
             interrupted: cell::RefCell::default(),
             early_poll: Notify::new(),
             leaving: cell::Cell::new(false),
@@ -282,6 +289,7 @@
             "suspects": self.suspects.borrow().dump(),
             "weights": self.chunks.borrow().dump(),
             "hosts": self.hosts.borrow().len(),
+            "incomplete_bytes": self.bodies.used().0,
             "entries": self.heartbeats.borrow().iter().map(|(host, heartbeat)| (host.to_string(), json!(heartbeat.at)))
                 .collect::<serde_json::Map<_, _>>(),
         })
--- a/crates/chestnutpick_client/src/body.rs
+++ b/crates/chestnutpick_client/src/body.rs
@@ -1,5 +1,7 @@
 //! Complete bodies, read within a time limit.
 
+use std::net;
+
 use bytes::Bytes;
 use chestnutpick_types::size;
 use chestnutpick_types::time::Millis;
@@ -10,6 +12,11 @@
 /// host list or manifest of 8 MiB may arrive at 3.4 Mbit/s.
 const MAX_TIMEOUTS: u64 = 10;
 
+/// Returns the maximum time for a whole body whose pieces have the time-out `timeout`.
+pub(crate) fn whole_timeout(timeout: Millis) -> Millis {
+    Millis(timeout.0.saturating_mul(MAX_TIMEOUTS))
+}
+
 /// Reads the rest of a body. Each piece must arrive within the time-out of the call, and the whole body within ten times
 /// `timeout`: pieces that arrive in time do not show that the body has an end.
 ///
@@ -41,7 +48,7 @@
     limit: size::Bytes,
     timeout: Millis,
 ) -> Result<Bytes, client::CallError> {
-    read_within(response, limit, Millis(timeout.0.saturating_mul(MAX_TIMEOUTS))).await
+    read_within(response, limit, whole_timeout(timeout)).await
 }
 
 /// Reads a body as [`read`] does and checks it with [`check_stated`].
@@ -86,8 +93,23 @@
     limit: size::Bytes,
     timeout: Millis,
 ) -> Result<Bytes, client::CallError> {
-    let address = response.address();
-    let body = tokio::time::timeout(timeout.to_duration(), response.read(limit)).await;
+    limit_time(response.address(), timeout, response.read(limit)).await
+}
+
+/// Waits for a body of the peer at `address` for at most `timeout`.
+///
+/// # Errors
+///
+/// Returns the errors of `reading` and [`client::CallError::Timeout`].
+pub(crate) async fn limit_time<F>(
+    address: net::SocketAddr,
+    timeout: Millis,
+    reading: F,
+) -> Result<Bytes, client::CallError>
+where
+    F: Future<Output = Result<Bytes, client::CallError>>,
+{
+    let body = tokio::time::timeout(timeout.to_duration(), reading).await;
     body.unwrap_or_else(|_| {
         let reason = format!("the body did not end within {timeout}").into();
         Err(client::CallError::Timeout { address, reason })
--- a/crates/chestnutpick_client/src/lib.rs
+++ b/crates/chestnutpick_client/src/lib.rs
@@ -3,6 +3,7 @@
 //! The traits hide the URLs and headers from the rest of the workspace, so that the same code runs against the real
 //! services and against the stand-ins. All clients run on the caller's thread and never retry on their own.
 
+pub mod bodies;
 pub mod body;
 pub mod client;
 mod connection;
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -5,7 +5,7 @@
 
 use actix_http as http;
 use bytes::Bytes;
-use chestnutpick_client::{body, client};
+use chestnutpick_client::client;
 use chestnutpick_config::{document, lookup};
 use chestnutpick_http::{request, respond};
 use chestnutpick_routing::report::Target;
@@ -404,7 +404,9 @@
         .await
         .map_err(|reason| call_refusal(&reason))?;
     if response.header("x-attempt-id").is_none() {
-        let body = body::read(&mut response, REFUSAL_LIMIT, timeout)
+        let body = node
+            .bodies
+            .read(&mut response, REFUSAL_LIMIT, timeout)
             .await
             .map_err(|reason| call_refusal(&reason))?;
         return Err(agent_refusal(response.status, &body));
--- a/crates/chestnutpick_entry/src/node.rs
+++ b/crates/chestnutpick_entry/src/node.rs
@@ -4,7 +4,7 @@
 use std::collections;
 use std::rc;
 
-use chestnutpick_client::{client, hosts, store};
+use chestnutpick_client::{bodies, client, hosts, store};
 use chestnutpick_config::{readers, replica, watch};
 use chestnutpick_membership::{detector, members};
 use chestnutpick_process::page;
@@ -31,6 +31,10 @@
     pub at: time::Millis,
 }
 
+/// Maximum memory for the incomplete bodies of the agents' responses to calls; a quarter of the 128 MB that a node has
+/// for control.
+const MAX_INCOMPLETE: size::Bytes = size::Bytes::from_mib(32);
+
 /// Shared state of an entry.
 pub struct Node {
     /// Settings of the process.
@@ -78,6 +82,8 @@
     pub rng: cell::RefCell<rand_xoshiro::Xoshiro256PlusPlus>,
     /// HTTP client shared by all tasks.
     pub client: client::Client,
+    /// Incomplete bodies of the agents' responses to calls.
+    pub bodies: bodies::Bodies,
     /// Client of the key-value service.
     pub store: store::HttpStore,
     /// Client of the host list.
@@ -120,6 +126,7 @@
             local_quarantine: cell::RefCell::default(),
             retry_budget: cell::RefCell::new(retry::Budget::new(requests.retry_percent)),
             suspects: cell::RefCell::default(),
+            bodies: bodies::Bodies::new(MAX_INCOMPLETE),
             buffers: buffers::Buffers::new(size::Bytes(requests.buffer_bytes)),
             claims: claims::Claims::new(&settings.claims, clock.now()),
             rng: cell::RefCell::new(rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(incarnation)),
@@ -246,6 +253,7 @@
             "uptime_ms": self.now(),
             "leaving": self.is_leaving(),
             "in_flight": self.in_flight(),
+            "incomplete_bytes": self.bodies.used().0,
             "config": self.config.borrow().dump(),
             "reader": self.is_reader(),
             "watch": self.watcher.borrow().dump(),
--- a/crates/chestnutpick_entry/src/services.rs
+++ b/crates/chestnutpick_entry/src/services.rs
@@ -5,7 +5,7 @@
 use actix_http as http;
 use bytes::Bytes;
 use chestnutpick_claims::{event as claim, shard};
-use chestnutpick_client::{body, client};
+use chestnutpick_client::client;
 use chestnutpick_http::{request, respond};
 use chestnutpick_routing::queue;
 use chestnutpick_routing::report::Target;
@@ -264,7 +264,9 @@
     let result = async {
         let mut response =
             completions::call_agent(node, placement.address, request, timeout, attempt).await?;
-        let body = body::read(&mut response, RESPONSE_LIMIT, timeout)
+        let body = node
+            .bodies
+            .read(&mut response, RESPONSE_LIMIT, timeout)
             .await
             .map_err(|reason| completions::call_refusal(&reason))?;
         let content_type =
