End an attempt that sends more tokens than were requested

What callers saw: an engine that keeps sending valid tokens after max_tokens was relayed to the caller without end.

Cause: only the engine knew how many tokens had been requested; the entry checked the order of the tokens and the time between them.

Evidence: tokens_beyond_the_request_end_the_attempt failed with 9 deliveries where 8 tokens had been requested.

Change: relay::Config has max_tokens. A token beyond it is not delivered and ends the attempt as a broken stream; the continuation from there is answered with [DONE] by a sound endpoint, so the caller still gets a complete response.

--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -59,6 +59,8 @@
     pub body: Bytes,
     /// Digest of the body, which identifies the request across repeats.
     pub fingerprint: digest::Digest,
+    /// Number of tokens requested.
+    pub max_tokens: u64,
     /// Requirements on the endpoint.
     pub requirements: dispatch::Requirements,
     /// Number of attempts lost together with their endpoint.
@@ -143,7 +145,8 @@
         suspect,
         exclude: Vec::new(),
     };
-    Ok(Completion { body, fingerprint, requirements, lost_attempts: 0, attempts: 0 })
+    let max_tokens = parsed.max_tokens;
+    Ok(Completion { body, fingerprint, max_tokens, requirements, lost_attempts: 0, attempts: 0 })
 }
 
 /// Returns the caller's deadline, from the header `x-deadline-ms` or the default in the settings.
--- a/crates/chestnutpick_entry/src/stream.rs
+++ b/crates/chestnutpick_entry/src/stream.rs
@@ -65,6 +65,7 @@
     let config = relay::Config {
         first_timeout: time::Millis(node.settings.requests.first_token_ms),
         event_timeout: time::Millis(node.settings.requests.between_tokens_ms),
+        max_tokens: completion.max_tokens,
         ..relay::Config::default()
     };
     let mut relay = relay::Relay::new(node.now(), config, started.attempt.clone(), started.digest);
--- a/crates/chestnutpick_streams/src/relay.rs
+++ b/crates/chestnutpick_streams/src/relay.rs
@@ -20,6 +20,8 @@
     pub failover_timeout: time::Millis,
     /// Maximum number of continuations after losses. Resumptions after parking do not count.
     pub max_continuations: u32,
+    /// Number of tokens requested. An attempt that sends more does not answer the request.
+    pub max_tokens: u64,
 }
 
 impl Default for Config {
@@ -29,6 +31,7 @@
             event_timeout: time::Millis::from_secs(5),
             failover_timeout: time::Millis::from_secs(5),
             max_continuations: 3,
+            max_tokens: u64::MAX,
         }
     }
 }
@@ -216,6 +219,13 @@
                 "token indexes are not consecutive",
             );
         }
+        if index >= self.config.max_tokens {
+            return self.end_attempt(
+                now,
+                error::ErrorKind::StreamBroken,
+                "more tokens than requested",
+            );
+        }
         if let Phase::Open { next, .. } = &mut self.phase {
             *next = Some(index + 1);
         }
--- a/crates/chestnutpick_streams/tests/endless_stream.rs
+++ b/crates/chestnutpick_streams/tests/endless_stream.rs
@@ -15,6 +15,9 @@
 /// Maximum number of pieces until a stream must have ended.
 const MAX_PIECES: u64 = 1_000;
 
+/// Number of tokens requested.
+const MAX_TOKENS: u64 = 8;
+
 struct Stream {
     relay: relay::Relay,
     parser: sse::Parser,
@@ -24,7 +27,7 @@
 impl Stream {
     /// Returns a stream whose first attempt has a matching head.
     fn new() -> Self {
-        let config = relay::Config::default();
+        let config = relay::Config { max_tokens: MAX_TOKENS, ..relay::Config::default() };
         let mut relay = relay::Relay::new(Millis(0), config, attempt(), weights());
         relay.on_head(Millis(0), &attempt(), &attempt(), weights());
         Self { relay, parser: sse::Parser::default(), now: Millis(0) }
@@ -131,6 +134,21 @@
     assert_eq!(stream.feed(&piece), [Action::Deliver { index: 0, text: "t".into() }]);
 }
 
+/// Guards against tokens without end: those beyond the requested ones reach no reader, and another endpoint ends the
+/// response.
+#[test]
+fn tokens_beyond_the_request_end_the_attempt() {
+    let mut stream = Stream::new();
+    let pieces: Vec<_> = (0..=MAX_TOKENS).map(token).collect();
+    let actions = stream.feed(&pieces.concat());
+    let delivered = actions.iter().filter(|action| matches!(action, Action::Deliver { .. }));
+    assert_eq!(delivered.count() as u64, MAX_TOKENS);
+    assert!(actions.ends_with(&continues(MAX_TOKENS)), "{:?}", actions.last());
+    assert!(stream.relay.resume(stream.now, attempt()));
+    stream.relay.on_head(stream.now, &attempt(), &attempt(), weights());
+    assert_eq!(stream.feed(&sse::Event::Done.encode()), [Action::Finish]);
+}
+
 /// Guards against bytes after the end of a response that change its outcome.
 #[rstest]
 #[case::tokens(token(1))]
