Pass on that an attempt ran when the engine's error response says so

What callers saw: "not run" (endpoint_full) for an attempt whose engine had answered with an error that states "ran" or "unknown". The agent also forgot the attempt, so that it would have been sent again under the same id.

Cause: every error response that did not say "not run" was taken for one that cannot be parsed, and that counts as a refusal before the attempt ran.

Change: the kind of the response is passed on, and endpoint_lost if its kind says "not run" and its field does not. The attempt counts as not sent only if the refusal says "not run".

--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -147,8 +147,11 @@
         return match node.bodies.read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await
         {
             Ok(reason) => {
-                running.end(attempt::Outcome::NotSent);
-                Err(engine_refusal(&reason))
+                let refusal = engine_refusal(&reason);
+                if refusal.kind.response().ran == error::Ran::NotRun {
+                    running.end(attempt::Outcome::NotSent);
+                }
+                Err(refusal)
             }
             // Without its end, the response does not show that the engine has refused the attempt.
             Err(reason) => Err(start_refusal(&node, headers.fingerprint, running, &reason)),
@@ -163,11 +166,17 @@
     Ok(relay(node, headers, running, response))
 }
 
-/// Returns the refusal for an engine's error response, which is sent before the engine runs anything.
+/// Returns the refusal for an engine's error response, which is sent before the engine runs anything unless it says
+/// otherwise.
 fn engine_refusal(body: &[u8]) -> error::Refusal {
     match serde_json::from_slice::<respond::ErrorBody>(body) {
-        Ok(body) if body.ran == error::Ran::NotRun => error::Refusal::new(body.error, body.message),
-        Ok(_) | Err(_) => {
+        Ok(body) => {
+            let contradicts =
+                body.ran != error::Ran::NotRun && body.error.response().ran == error::Ran::NotRun;
+            let kind = if contradicts { error::ErrorKind::EndpointLost } else { body.error };
+            error::Refusal::new(kind, body.message)
+        }
+        Err(_) => {
             let message = String::from_utf8_lossy(body).into_owned();
             error::Refusal::new(error::ErrorKind::EndpointFull, message)
         }
--- a/crates/chestnutpick_agent/tests/endless_engine.rs
+++ b/crates/chestnutpick_agent/tests/endless_engine.rs
@@ -64,6 +64,23 @@
     agent.until_idle().await;
 }
 
+/// Guards against reporting "not run" for an attempt of which the engine says that it ran or may have run.
+#[rstest]
+#[case::unknown(ErrorKind::EndpointLost, "unknown")]
+#[case::ran(ErrorKind::StreamBroken, "ran")]
+#[case::contradiction(ErrorKind::EndpointFull, "unknown")]
+#[actix_rt::test]
+async fn refusal_of_an_attempt_that_ran_says_so(#[case] kind: ErrorKind, #[case] ran: Ran) {
+    let body = format!(r#"{{"error":"{kind}","ran":"{ran}","message":"m"}}"#);
+    let head = format!("HTTP/1.1 502 X\r\ncontent-length: {}\r\n\r\n", body.len());
+    let (_peer, agent) = start(Answer::whole(&format!("{head}{body}"))).await;
+    let attempt = id::AttemptId::random();
+    let error = agent.generate(weights(), &attempt).await.error();
+    assert_eq!(error.ran, ran);
+    let error = agent.generate(weights(), &attempt).await.error();
+    assert_eq!((error.error, error.ran), (ErrorKind::OutcomeUnknown, Ran::Unknown));
+}
+
 /// Guards against an engine that works, and a connection to it that stays open, after the entry has closed a stream that
 /// never ends.
 #[rstest]
