Cut an engine's error message to 200 characters

What callers saw: an engine's error message of up to 1 MiB was passed on in the agent's refusal, in log lines and in the error event of a stream, which the entry's buffer accepts beyond its limits because it is expected to be small.

Evidence: long_refusal_is_cut failed with "921600 bytes".

Change: the agent cuts the message as the client does for other error responses.

--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -15,6 +15,9 @@
 use crate::node;
 use crate::settings;
 
+/// Maximum length of the part of an engine's message that is passed on, in characters.
+const MESSAGE_CHARS: usize = 200;
+
 /// Request body of a completion.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Completion {
@@ -174,15 +177,20 @@
             let contradicts =
                 body.ran != error::Ran::NotRun && body.error.response().ran == error::Ran::NotRun;
             let kind = if contradicts { error::ErrorKind::EndpointLost } else { body.error };
-            error::Refusal::new(kind, body.message)
+            error::Refusal::new(kind, cut(&body.message))
         }
         Err(_) => {
-            let message = String::from_utf8_lossy(body).into_owned();
+            let message = cut(&String::from_utf8_lossy(body));
             error::Refusal::new(error::ErrorKind::EndpointFull, message)
         }
     }
 }
 
+/// Returns the beginning of an engine's message.
+fn cut(message: &str) -> String {
+    message.chars().take(MESSAGE_CHARS).collect()
+}
+
 fn relay(
     node: rc::Rc<node::Node>,
     headers: Headers,
--- a/crates/chestnutpick_agent/tests/endless_engine.rs
+++ b/crates/chestnutpick_agent/tests/endless_engine.rs
@@ -21,6 +21,9 @@
 /// Pause between two pieces of an answer that arrives slowly, shorter than the time-out of the engine.
 const PAUSE: Duration = Duration::from_millis(30);
 
+/// Length of a long error message, in bytes, less than the limit on a body.
+const LONG: usize = 900 << 10;
+
 const CHUNK: &str = "8\r\nabcdefgh\r\n";
 const FAILED: &str = "HTTP/1.1 500 X\r\ntransfer-encoding: chunked\r\n\r\n";
 
@@ -64,6 +67,19 @@
     agent.until_idle().await;
 }
 
+/// Guards against passing on an engine's long error message, which would fill the memory for refusals at the entries.
+#[rstest]
+#[case::text("a".repeat(LONG))]
+#[case::json(format!(r#"{{"error":"endpoint_full","ran":"not_run","message":"{}"}}"#, "é".repeat(LONG / 2)))]
+#[actix_rt::test]
+async fn long_refusal_is_cut(#[case] body: String) {
+    let head = format!("HTTP/1.1 503 X\r\ncontent-length: {}\r\n\r\n", body.len());
+    let (_peer, agent) = start(Answer::whole(&format!("{head}{body}"))).await;
+    let error = agent.generate(weights(), &id::AttemptId::random()).await.error();
+    assert_eq!((error.error, error.ran), (ErrorKind::EndpointFull, Ran::NotRun));
+    assert!(error.message.len() <= 1_000, "{} bytes", error.message.len());
+}
+
 /// Guards against reporting "not run" for an attempt of which the engine says that it ran or may have run.
 #[rstest]
 #[case::unknown(ErrorKind::EndpointLost, "unknown")]
