Limit an event to 8 KiB, so that it fits into a response's buffer

What callers saw: a token of more than 24 KiB never reached the caller. The buffer did not accept it, the response was parked, resumed two seconds later, and parked again by the same token, without end and with a new attempt at an engine each time.

Cause: the parser accepted lines and events of 64 KiB, more than a response's buffer can hold. It also let each stream hold up to three times 64 KiB of an event that never ends, which no budget counts.

Evidence: longest_token_fits_into_the_buffer failed with "Some(Park { offset: 0 })".

Change: the limit is 8 KiB, which fits into the buffer below its high watermark; a longer event ends the attempt as a broken stream. Tokens have a few bytes.

--- a/crates/chestnutpick_streams/src/sse.rs
+++ b/crates/chestnutpick_streams/src/sse.rs
@@ -6,8 +6,9 @@
 use chestnutpick_types::error;
 use snafu::Snafu;
 
-/// Default limit on the length of a line and on the data of one event, in bytes.
-pub const MAX_LINE_BYTES: usize = 64 << 10;
+/// Default limit on the length of a line and on the data of one event, in bytes. With the default
+/// [`crate::buffer::Limits`], an event of this size fits into a response's buffer below its high watermark.
+pub const MAX_LINE_BYTES: usize = 8 << 10;
 
 /// Data of the event that ends a complete stream.
 const DONE: &str = "[DONE]";
--- a/crates/chestnutpick_streams/tests/endless_stream.rs
+++ b/crates/chestnutpick_streams/tests/endless_stream.rs
@@ -1,5 +1,6 @@
 //! Tests of a streamed response whose attempt sends bytes without end.
 
+use chestnutpick_streams::buffer;
 use chestnutpick_streams::relay;
 use chestnutpick_streams::relay::Action;
 use chestnutpick_streams::sse;
@@ -149,6 +150,20 @@
     assert_eq!(stream.feed(&sse::Event::Done.encode()), [Action::Finish]);
 }
 
+/// Guards against a response that is parked and resumed without end because a token does not fit into its buffer.
+#[test]
+fn longest_token_fits_into_the_buffer() {
+    let text = "a".repeat(sse::MAX_LINE_BYTES - "data: {\"index\":0,\"text\":\"\"}".len() - 1);
+    let mut stream = Stream::new();
+    let actions = stream.feed(&sse::Event::Token { index: 0, text: text.into() }.encode());
+    let [Action::Deliver { index, text }] = &actions[..] else { panic!("not accepted") };
+    let frame = sse::Event::Token { index: *index, text: text.clone() }.encode();
+    let limits = buffer::Limits::default();
+    let mut buffer = buffer::Buffer::new(Millis(0));
+    let step = buffer.push(Millis(0), &limits, 0, frame);
+    assert!(!matches!(step, Some(buffer::Step::Park { .. })), "{step:?}");
+}
+
 /// Guards against bytes after the end of a response that change its outcome.
 #[rstest]
 #[case::tokens(token(1))]
