--- a/crates/chestnutpick_agent/src/attempts.rs
+++ b/crates/chestnutpick_agent/src/attempts.rs
@@ -15,6 +15,9 @@
 use crate::node;
 use crate::settings;
 
+/// Maximum length of the part of an engine's message that is passed on, in characters.
+const MESSAGE_CHARS: usize = 200;
+
 /// Request body of a completion.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Completion {
@@ -86,12 +89,7 @@
     };
     match node.engine.generate(generate).await {
         Ok(response) => relay_or_refuse(node, headers, running, response).await,
-        Err(reason) => {
-            if !reason.is_not_sent() {
-                node.on_interrupted(headers.fingerprint);
-            }
-            Err(start_refusal(running, &reason))
-        }
+        Err(reason) => Err(start_refusal(&node, headers.fingerprint, running, &reason)),
     }
 }
 
@@ -119,7 +117,15 @@
     }
 }
 
-fn start_refusal(running: node::RunningAttempt, reason: &client::CallError) -> error::Refusal {
+fn start_refusal(
+    node: &node::Node,
+    fingerprint: digest::Digest,
+    running: node::RunningAttempt,
+    reason: &client::CallError,
+) -> error::Refusal {
+    if !reason.is_not_sent() {
+        node.on_interrupted(fingerprint);
+    }
     let (kind, outcome) = match reason {
         client::CallError::NotSent { .. } => {
             (error::ErrorKind::EndpointUnreachable, attempt::Outcome::NotSent)
@@ -140,9 +146,19 @@
     mut response: client::Response,
 ) -> Result<respond::Response, error::Refusal> {
     if response.status != 200 {
-        let reason = response.read(size::Bytes(settings::MAX_BODY)).await.unwrap_or_default();
-        running.end(attempt::Outcome::NotSent);
-        return Err(engine_refusal(&reason));
+        let timeout = time::Millis(node.settings.endpoint.progress_timeout_ms);
+        return match node.bodies.read(&mut response, size::Bytes(settings::MAX_BODY), timeout).await
+        {
+            Ok(reason) => {
+                let refusal = engine_refusal(&reason);
+                if refusal.kind.response().ran == error::Ran::NotRun {
+                    running.end(attempt::Outcome::NotSent);
+                }
+                Err(refusal)
+            }
+            // Without its end, the response does not show that the engine has refused the attempt.
+            Err(reason) => Err(start_refusal(&node, headers.fingerprint, running, &reason)),
+        };
     }
     let response_digest = response.header("x-weights-digest").and_then(|text| text.parse().ok());
     if response_digest != Some(headers.digest) {
@@ -153,17 +169,28 @@
     Ok(relay(node, headers, running, response))
 }
 
-/// Returns the refusal for an engine's error response, which is sent before the engine runs anything.
+/// Returns the refusal for an engine's error response, which is sent before the engine runs anything unless it says
+/// otherwise.
 fn engine_refusal(body: &[u8]) -> error::Refusal {
     match serde_json::from_slice::<respond::ErrorBody>(body) {
-        Ok(body) if body.ran == error::Ran::NotRun => error::Refusal::new(body.error, body.message),
-        Ok(_) | Err(_) => {
-            let message = String::from_utf8_lossy(body).into_owned();
+        Ok(body) => {
+            let contradicts =
+                body.ran != error::Ran::NotRun && body.error.response().ran == error::Ran::NotRun;
+            let kind = if contradicts { error::ErrorKind::EndpointLost } else { body.error };
+            error::Refusal::new(kind, cut(&body.message))
+        }
+        Err(_) => {
+            let message = cut(&String::from_utf8_lossy(body));
             error::Refusal::new(error::ErrorKind::EndpointFull, message)
         }
     }
 }
 
+/// Returns the beginning of an engine's message.
+fn cut(message: &str) -> String {
+    message.chars().take(MESSAGE_CHARS).collect()
+}
+
 fn relay(
     node: rc::Rc<node::Node>,
     headers: Headers,
--- a/crates/chestnutpick_entry/src/completions.rs
+++ b/crates/chestnutpick_entry/src/completions.rs
@@ -43,6 +43,9 @@
 /// Maximum number of attempts per request, including refused ones.
 const MAX_ATTEMPTS: usize = 8;
 
+/// Maximum size of an agent's refusal.
+const REFUSAL_LIMIT: size::Bytes = size::Bytes::from_mib(1);
+
 #[derive(Debug, Deserialize)]
 struct Body {
     prompt: sync::Arc<str>,
@@ -56,6 +59,8 @@
     pub body: Bytes,
     /// Digest of the body, which identifies the request across repeats.
     pub fingerprint: digest::Digest,
+    /// Number of tokens requested.
+    pub max_tokens: u64,
     /// Requirements on the endpoint.
     pub requirements: dispatch::Requirements,
     /// Number of attempts lost together with their endpoint.
@@ -140,7 +145,8 @@
         suspect,
         exclude: Vec::new(),
     };
-    Ok(Completion { body, fingerprint, requirements, lost_attempts: 0, attempts: 0 })
+    let max_tokens = parsed.max_tokens;
+    Ok(Completion { body, fingerprint, max_tokens, requirements, lost_attempts: 0, attempts: 0 })
 }
 
 /// Returns the caller's deadline, from the header `x-deadline-ms` or the default in the settings.
@@ -401,8 +407,11 @@
         .await
         .map_err(|reason| call_refusal(&reason))?;
     if response.header("x-attempt-id").is_none() {
-        let body =
-            response.read(size::Bytes(1 << 20)).await.map_err(|reason| call_refusal(&reason))?;
+        let body = node
+            .bodies
+            .read(&mut response, REFUSAL_LIMIT, timeout)
+            .await
+            .map_err(|reason| call_refusal(&reason))?;
         return Err(agent_refusal(response.status, &body));
     }
     if response.header("x-attempt-id") != Some(attempt.as_str()) {
--- a/crates/chestnutpick_entry/src/services.rs
+++ b/crates/chestnutpick_entry/src/services.rs
@@ -264,8 +264,9 @@
     let result = async {
         let mut response =
             completions::call_agent(node, placement.address, request, timeout, attempt).await?;
-        let body = response
-            .read(RESPONSE_LIMIT)
+        let body = node
+            .bodies
+            .read(&mut response, RESPONSE_LIMIT, timeout)
             .await
             .map_err(|reason| completions::call_refusal(&reason))?;
         let content_type =
