Start a transfer with the known peers while the store is silent

While the store does not respond, each try of a transfer began with up to 1.5 s in which the loader did nothing, out of 8 s for a version. Cause: collect awaited the list of peers before it requested the manifest, although it went on with the known peers if the list failed. Change: the list is read beside the tries, at once and then at the same interval as before, for as long as a version is missing. Only a host that knows no peers waits for the first list, because it would otherwise take itself for one that requests the manifest from the origin. Reading once per interval instead of once per try also spares the store when tries fail quickly.

--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -67,24 +67,43 @@
     D: directory::Directory,
     O: engine::Origin + 'static,
 {
-    /// Collects the chunks of the newest declared version. A transfer usually continues when a newer version is
-    /// declared because the older version is required before the newer one can reach all hosts.
+    /// Collects the chunks of declared versions, and keeps the list of peers up to date meanwhile.
     async fn collect_newest(&self) {
-        let mut tries = 0;
         loop {
-            // The staged chunks are known only once the engine reports; fetching earlier would transfer chunks
-            // needlessly.
-            let target_version =
-                self.node.target_version().filter(|_| self.node.report.borrow().is_some());
-            let missing =
-                target_version.filter(|version| !self.node.chunks.borrow().is_complete(version));
-            let Some(version) = missing else {
+            if self.missing_version().is_none() {
                 tokio::select! {
                     () = self.node.version_declared.notified() => {}
                     () = actix_rt::time::sleep(POLL_INTERVAL) => {}
                 }
                 continue;
-            };
+            }
+            // Only a host that knows no peers waits for the list: it would otherwise request the manifest from the
+            // origin, as would all others.
+            let mut delay = Duration::ZERO;
+            if self.node.peers.borrow().is_empty() {
+                self.refresh_peers().await;
+                delay = PEERS_INTERVAL;
+            }
+            tokio::select! {
+                () = self.collect_missing() => {}
+                () = self.follow_peers(delay) => {}
+            }
+        }
+    }
+
+    /// Returns the newest declared version if some of its chunks are missing.
+    fn missing_version(&self) -> Option<chunks::Version> {
+        // The staged chunks are known only once the engine reports; fetching earlier would transfer chunks needlessly.
+        let target_version =
+            self.node.target_version().filter(|_| self.node.report.borrow().is_some());
+        target_version.filter(|version| !self.node.chunks.borrow().is_complete(version))
+    }
+
+    /// Collects the chunks of the newest declared version until none is missing. A transfer usually continues when a
+    /// newer version is declared because the older version is required before the newer one can reach all hosts.
+    async fn collect_missing(&self) {
+        let mut tries = 0;
+        while let Some(version) = self.missing_version() {
             let start = self.node.now();
             let collected = tokio::select! {
                 collected = self.collect(&version, tries) => collected,
@@ -150,10 +169,6 @@
 
     /// Collects all chunks in memory: first those staged at the local engine, then those of peers and the origin.
     async fn collect(&self, version: &chunks::Version, tries: usize) -> Result<(), String> {
-        if let Err(reason) = watch::read_peers(&self.node, &self.store).await {
-            // The transfer can proceed with the known peers; only hosts that have joined since are missing.
-            event::Event::new("peers_stale").with("reason", reason).warn();
-        }
         let location = self.node.config.borrow().as_ref().and_then(|c| c.origin().cloned());
         let location = location.ok_or_else(|| "the configuration names no origin".to_owned())?;
         let sources = sources::Sources { node: &self.node, origin: &self.origin, location };
@@ -171,19 +186,22 @@
         if self.node.loaded().is_none_or(|loaded| loaded == *version) {
             self.collect_staged(version, &manifest).await;
         }
-        tokio::select! {
-            outcome = fetch::run(&sources, version) => outcome,
-            never = self.follow_peers() => never,
-        }
+        fetch::run(&sources, version).await
     }
 
-    /// Keeps the list of peers up to date during a transfer.
-    async fn follow_peers(&self) -> Result<(), String> {
+    /// Keeps the list of peers up to date, from `delay` on.
+    async fn follow_peers(&self, delay: Duration) {
+        actix_rt::time::sleep(delay).await;
         loop {
+            self.refresh_peers().await;
             actix_rt::time::sleep(PEERS_INTERVAL).await;
-            if let Err(reason) = watch::read_peers(&self.node, &self.store).await {
-                event::Event::new("peers_stale").with("reason", reason).debug();
-            }
+        }
+    }
+
+    async fn refresh_peers(&self) {
+        if let Err(reason) = watch::read_peers(&self.node, &self.store).await {
+            // The transfer can proceed with the known peers; only hosts that have joined since are missing.
+            event::Event::new("peers_stale").with("reason", reason).warn();
         }
     }
 
