Ask the next peer for a manifest while a silent one has not responded

A loader whose origin fails asks its peers for the manifest. Each silent peer held up all later ones for 400 ms, so seventeen of them took 6.8 s of the 8 s in which a version must be loaded. Cause: manifest_from_peers awaited each request before the next. Change: lookup::Lookup, a policy without I/O, asks the next peer when a request fails or 50 ms have passed. Peers that respond are still asked one by one. The first manifest ends all other requests.

--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -2,6 +2,7 @@
 //! to routers.
 
 pub mod chunks;
+pub mod lookup;
 pub mod run;
 pub mod schedule;
 pub mod subscribers;
--- a/crates/chestnutpick_loader/src/sources.rs
+++ b/crates/chestnutpick_loader/src/sources.rs
@@ -8,8 +8,10 @@
 use chestnutpick_fleet::{config, engine};
 use chestnutpick_types::{id, size, time};
 use chestnutpick_weights::transfer::Failure;
+use futures::stream::{self, StreamExt};
 
 use crate::chunks;
+use crate::lookup;
 use crate::node;
 use crate::schedule;
 use crate::serve;
@@ -94,14 +96,35 @@
         peers: Vec<net::IpAddr>,
         reason: String,
     ) -> Result<engine::Manifest, String> {
-        for ip in peers {
-            let path = serve::path(version, "manifest");
-            let Ok(Some(bytes)) = query_peer(self.node, ip, path).await else { continue };
-            if let Some(manifest) = engine::Manifest::from_bytes(&bytes) {
-                return Ok(manifest);
+        let mut lookup = lookup::Lookup::new(peers);
+        let mut requests = stream::FuturesUnordered::new();
+        loop {
+            let wait = match lookup.step(self.node.now()) {
+                lookup::Step::Request(ip) => {
+                    requests.push(self.manifest_from_peer(version, ip));
+                    continue;
+                }
+                lookup::Step::Wait(wait) => wait,
+                lookup::Step::Exhausted => return Err(reason),
+            };
+            tokio::select! {
+                Some(found) = requests.next() => match found {
+                    Some(manifest) => return Ok(manifest),
+                    None => lookup.on_failed(self.node.now()),
+                },
+                () = actix_rt::time::sleep(wait.to_duration()) => {}
             }
         }
-        Err(reason)
+    }
+
+    /// Requests the manifest from a peer. Returns `None` if the peer does not have it or does not respond.
+    async fn manifest_from_peer(
+        &self,
+        version: &chunks::Version,
+        ip: net::IpAddr,
+    ) -> Option<engine::Manifest> {
+        let response = query_peer(self.node, ip, serve::path(version, "manifest")).await;
+        engine::Manifest::from_bytes(&response.ok()??)
     }
 
     /// Returns the region of the origin.
