Replace silent hosts that request the manifest, instead of all asking the origin

If the two hosts of a region that request the manifest from the origin are dead, the others wait for them in four tries and then all request it from the origin together, through the link between regions. Cause: after four failed tries any host took itself for one that asks the origin, whatever the reason of the failures. Change: a peer that does not respond to a request for a manifest is left out of the order for 3 s, so the next hosts of the order take its place at the next try. If the hosts respond and have no manifest, their number doubles after every fourth failed try, so that hosts that cannot reach the origin, or wait for it, no longer turn the whole region to it at once.

--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -58,6 +58,8 @@
     pub(crate) chunks: cell::RefCell<chunks::Chunks>,
     /// Hosts that run engines of the same service.
     pub(crate) peers: cell::RefCell<Vec<Peer>>,
+    /// Peers that did not respond to a request for a manifest, and the time until which others take their place.
+    pub(crate) unresponsive: cell::RefCell<collections::BTreeMap<net::IpAddr, time::Millis>>,
     /// Notified when a new version is declared.
     pub(crate) version_declared: Notify,
     /// Notified when routers must learn of a changed load immediately.
@@ -88,6 +90,7 @@
             upload_free_at: cell::Cell::default(),
             chunks: cell::RefCell::default(),
             peers: cell::RefCell::default(),
+            unresponsive: cell::RefCell::default(),
             version_declared: Notify::new(),
             load_changed: Notify::new(),
         }
--- a/crates/chestnutpick_loader/src/sources.rs
+++ b/crates/chestnutpick_loader/src/sources.rs
@@ -26,8 +26,11 @@
 /// Number of hosts per region that request a manifest from the origin.
 const ORIGIN_HOSTS: usize = 2;
 
-/// Failed tries after which any host requests the manifest from the origin.
-const MAX_PEER_TRIES: usize = 4;
+/// Failed tries after which twice as many hosts request the manifest from the origin.
+const WIDENING_TRIES: usize = 4;
+
+/// Time for which another host takes the place of one that did not respond to a request for a manifest.
+const REPLACEMENT_PERIOD: time::Millis = time::Millis(3_000);
 
 /// Maximum size of a manifest, a bitmap or a chunk from a peer.
 const RESPONSE_LIMIT: size::Bytes = size::Bytes::from_mib(1);
@@ -49,14 +52,14 @@
 {
     /// Returns the manifest of a version, from the origin or from a peer. The origin accepts few connections and resets
     /// those of a whole deployment that starts at the same time. Therefore the first hosts of each region ask the
-    /// origin, and the others ask these hosts until [`MAX_PEER_TRIES`] tries have failed.
+    /// origin, and the others ask these hosts. A host that does not respond is replaced by the next one.
     pub(crate) async fn manifest(
         &self,
         version: &chunks::Version,
         tries: usize,
     ) -> Result<engine::Manifest, String> {
-        let (first, own) = self.first_hosts(version);
-        if !own && tries < MAX_PEER_TRIES {
+        let (first, own) = self.first_hosts(version, tries);
+        if !own {
             return self
                 .manifest_from_peers(version, first, "no peer has the manifest yet".to_owned())
                 .await;
@@ -75,16 +78,22 @@
     }
 
     /// Returns the hosts of this region that ask the origin for the manifest, and whether this host is one of them.
-    fn first_hosts(&self, version: &chunks::Version) -> (Vec<net::IpAddr>, bool) {
+    /// There are more of them after many failed tries, as the first ones may respond but not reach the origin.
+    fn first_hosts(&self, version: &chunks::Version, tries: usize) -> (Vec<net::IpAddr>, bool) {
+        let now = self.node.now();
+        let mut unresponsive = self.node.unresponsive.borrow_mut();
+        unresponsive.retain(|_, until| *until > now);
         let peers = self.node.peers.borrow();
         let region = &self.node.member.region;
         let others = peers.iter().filter(|peer| peer.member.region == *region);
-        let mut hosts: Vec<_> = others.map(|peer| (&peer.member.host, peer.ip)).collect();
+        let responsive = others.filter(|peer| !unresponsive.contains_key(&peer.ip));
+        let mut hosts: Vec<_> = responsive.map(|peer| (&peer.member.host, peer.ip)).collect();
         if !hosts.iter().any(|(_, ip)| *ip == self.node.host.ip) {
             hosts.push((&self.node.member.host, self.node.host.ip));
         }
         hosts.sort_by_key(|(host, _)| schedule::order_key(host, version.1));
-        let first: Vec<_> = hosts.into_iter().take(ORIGIN_HOSTS).map(|(_, ip)| ip).collect();
+        let count = ORIGIN_HOSTS.saturating_mul(1 << (tries / WIDENING_TRIES).min(16));
+        let first: Vec<_> = hosts.into_iter().take(count).map(|(_, ip)| ip).collect();
         let own = first.contains(&self.node.host.ip);
         (first, own)
     }
@@ -123,8 +132,14 @@
         version: &chunks::Version,
         ip: net::IpAddr,
     ) -> Option<engine::Manifest> {
-        let response = query_peer(self.node, ip, serve::path(version, "manifest")).await;
-        engine::Manifest::from_bytes(&response.ok()??)
+        match query_peer(self.node, ip, serve::path(version, "manifest")).await {
+            Ok(response) => engine::Manifest::from_bytes(&response?),
+            Err(_) => {
+                let until = self.node.now() + REPLACEMENT_PERIOD;
+                self.node.unresponsive.borrow_mut().insert(ip, until);
+                None
+            }
+        }
     }
 
     /// Returns the region of the origin.
