Do not give up a page of the store that makes slow progress

Cause: all routers and loaders of a region list the store through one link of 26 Mbit/s. Each gets a forty-third of it, a pause of a second within a body is usual then ("no piece of the body within 1000ms"), and each gives up, throws away what has arrived and starts again.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -332,6 +332,34 @@
         response
     }
 
+    /// Returns the response with another time-out for each piece of its body than that of the call.
+    ///
+    /// ```
+    /// use std::io::{Read, Write};
+    ///
+    /// use chestnutpick_client::client;
+    /// use chestnutpick_types::{size, time};
+    ///
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let address = listener.local_addr().unwrap();
+    /// std::thread::spawn(move || {
+    ///     let (mut connection, _) = listener.accept().unwrap();
+    ///     connection.read(&mut [0; 1024]).unwrap();
+    ///     connection.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").unwrap();
+    /// });
+    /// actix_rt::System::new().block_on(async {
+    ///     let (request, timeout) = (client::Request::new("GET", "/"), time::Millis(5_000));
+    ///     let response = client::Client::new().call(address, request, timeout).await.unwrap();
+    ///     let mut response = response.with_body_timeout(time::Millis(10_000));
+    ///     assert_eq!(response.read(size::Bytes(10)).await.unwrap(), "ok");
+    /// });
+    /// ```
+    #[must_use]
+    pub fn with_body_timeout(mut self, timeout: Millis) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
     /// Returns the peer's address.
     pub fn address(&self) -> net::SocketAddr {
         self.share.peer()
