--- a/crates/chestnutpick_client/src/engine.rs
+++ b/crates/chestnutpick_client/src/engine.rs
@@ -117,8 +117,9 @@
 }
 
 impl HttpEngine {
-    /// Returns a client of the engine at `address`. `timeout` limits the wait for the head of each response; a
-    /// status may take ten times as long in all. Load orders have a separate time-out of 300 s, which [`HttpEngine::with_load_timeout`] replaces.
+    /// Returns a client of the engine at `address`. `timeout` limits the wait for the head of each response; a status may
+    /// take ten times as long in all. Load orders have a separate time-out of 300 s, which
+    /// [`HttpEngine::with_load_timeout`] replaces.
     ///
     /// ```
     /// use chestnutpick_client::{client, engine};
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,7 +1,7 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`events`], [`readers`], [`routers`], [`view`], [`window`]) take the current time as an argument and do
-//! no I/O; the other modules connect them to sockets and clocks.
+//! The policies ([`choice`], [`events`], [`readers`], [`routers`], [`view`], [`window`]) take the current time as an
+//! argument and do no I/O; the other modules connect them to sockets and clocks.
 
 pub mod choice;
 pub mod events;
