--- a/crates/chestnutpick_fleet/src/declared.rs
+++ b/crates/chestnutpick_fleet/src/declared.rs
@@ -38,12 +38,15 @@
         newest
     }
 
-    /// Updates the time of a version with the time at which another process learned of it.
-    pub fn on_learned_elsewhere(&mut self, version: u64, elsewhere_at: time::Millis) {
-        if let Some(learned_at) = self.learned_at.get_mut(&version) {
-            *learned_at =
-                Some(learned_at.map_or(elsewhere_at, |current| current.min(elsewhere_at)));
+    /// Updates the time of a version with the time at which another process learned of it. Returns whether that is
+    /// earlier than known before.
+    pub fn on_learned_elsewhere(&mut self, version: u64, elsewhere_at: time::Millis) -> bool {
+        let Some(learned_at) = self.learned_at.get_mut(&version) else { return false };
+        let is_earlier = learned_at.is_none_or(|current| elsewhere_at < current);
+        if is_earlier {
+            *learned_at = Some(elsewhere_at);
         }
+        is_earlier
     }
 
     /// Records a version that another process reports as required.
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -184,16 +184,16 @@
         Some(schedule::resume_deadline(learned_at, self.bounds.get().version_cutoff()))
     }
 
-    /// Records the time at which another process learned of a version.
+    /// Records the time at which another process learned of a version. Returns whether it is earlier than known before.
     pub(crate) fn on_learned_elsewhere(
         &self,
         model: &id::ModelId,
         version: u64,
         learned_at: time::Millis,
-    ) {
-        if let Some(declared) = self.declared.borrow_mut().get_mut(model) {
-            declared.on_learned_elsewhere(version, learned_at);
-        }
+    ) -> bool {
+        let mut declared = self.declared.borrow_mut();
+        let declared = declared.get_mut(model);
+        declared.is_some_and(|declared| declared.on_learned_elsewhere(version, learned_at))
     }
 
     /// Returns the time at which a version was learned of, if known.
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -177,10 +177,28 @@
             return;
         };
         let learned_at = subscribe.age.map(|age| now.since(time::Millis(u64::from(age))));
-        if subscribe.version > version {
-            self.node.declare(model, subscribe.version, learned_at);
-        } else if let Some(learned_at) = learned_at {
-            self.node.on_learned_elsewhere(&model, subscribe.version, learned_at);
+        let is_news = if subscribe.version > version {
+            self.node.declare(model, subscribe.version, learned_at)
+        } else {
+            learned_at.is_some_and(|learned_at| {
+                self.node.on_learned_elsewhere(&model, subscribe.version, learned_at)
+            })
+        };
+        if is_news {
+            log_version(
+                from,
+                subscribe.version,
+                learned_at.map(|learned_at| now.since(learned_at)),
+            );
         }
     }
 }
+
+/// Logs a version or an earlier time of its declaration, as learned from a router.
+fn log_version(from: net::SocketAddr, version: u64, age: Option<time::Millis>) {
+    event::Event::new("version_age_learned")
+        .with("version", version)
+        .with("age", age.map_or_else(|| "unknown".to_owned(), |age| age.to_string()))
+        .with("from", from.ip())
+        .info();
+}
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -91,6 +91,10 @@
     pub occupied: u32,
     /// Age of the endpoint's last load report, if there is one.
     pub load_age: Option<time::Millis>,
+    /// Version of the weights at the endpoint according to this router's view.
+    pub weights: Option<u64>,
+    /// Oldest version on which the request may start.
+    pub required: Option<u64>,
 }
 
 /// Reason why no endpoint was chosen, in ascending order of precedence: if the endpoints are excluded for different
@@ -211,6 +215,8 @@
         expected: time::Millis(best.expected as u64),
         occupied: occupied(now, view, endpoint_view),
         load_age: endpoint_view.load_received_at.map(|at| now.since(at)),
+        weights: endpoint_view.weights(now),
+        required,
     })
 }
 
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -103,12 +103,30 @@
 
 fn on_load<C>(node: &node::Node<C>, ip: net::IpAddr, load: &load::Load) {
     let (mut view, now) = (node.view.borrow_mut(), node.now());
+    let before = view.newest_declared(now);
     view.on_load_report(now, ip, load);
+    log_age(before, view.newest_declared(now), ip);
     if view.awaits_announcement(now) {
         node.announcement_awaited.notify_one();
     }
 }
 
+/// Logs the age of the newest declared version if a loader has reported a greater age than was known before.
+fn log_age(
+    before: (u64, Option<time::Millis>),
+    after: (u64, Option<time::Millis>),
+    from: net::IpAddr,
+) {
+    let (version, Some(age)) = after else { return };
+    if before != after {
+        event::Event::new("version_age_learned")
+            .with("version", version)
+            .with("age", age)
+            .with("from", from)
+            .info();
+    }
+}
+
 /// Sends a message about a crash suspect to all other routers, through a few loaders.
 pub(crate) fn broadcast<C>(node: &node::Node<C>, message: &load::FromRouter) {
     let Some(socket) = node.socket.get() else { return };
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -82,13 +82,24 @@
         .with("deadline_ms", call.head.deadline.map_or(0, |deadline| deadline.0))
         .with("ms", took.0);
     if let Some(chosen) = &tries.chosen {
-        let age = chosen.load_age.map_or_else(|| "none".to_owned(), |age| age.0.to_string());
         event = event
             .with("config", tries.config)
             .with("zone", &chosen.endpoint.zone)
             .with("expected_ms", chosen.expected.0)
             .with("occupied", chosen.occupied)
-            .with("load_age_ms", age);
+            .with("load_age_ms", or_none(chosen.load_age.map(|age| age.0)));
+        if let Some(weights) = chosen.weights {
+            let (declared, age) = node.view.borrow().newest_declared(node.now());
+            event = event
+                .with("weights", weights)
+                .with("required", or_none(chosen.required))
+                .with("declared", declared)
+                .with("declared_age_ms", or_none(age.map(|age| age.0)));
+        }
     }
     event.info();
 }
+
+fn or_none(number: Option<u64>) -> String {
+    number.map_or_else(|| "none".to_owned(), |number| number.to_string())
+}
--- a/crates/chestnutpick_router/src/read.rs
+++ b/crates/chestnutpick_router/src/read.rs
@@ -76,6 +76,8 @@
             directory::Change::Declared(model, version) => event::Event::new("version_declared")
                 .with("model", model)
                 .with("version", version)
+                .with("source", self.source())
+                .with("age", node.now().since(self.response.confirmed_at))
                 .info(),
             directory::Change::Unreadable { key, reason, .. } => {
                 event::Event::new("item_unreadable").with("key", key).with("reason", reason).warn();
