--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -8,6 +8,10 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, rate, time};
 
+/// Reading of a process's clock at its start. Ages that other processes report are subtracted from the current reading,
+/// so ages up to this one are exact in a process that has just started. It far exceeds the users' bounds.
+pub const CLOCK_START: time::Millis = time::Millis::from_secs(3_600);
+
 /// A process's own host and the addresses it uses.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Host {
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -79,7 +79,7 @@
             bounds: cell::Cell::new(host.bounds),
             host,
             member,
-            clock: time::Clock::start(),
+            clock: time::Clock::start_at(host::CLOCK_START),
             client,
             engine,
             config: cell::RefCell::default(),
@@ -126,13 +126,14 @@
         newest
     }
 
-    /// Returns the earliest time at which the engine may load a version.
+    /// Returns the earliest time at which the engine may load a version. The age of a version that is unknown counts from
+    /// the start of this process.
     pub(crate) fn load_time(&self, version: &chunks::Version) -> time::Millis {
         let hosts: Vec<id::HostId> =
             self.peers.borrow().iter().map(|peer| peer.member.host.clone()).collect();
         let bound = self.bounds.get().version;
         let delay = schedule::delay(bound, version.1, &hosts, &self.member.host);
-        self.learned_at(version).unwrap_or_default() + delay
+        self.learned_at(version).unwrap_or(host::CLOCK_START) + delay
     }
 
     /// Returns the time at which the engine will load the next declared version, if it serves an older one.
@@ -231,7 +232,7 @@
             "process": "chestnutpick-loader",
             "host": self.host.name,
             "zone": self.host.zone,
-            "uptime_ms": self.now(),
+            "uptime_ms": self.clock.uptime(),
             "wanted": target_version,
             "loaded": self.loaded(),
             "loading": self.loading.get(),
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -135,7 +135,7 @@
             version: report.loaded.as_ref().map_or(0, |(_, version)| *version),
             loading_weights: self.node.loading.get() || report.busy,
             weights_load_in: self.node.next_load().map(|at| millis(at.since(now))),
-            routers: self.subscribers.routers(now),
+            routers: self.subscribers.routers(self.node.clock.uptime()),
             declared: newest.unwrap_or(0),
             age: learned_at.map(|learned_at| millis(now.since(learned_at))),
             required: declared.and_then(|declared| declared.due(now, cutoff)).unwrap_or(0),
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -20,6 +20,7 @@
 use crate::forward;
 use crate::loads;
 use crate::relay;
+use crate::routers;
 use crate::view;
 
 /// Time-out for connecting to an endpoint. Healthy hosts accept within milliseconds. A host that takes longer is
@@ -81,11 +82,13 @@
         let mut rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(seed(&host.name));
         let mut view = view::View::default();
         view.salt = rng.next_u64();
+        let clock = time::Clock::start_at(host::CLOCK_START);
+        view.routers = routers::Estimate::new(clock.now());
         Self {
             bounds: cell::Cell::new(host.bounds),
             host,
             codec,
-            clock: time::Clock::start(),
+            clock,
             view: cell::RefCell::new(view),
             budgets: cell::RefCell::default(),
             losses: cell::RefCell::default(),
@@ -215,7 +218,7 @@
             "process": "chestnutpick-router",
             "host": self.host.name,
             "zone": self.host.zone,
-            "uptime_ms": now,
+            "uptime_ms": self.clock.uptime(),
             "leaving": self.leaving.get(),
             "in_flight": self.in_flight(),
             "config_version": view.config.as_ref().map(|config| config.version),
--- a/crates/chestnutpick_router/src/routers.rs
+++ b/crates/chestnutpick_router/src/routers.rs
@@ -40,16 +40,22 @@
 
 impl Default for Estimate {
     fn default() -> Self {
-        Self {
-            current: 0,
-            previous: DEFAULT_COUNT,
-            window_start: time::Millis::ZERO,
-            updated_at: None,
-        }
+        Self::new(time::Millis::ZERO)
     }
 }
 
 impl Estimate {
+    /// Returns the estimate of a router that starts at `now`.
+    ///
+    /// ```
+    /// use chestnutpick_router::routers;
+    /// use chestnutpick_types::time::Millis;
+    /// assert!(!routers::Estimate::new(Millis(5_000)).is_silent(Millis(5_000)));
+    /// ```
+    pub const fn new(now: time::Millis) -> Self {
+        Self { current: 0, previous: DEFAULT_COUNT, window_start: now, updated_at: None }
+    }
+
     /// Applies a reported number; 0 means that the loader does not know it.
     pub fn on_count(&mut self, now: time::Millis, count: u32) {
         if count == 0 {
@@ -89,7 +95,7 @@
 
     /// Returns whether no loader has reported a number for several seconds.
     pub fn is_silent(&self, now: time::Millis) -> bool {
-        now.since(self.updated_at.unwrap_or_default()) >= SILENCE_TIMEOUT
+        now.since(self.updated_at.unwrap_or(self.window_start)) >= SILENCE_TIMEOUT
     }
 
     fn is_stale(&self, now: time::Millis) -> bool {
--- a/crates/chestnutpick_types/src/time.rs
+++ b/crates/chestnutpick_types/src/time.rs
@@ -102,11 +102,14 @@
     }
 }
 
-/// Monotonic clock that starts at zero when it is created. It also advances while the machine is suspended, so that
-/// cached information ages during a suspension too.
+/// Monotonic clock of a process. It also advances while the machine is suspended, so that cached information ages during
+/// a suspension too.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
+    /// Boot time at which the clock was started.
     start: time::Duration,
+    /// Reading of the clock at its start.
+    first: Millis,
 }
 
 fn boot_time() -> time::Duration {
@@ -127,16 +130,39 @@
     /// assert!(clock.now() <= clock.now());
     /// ```
     pub fn start() -> Self {
-        Self { start: boot_time() }
+        Self::start_at(Millis::ZERO)
     }
 
-    /// Returns the time since the clock was started.
+    /// Returns a clock that reads `first` at its start. Points in time up to `first` before the start, which other
+    /// processes may report, can be expressed on it.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// let clock = time::Clock::start_at(time::Millis::from_secs(60));
+    /// assert!(clock.now().since(time::Millis::from_secs(5)) >= time::Millis::from_secs(55));
+    /// ```
+    pub fn start_at(first: Millis) -> Self {
+        Self { start: boot_time(), first }
+    }
+
+    /// Returns the current reading of the clock.
     ///
     /// ```
     /// use chestnutpick_types::time;
     /// assert!(time::Clock::start().now() < time::Millis::from_secs(60));
     /// ```
     pub fn now(&self) -> Millis {
+        self.first + self.uptime()
+    }
+
+    /// Returns the time since the clock was started.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// let clock = time::Clock::start_at(time::Millis::from_secs(60));
+    /// assert!(clock.uptime() < time::Millis::from_secs(60));
+    /// ```
+    pub fn uptime(&self) -> Millis {
         let elapsed = boot_time().saturating_sub(self.start);
         Millis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
