--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -84,6 +84,8 @@
     pub(crate) chosen: Option<choice::Chosen>,
     /// Version of the configuration under which the request was last sent.
     pub(crate) config: u64,
+    /// Version of the weights that served the request, as its endpoint reports.
+    pub(crate) weights: Option<u64>,
 }
 
 /// Forwards a request and returns the response for the caller.
@@ -266,6 +268,7 @@
         Ok(response) => match check(node, call, endpoint, &response) {
             Ok(head) => {
                 slot.on_response_started();
+                tries.weights = head.version;
                 return Ok(Opened { response, head, endpoint: endpoint.id.clone(), _slot: slot });
             }
             Err(failed) => failed,
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -92,6 +92,7 @@
             let (declared, age) = node.view.borrow().newest_declared(node.now());
             event = event
                 .with("weights", weights)
+                .with("served_by", or_none(tries.weights))
                 .with("required", or_none(chosen.required))
                 .with("declared", declared)
                 .with("declared_age_ms", or_none(age.map(|age| age.0)));
