--- a/crates/chestnutpick_fleet/src/declared.rs
+++ b/crates/chestnutpick_fleet/src/declared.rs
@@ -69,6 +69,23 @@
         self.learned_at.get(&version).copied().flatten()
     }
 
+    /// Returns when `version` becomes outdated, `bound` after the first newer version was learned of. Returns `None` if no
+    /// newer version is known, or none whose age is.
+    ///
+    /// ```
+    /// use chestnutpick_fleet::declared;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut declared = declared::Declarations::default();
+    /// declared.declare(2, Some(Millis(0)));
+    /// declared.declare(3, Some(Millis(3_000)));
+    /// assert_eq!(declared.outdated_at(1, Millis(8_000)), Some(Millis(8_000)));
+    /// assert_eq!(declared.outdated_at(3, Millis(8_000)), None);
+    /// ```
+    pub fn outdated_at(&self, version: u64, bound: time::Millis) -> Option<time::Millis> {
+        let learned = self.after(version).filter_map(|newer| self.learned_at(newer));
+        learned.min().map(|learned_at| learned_at + bound)
+    }
+
     /// Returns the newest version that was learned of at least `age` ago.
     ///
     /// A newer declaration does not delay the time at which an older version becomes due.
--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -74,9 +74,13 @@
 }
 
 /// Percentage of the version bound after which requests go only to endpoints with the declared version. The
-/// rest covers the wait in an endpoint's queue and the delay until a process learns of the declaration.
+/// rest covers the usual wait in an endpoint's queue and the delay until a process learns of the declaration.
 const VERSION_CUTOFF_PERCENT: u64 = 84;
 
+/// Part of the version bound that is reserved for the delay until the first process learns of a declaration, and for the
+/// transit time of a cancelled request's end.
+const VERSION_MARGIN: time::Millis = time::Millis(250);
+
 /// Percentage of the drain bound that passes between two calls to the store. The rest covers a slow response, readers
 /// that do not respond, and the transit time of the last request.
 const STORE_INTERVAL_PERCENT: u64 = 35;
@@ -115,6 +119,22 @@
     pub fn version_cutoff(&self) -> time::Millis {
         time::Millis(self.version.0 * VERSION_CUTOFF_PERCENT / 100)
     }
+
+    /// Returns the age of a declared version at which requests that have not begun at an endpoint with an older version
+    /// are cancelled.
+    ///
+    /// ```
+    /// # use chestnutpick_fleet::host;
+    /// # use chestnutpick_types::time::Millis;
+    /// # let (grace, drain, revocation, version) = (Millis(1), Millis(1), Millis(1), Millis(8_000));
+    /// # let bounds = host::Bounds {
+    /// #     grace, drain, revocation, version, cold_factor: 1.5, retry_slack: 104,
+    /// # };
+    /// assert!(bounds.version_cutoff() < bounds.version_limit());
+    /// ```
+    pub fn version_limit(&self) -> time::Millis {
+        self.version.since(VERSION_MARGIN)
+    }
 }
 
 /// Applies reloaded bounds. If the reload failed, the current bounds stay in force.
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use chestnutpick_fleet::{config, endpoint, host};
+use chestnutpick_fleet::{config, declared, endpoint, host};
 use chestnutpick_types::{id, time};
 use rand_core::Rng;
 
@@ -95,6 +95,9 @@
     pub weights: Option<u64>,
     /// Oldest version on which the request may start.
     pub required: Option<u64>,
+    /// Time by which the request must begin at the endpoint, before the endpoint's version is outdated. `None` if no newer
+    /// version is known.
+    pub begin_by: Option<time::Millis>,
 }
 
 /// Reason why no endpoint was chosen, in ascending order of precedence: if the endpoints are excluded for different
@@ -217,6 +220,7 @@
         load_age: endpoint_view.load_received_at.map(|at| now.since(at)),
         weights: endpoint_view.weights(now),
         required,
+        begin_by: begin_by(now, view, context, request, endpoint_view),
     })
 }
 
@@ -262,6 +266,15 @@
     f64::from(rng.next_u32()) / f64::from(u32::MAX)
 }
 
+/// Returns the declared versions of the model that serves the request.
+fn declarations<'a>(
+    view: &'a view::View,
+    request: &Request<'_>,
+) -> Option<&'a declared::Declarations> {
+    let engine = request.service.engine.as_ref()?;
+    engine.models.iter().find_map(|model| view.declared.get(model))
+}
+
 /// Returns the oldest version of the weights on which the request may start.
 fn required_version(
     now: time::Millis,
@@ -269,9 +282,18 @@
     context: &Context<'_>,
     request: &Request<'_>,
 ) -> Option<u64> {
-    let engine = request.service.engine.as_ref()?;
-    let declared = engine.models.iter().find_map(|model| view.declared.get(model))?;
-    declared.required(now, context.bounds.version_cutoff())
+    declarations(view, request)?.required(now, context.bounds.version_cutoff())
+}
+
+fn begin_by(
+    now: time::Millis,
+    view: &view::View,
+    context: &Context<'_>,
+    request: &Request<'_>,
+    endpoint_view: &view::EndpointView,
+) -> Option<time::Millis> {
+    let version = endpoint_view.weights(now)?;
+    declarations(view, request)?.outdated_at(version, context.bounds.version_limit())
 }
 
 fn is_permitted(
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -263,7 +263,10 @@
     tries.config = placement.terms.version;
     let slot = node::Slot::new(node, &endpoint.id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
-    let outcome = node.client.call(endpoint.address, request, time_left).await;
+    let outcome = node
+        .client
+        .call(endpoint.address, request, begin_timeout(node, call, placement, time_left))
+        .await;
     let failed = match outcome {
         Ok(response) => match check(node, call, endpoint, &response) {
             Ok(head) => {
@@ -279,6 +282,20 @@
     Err(failed)
 }
 
+/// Returns the time within which a request must begin at its endpoint. Engines respond when they begin. A request that
+/// can be sent elsewhere is cancelled before its engine's version is outdated; another one ends as lost in that case.
+fn begin_timeout<C>(
+    node: &node::Node<C>,
+    call: &handle::Call,
+    placement: &Placement,
+    time_left: time::Millis,
+) -> time::Millis {
+    match placement.chosen.begin_by {
+        Some(begin_by) => time_left.min(begin_by.since(node.now())),
+        None => time_left,
+    }
+}
+
 fn call_failed(reason: &client::CallError) -> Failed {
     match reason {
         client::CallError::NotSent { .. } => {
--- a/crates/chestnutpick_router/tests/choice.rs
+++ b/crates/chestnutpick_router/tests/choice.rs
@@ -141,3 +141,22 @@
     let none = common::choose_for_stream(&view, Millis(10), 2).unwrap_err();
     assert_eq!(none.reason, choice::Reason::NoVersion);
 }
+
+/// Guards against a request that waits at an engine beyond the bound of the first newer version, after a second one was
+/// declared.
+#[rstest]
+#[case::oldest(1, Some(1_000))]
+#[case::older(2, Some(4_000))]
+#[case::newest(3, None)]
+fn request_must_begin_before_the_engine_is_outdated(
+    #[case] version: u64,
+    #[case] declared_at: Option<u64>,
+) {
+    let mut view = common::view(1);
+    view.apply(Millis(1_000), common::declared(2));
+    view.apply(Millis(4_000), common::declared(3));
+    set_load(&mut view, 1, load::Load { version, ..common::load(0) });
+    let chosen = common::choose(&view, Millis(1_150), TARGET, 1).unwrap();
+    let limit = common::bounds().version_limit();
+    assert_eq!(chosen.begin_by, declared_at.map(|declared_at| Millis(declared_at) + limit));
+}
