--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -84,6 +84,8 @@
     pub(crate) chosen: Option<choice::Chosen>,
     /// Version of the configuration under which the request was last sent.
     pub(crate) config: u64,
+    /// Version of the weights that served the request, as its endpoint reports.
+    pub(crate) weights: Option<u64>,
 }
 
 /// Forwards a request and returns the response for the caller.
@@ -261,11 +263,15 @@
     tries.config = placement.terms.version;
     let slot = node::Slot::new(node, &endpoint.id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
-    let outcome = node.client.call(endpoint.address, request, time_left).await;
+    let outcome = node
+        .client
+        .call(endpoint.address, request, begin_timeout(node, call, placement, time_left))
+        .await;
     let failed = match outcome {
         Ok(response) => match check(node, call, endpoint, &response) {
             Ok(head) => {
                 slot.on_response_started();
+                tries.weights = head.version;
                 return Ok(Opened { response, head, endpoint: endpoint.id.clone(), _slot: slot });
             }
             Err(failed) => failed,
@@ -276,6 +282,20 @@
     Err(failed)
 }
 
+/// Returns the time within which a request must begin at its endpoint. Engines respond when they begin. A request that
+/// can be sent elsewhere is cancelled before its engine's version is outdated; another one ends as lost in that case.
+fn begin_timeout<C>(
+    node: &node::Node<C>,
+    call: &handle::Call,
+    placement: &Placement,
+    time_left: time::Millis,
+) -> time::Millis {
+    match placement.chosen.begin_by {
+        Some(begin_by) => time_left.min(begin_by.since(node.now())),
+        None => time_left,
+    }
+}
+
 fn call_failed(reason: &client::CallError) -> Failed {
     match reason {
         client::CallError::NotSent { .. } => {
