Suspect parts of prompts that crash engines, and refuse only these

Callers saw engine after engine crash, and lost all streams in flight there, as long as requests came that shared one part of their prompt: no two of them were alike, so the fingerprint of the whole request never had a second crash.

Cause: only the whole request could become a suspect. Now each part of a prompt that other requests share is a trait of the request too (`codec::RequestHead::prompt_parts`). The policy is `router::suspicion`, without I/O:

- An engine crash makes suspects of the traits of the requests that the engine had not begun to answer.
Any answer that begins clears the traits at all routers and protects them for 3 s, so shared sound parts never accumulate crashes and only the part that always crashes does.
Three crashes quarantine it.
- An answer clears at the first event with data or with a whole success.
Comments before the first event and an engine's own 500 cleared a suspect before.
Time-outs are no longer losses; a whole response that breaks off now is one.
- Crashes are confirmed at once instead of once a second: the loader reports an engine that refuses connections (`ToRouter::EngineDown`, appended), and a router that has lost a request probes the endpoint after 20, 100 and 350 ms.
- A lost request with a trait that was in two crashes is not repeated at another engine.
- Records and clearances are repeated twice, through newly drawn hosts; a record of a trait that has succeeded here is answered with a clearance; about three routers per second send the records of quarantined traits to those that have just started.
- Losses, successes and repetitions are bounded.

--- a/crates/chestnutpick_fleet/src/codec.rs
+++ b/crates/chestnutpick_fleet/src/codec.rs
@@ -23,6 +23,8 @@
     pub length_hint: Option<u32>,
     /// Id of the last event that the caller received of an interrupted stream.
     pub last_event: Option<u64>,
+    /// Ids of the parts of the prompt that other requests share, in order.
+    pub prompt_parts: Vec<sync::Arc<str>>,
 }
 
 /// Lowest urgency.
--- a/crates/chestnutpick_fleet/src/engine.rs
+++ b/crates/chestnutpick_fleet/src/engine.rs
@@ -16,6 +16,12 @@
         /// Description of the connection error.
         reason: sync::Arc<str>,
     },
+    /// The process does not accept connections.
+    #[snafu(display("{reason}"))]
+    Down {
+        /// Description of the connection error.
+        reason: sync::Arc<str>,
+    },
     /// The requested item does not exist.
     #[snafu(display("not found: status {status}"))]
     Absent {
--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -43,6 +43,8 @@
     Cleared(digest::Digest),
     /// Routers of the zone that have asked recently, ordered by address, at most [`MAX_PEERS`].
     Peers(Vec<net::IpAddr>),
+    /// Reports that the engine on the sender's host, with this start time, does not run any more.
+    EngineDown(Option<u64>),
 }
 
 /// Subscription of a router to an engine's load.
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -33,6 +33,10 @@
     socket: UdpSocket,
     subscribers: subscribers::Subscribers,
     last: Option<(load::Load, time::Millis)>,
+    /// Start time of the engine according to its last report.
+    started_at: Option<u64>,
+    /// Time at which the routers were last told that the engine is down.
+    down_sent_at: Option<time::Millis>,
 }
 
 /// Reads the engine's reports and publishes load reports until `stop` is cancelled.
@@ -44,7 +48,8 @@
     E: engine::Engine,
 {
     let subscribers = subscribers::Subscribers::default();
-    let mut publisher = Publisher { node, socket, subscribers, last: None };
+    let mut publisher =
+        Publisher { node, socket, subscribers, last: None, started_at: None, down_sent_at: None };
     let mut buffer = [0; load::MAX_LEN];
     let mut poll = tokio::time::interval(POLL_INTERVAL.to_duration());
     poll.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -78,18 +83,32 @@
                     event::Event::new("engine_reports").with("running", report.running).info();
                 }
                 self.subscribers.on_report(report.running + report.waiting);
+                self.started_at = report.started_at;
+                self.down_sent_at = None;
                 *self.node.report.borrow_mut() = Some((report, now));
                 self.publish();
             }
             Err(reason) => {
                 if before {
-                    event::Event::new("engine_lost").with("reason", reason).warn();
+                    event::Event::new("engine_lost").with("reason", &reason).warn();
                 }
                 *self.node.report.borrow_mut() = None;
+                if matches!(reason, engine::Error::Down { .. }) {
+                    self.report_down(now);
+                }
             }
         }
     }
 
+    /// Tells the subscribers that the engine is down, and again while it is.
+    fn report_down(&mut self, now: time::Millis) {
+        let is_due = self.down_sent_at.is_none_or(|at| now.since(at) >= MAX_INTERVAL);
+        if is_due && self.started_at.is_some() {
+            self.down_sent_at = Some(now);
+            self.broadcast(&load::ToRouter::EngineDown(self.started_at), None);
+        }
+    }
+
     /// Sends the load to all subscribers if it has changed or [`MAX_INTERVAL`] has passed.
     fn publish(&mut self) {
         let now = self.node.now();
--- a/crates/chestnutpick_router/src/crash.rs
+++ b/crates/chestnutpick_router/src/crash.rs
@@ -1,140 +1,156 @@
-//! Detection of requests that may crash the endpoints that run them.
-//!
-//! Callers repeat such a request at any router. A request that is lost with its endpoint becomes a crash suspect once
-//! the endpoint is known to have crashed. A broken connection alone is not enough: connections break for many other
-//! reasons, and a harmless request that many callers make would soon be lost with several endpoints. All routers share
-//! the list of suspects and the reports that clear them. A request that was lost in several crashes and has not
-//! succeeded since is refused.
+//! Detection of requests that crash the endpoints that run them; connects [`suspicion`] to requests and datagrams.
+
+use std::rc;
 
 use chestnutpick_fleet::load;
 use chestnutpick_routing::suspects;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, error, id, time};
+use futures::future;
+use tokio::net;
+use tokio_util::sync;
 
 use crate::handle;
 use crate::loads;
 use crate::node;
-use crate::view;
-
-/// Time after a loss within which the endpoint must be found unreachable or restarted for the loss to count as a crash.
-const CONFIRMATION_TIMEOUT: time::Millis = time::Millis(3_000);
-
-/// Maximum number of losses kept. So many losses within a short time are not caused by single requests.
-const MAX_LOSSES: usize = 256;
-
-/// A request that was lost with its endpoint.
-#[derive(Debug, Clone)]
-struct Loss {
-    at: time::Millis,
-    fingerprint: digest::Digest,
-    endpoint: id::EndpointId,
-    /// Start time of the endpoint, which distinguishes restarts under the same id.
-    started_at: Option<u64>,
-}
+use crate::suspicion;
 
-/// Requests that were lost recently.
-#[derive(Debug, Default)]
-pub(crate) struct Losses {
-    list: Vec<Loss>,
-}
+/// Maximum number of prompt parts of a request that can become suspects. Prompts have a few.
+const MAX_PARTS: usize = 32;
 
-impl Losses {
-    /// Records that a request was lost with an endpoint.
-    pub(crate) fn on_lost(
-        &mut self,
-        now: time::Millis,
-        fingerprint: digest::Digest,
-        view: &view::View,
-        endpoint: &id::EndpointId,
-    ) {
-        let Some(endpoint_view) = view.endpoints.get(endpoint) else { return };
-        // An engine that is about to load weights aborts its last requests.
-        if endpoint_view.loading_weights || self.list.len() >= MAX_LOSSES {
-            return;
-        }
-        let (endpoint, started_at) = (endpoint.clone(), endpoint_view.endpoint.started_at);
-        self.list.push(Loss { at: now, fingerprint, endpoint, started_at });
-    }
+/// Waits before the probes of endpoints with which requests were lost. The first may come before the listening socket
+/// of a crashed process is closed.
+const PROBE_DELAYS: [time::Millis; 3] = [time::Millis(20), time::Millis(80), time::Millis(250)];
 
-    /// Removes and returns the losses whose endpoints are known to have crashed.
-    pub(crate) fn take_confirmed(
-        &mut self,
-        now: time::Millis,
-        view: &view::View,
-    ) -> Vec<(digest::Digest, id::EndpointId, u64)> {
-        let crashed = |loss: &Loss| match view.endpoints.get(&loss.endpoint) {
-            None => true,
-            Some(endpoint_view) => {
-                endpoint_view.endpoint.started_at != loss.started_at
-                    || endpoint_view.superseded_at.is_some()
-                    || endpoint_view.connect_failures > 0
-            }
-        };
-        let (crashed, rest): (Vec<_>, Vec<_>) = self.list.drain(..).partition(crashed);
-        self.list =
-            rest.into_iter().filter(|loss| now.since(loss.at) < CONFIRMATION_TIMEOUT).collect();
-        // The start time of the endpoint serves as its generation.
-        let to_tuple =
-            |loss: Loss| (loss.fingerprint, loss.endpoint, loss.started_at.unwrap_or_default());
-        crashed.into_iter().map(to_tuple).collect()
-    }
-}
+/// Age of a loss up to which its endpoint is probed.
+const PROBE_MAX_AGE: time::Millis = time::Millis(500);
 
-/// Returns the fingerprint of a request, which is the same when a caller repeats the request.
-fn fingerprint(call: &handle::Call) -> digest::Digest {
-    let workspace = call.admitted.workspace.as_deref().map_or("", |workspace| &*workspace.name);
-    let head = format!("{}\n{}\n{workspace}\n", call.method, call.path);
-    digest::Digest::of(&[head.as_bytes(), &call.body].concat())
+/// Time-out of a probe. A crashed process refuses a connection within a round trip.
+const PROBE_TIMEOUT: time::Millis = time::Millis(200);
+
+/// Returns the traits of a request.
+fn traits(call: &handle::Call) -> &[suspicion::Trait] {
+    call.traits.get_or_init(|| {
+        let workspace = call.admitted.workspace.as_deref().map_or("", |workspace| &*workspace.name);
+        let head = format!("{}\n{}\n{workspace}\n", call.method, call.path);
+        let mut traits = vec![suspicion::Trait::of_request(&head, &call.body)];
+        let parts = call.head.prompt_parts.iter().take(MAX_PARTS);
+        traits.extend(parts.map(suspicion::Trait::of_part));
+        traits
+    })
 }
 
-/// Refuses a request that was lost in several crashes.
+/// Refuses a request that was lost in several crashes, or a part of whose prompt was.
 pub(crate) fn check<C>(node: &node::Node<C>, call: &handle::Call) -> Result<(), error::Refusal> {
-    let suspects = node.suspects.borrow();
-    if suspects.is_empty() {
+    let suspicion = node.suspicion.borrow();
+    if suspicion.is_empty() {
         return Ok(());
     }
-    match suspects.status(time::unix_now(), &fingerprint(call)) {
-        suspects::Status::Clear | suspects::Status::Suspect => Ok(()),
-        suspects::Status::Quarantined => Err(error::Refusal::new(
-            error::ErrorKind::SuspectBusy,
-            "the request was lost in several crashes of endpoints",
-        )),
-    }
+    let found = suspicion.quarantined(time::unix_now(), traits(call));
+    let Some((subject, records)) = found else { return Ok(()) };
+    let name = subject.part.map_or_else(|| "the request".into(), |part| format!("part {part}"));
+    let (fingerprint, crashes) = (subject.fingerprint, records.len());
+    let message = format!("{name} was in {crashes} crashes of endpoints, suspect {fingerprint}");
+    Err(error::Refusal::new(error::ErrorKind::SuspectBusy, message))
 }
 
-/// Records that a request was lost with an endpoint.
+/// Returns whether a request that was lost with its endpoint may be repeated at another one.
+pub(crate) fn may_repeat<C>(node: &node::Node<C>, call: &handle::Call) -> bool {
+    let suspicion = node.suspicion.borrow();
+    suspicion.is_empty() || suspicion.may_repeat(time::unix_now(), traits(call))
+}
+
+/// Records that a request was lost with an endpoint that had not begun to answer it.
 pub(crate) fn on_lost<C>(node: &node::Node<C>, call: &handle::Call, endpoint: &id::EndpointId) {
     let view = node.view.borrow();
-    node.losses.borrow_mut().on_lost(node.now(), fingerprint(call), &view, endpoint);
+    node.suspicion.borrow_mut().on_lost(node.now(), traits(call), &view, endpoint);
+    drop(view);
+    confirm(node);
+    node.probe_due.notify_one();
 }
 
-/// Adds the requests of confirmed crashes to the list of suspects and informs the other routers.
+/// Connects to endpoints with which requests were lost, until `stop` is cancelled. An endpoint that refuses the
+/// connection has crashed; without this, the next request that is sent there would find out.
+pub(crate) async fn probe<C>(node: rc::Rc<node::Node<C>>, stop: sync::CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = node.probe_due.notified() => {}
+        }
+        for delay in PROBE_DELAYS {
+            actix_rt::time::sleep(delay.to_duration()).await;
+            let since = node.now().since(PROBE_MAX_AGE);
+            let endpoints = node.suspicion.borrow().unconfirmed(since);
+            future::join_all(endpoints.iter().map(|endpoint| probe_one(&node, endpoint))).await;
+            confirm(&node);
+        }
+    }
+}
+
+async fn probe_one<C>(node: &node::Node<C>, endpoint: &id::EndpointId) {
+    let found = node.view.borrow().endpoints.get(endpoint).map(|found| found.endpoint.address);
+    let Some(address) = found else { return };
+    let connecting = net::TcpStream::connect(address);
+    let outcome = tokio::time::timeout(PROBE_TIMEOUT.to_duration(), connecting).await;
+    if let Ok(Err(reason)) = outcome {
+        event::Event::new("probe_failed").with("endpoint", endpoint).with("reason", reason).info();
+        node.view.borrow_mut().on_connect_failed(node.now(), endpoint);
+    }
+}
+
+/// Adds the requests of confirmed crashes to the suspects and informs the other routers.
 pub(crate) fn confirm<C>(node: &node::Node<C>) {
-    let confirmed = node.losses.borrow_mut().take_confirmed(node.now(), &node.view.borrow());
-    let at = time::unix_now();
-    for (fingerprint, endpoint, generation) in confirmed {
-        let Ok(host) = endpoint.as_str().parse::<id::HostId>() else { continue };
-        let record = suspects::Record { at, fingerprint, host, generation };
-        let mut suspects = node.suspects.borrow_mut();
-        suspects.merge(at, [record.clone()]);
+    let unix = time::unix_now();
+    let confirmed = node.suspicion.borrow_mut().confirm(node.now(), unix, &node.view.borrow());
+    if confirmed.is_empty() {
+        return;
+    }
+    for suspicion::Suspected { subject, record } in confirmed {
         event::Event::new("request_suspected")
-            .with("fingerprint", fingerprint)
-            .with("endpoint", endpoint)
-            .with("standing", suspects.status(at, &fingerprint))
+            .with("fingerprint", subject.fingerprint)
+            .with("part", subject.part.as_deref().unwrap_or("none"))
+            .with("endpoint", &record.host)
+            .with("started", record.generation)
             .info();
         loads::broadcast(node, &load::FromRouter::Lost(record));
     }
+    log_quarantined(node);
 }
 
-/// Clears a crash suspect that an endpoint has answered and informs the other routers.
-pub(crate) fn on_answered<C>(node: &node::Node<C>, call: &handle::Call) {
-    let mut suspects = node.suspects.borrow_mut();
-    if suspects.is_empty() {
-        return;
-    }
-    let fingerprint = fingerprint(call);
-    if suspects.status(time::unix_now(), &fingerprint) != suspects::Status::Clear {
-        suspects.clear(&fingerprint);
-        loads::broadcast(node, &load::FromRouter::Cleared(fingerprint));
+fn log_quarantined<C>(node: &node::Node<C>) {
+    for (fingerprint, records) in node.suspicion.borrow_mut().take_quarantined(time::unix_now()) {
+        let hosts: Vec<_> = records.iter().map(|record| record.host.as_str()).collect();
+        event::Event::new("suspect_quarantined")
+            .with("fingerprint", fingerprint)
+            .with("crashes", records.len())
+            .with("endpoints", hosts.join(","))
+            .warn();
     }
 }
+
+/// Clears the traits of a request that an endpoint has begun to answer and informs the other routers.
+pub(crate) fn on_answered<C>(node: &node::Node<C>, call: &handle::Call) {
+    let messages =
+        node.suspicion.borrow_mut().on_answered(node.now(), time::unix_now(), traits(call));
+    messages.iter().for_each(|message| loads::broadcast(node, message));
+}
+
+/// Applies a record of another router.
+pub(crate) fn on_record<C>(node: &node::Node<C>, record: suspects::Record) {
+    node.suspicion.borrow_mut().on_record(node.now(), time::unix_now(), record);
+    log_quarantined(node);
+}
+
+/// Applies a clearance of another router.
+pub(crate) fn on_cleared<C>(node: &node::Node<C>, fingerprint: &digest::Digest) {
+    node.suspicion.borrow_mut().on_cleared(node.now(), fingerprint);
+}
+
+/// Repeats messages to the other routers; called once per second.
+pub(crate) fn next_round<C>(node: &node::Node<C>) {
+    let routers = node.view.borrow().routers.count(node.now());
+    let mut suspicion = node.suspicion.borrow_mut();
+    let messages = suspicion.next_round(time::unix_now(), routers, &mut *node.rng.borrow_mut());
+    drop(suspicion);
+    messages.iter().for_each(|message| loads::broadcast(node, message));
+}
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -84,6 +84,8 @@
     pub(crate) chosen: Option<choice::Chosen>,
     /// Version of the configuration under which the request was last sent.
     pub(crate) config: u64,
+    /// Whether an endpoint has begun to answer the request.
+    pub(crate) begun: bool,
 }
 
 /// Forwards a request and returns the response for the caller.
@@ -134,7 +136,9 @@
         };
         let (kind, reason) = match failed {
             Failed::NotRun(_, reason) => {
-                let retry = tries.sends < MAX_REJECTIONS && may_retry(node, call);
+                let retry = tries.sends < MAX_REJECTIONS
+                    && crash::check(node, call).is_ok()
+                    && may_retry(node, call);
                 if retry {
                     continue;
                 }
@@ -144,6 +148,7 @@
                 tries.runs += 1;
                 let retry = call.admitted.route.is_repeatable()
                     && tries.runs < call.admitted.route.attempts
+                    && crash::may_repeat(node, call)
                     && may_retry(node, call);
                 if retry {
                     continue;
@@ -369,10 +374,12 @@
                 Rejection::Refused => view.on_full(now, &endpoint.id),
                 Rejection::NoTime => {}
             }
+            drop(view);
+            crash::confirm(node);
             (error::Ran::NotRun, reason)
         }
         Failed::Unknown(kind, reason) => {
-            if *kind == error::ErrorKind::EndpointLost {
+            if *kind == error::ErrorKind::EndpointLost && !tries.begun {
                 crash::on_lost(node, call, &endpoint.id);
             }
             node.view.borrow_mut().on_failed(now, &endpoint.id);
@@ -413,6 +420,9 @@
     let body = match read(node, call, &mut opened.response).await {
         Ok(body) => body,
         Err(reason) => {
+            if matches!(reason, client::CallError::Lost { .. }) {
+                crash::on_lost(node, call, &opened.endpoint);
+            }
             node.view.borrow_mut().on_failed(node.now(), &opened.endpoint);
             log_failed(node, call, &opened.endpoint, error::Ran::Unknown, &reason.to_string());
             tries.failed.push(opened.endpoint);
@@ -430,7 +440,10 @@
             }
         }
     }
-    crash::on_answered(node, call);
+    // An endpoint can fail a request without running it.
+    if (200..300).contains(&status) {
+        crash::on_answered(node, call);
+    }
     // Load reports of engines arrive by datagram and are more recent.
     if let (Some((running, waiting)), None) = (opened.head.load, &call.admitted.service.engine) {
         node.view.borrow_mut().on_response_load(node.now(), &opened.endpoint, running, waiting);
--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -1,5 +1,6 @@
 //! Admission of callers' requests.
 
+use std::cell;
 use std::rc;
 use std::sync;
 
@@ -13,6 +14,7 @@
 use crate::forward;
 use crate::node;
 use crate::outcome;
+use crate::suspicion;
 use crate::terms;
 
 /// Deadline of a request that specifies none.
@@ -36,6 +38,8 @@
     pub(crate) lookup: terms::Lookup,
     /// Terms when the request had arrived. Its deadline and number of attempts stay as they were then.
     pub(crate) admitted: terms::Terms,
+    /// Traits of the request that may become crash suspects, once they have been computed.
+    pub(crate) traits: cell::OnceCell<Vec<suspicion::Trait>>,
 }
 
 impl Call {
@@ -122,6 +126,7 @@
         arrived,
         lookup,
         admitted,
+        traits: cell::OnceCell::new(),
     })
 }
 
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,6 +1,6 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`events`], [`readers`], [`routers`], [`view`], [`window`]) take the current time as an
+//! The policies ([`choice`], [`events`], [`readers`], [`routers`], [`suspicion`], [`view`], [`window`]) take the current time as an
 //! argument and do no I/O; the other modules connect them to sockets and clocks.
 
 pub mod choice;
@@ -8,6 +8,7 @@
 pub mod readers;
 pub mod routers;
 pub mod run;
+pub mod suspicion;
 pub mod view;
 pub mod window;
 
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -6,6 +6,7 @@
 use chestnutpick_fleet::load;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
+use rand_core::Rng;
 use tokio::net::UdpSocket;
 use tokio_util::sync;
 
@@ -32,6 +33,7 @@
                 subscribe(&node, socket);
                 ask_for_peers(&node, socket);
                 crash::confirm(&node);
+                crash::next_round(&node);
                 node.record();
             }
             () = node.engines_changed.notified() => subscribe(&node, socket),
@@ -87,13 +89,17 @@
         Ok((len, from)) => match load::decode(&buffer[..len]) {
             Some(load::ToRouter::Load(load)) => on_load(node, from.ip(), &load),
             Some(load::ToRouter::Lost(record)) => {
-                node.suspects.borrow_mut().merge(time::unix_now(), [record]);
+                crash::on_record(node, record);
             }
             Some(load::ToRouter::Peers(peers)) => {
                 node.relay.borrow_mut().readers.on_peers(peers);
             }
             Some(load::ToRouter::Cleared(fingerprint)) => {
-                node.suspects.borrow_mut().clear(&fingerprint);
+                crash::on_cleared(node, &fingerprint);
+            }
+            Some(load::ToRouter::EngineDown(started_at)) => {
+                node.view.borrow_mut().on_engine_down(node.now(), from.ip(), started_at);
+                crash::confirm(node);
             }
             None => {}
         },
@@ -107,14 +113,19 @@
     if view.awaits_announcement(now) {
         node.announcement_awaited.notify_one();
     }
+    drop(view);
+    crash::confirm(node);
 }
 
 /// Sends a message about a crash suspect to all other routers, through a few loaders.
 pub(crate) fn broadcast<C>(node: &node::Node<C>, message: &load::FromRouter) {
     let Some(socket) = node.socket.get() else { return };
-    let hosts = node.view.borrow().engine_hosts();
+    let mut hosts = node.view.borrow().engine_hosts();
+    let mut rng = node.rng.borrow_mut();
     let datagram = load::encode(message);
-    for (ip, _) in hosts.into_iter().take(RELAY_HOSTS) {
+    // Drawn anew each time, so that a repeated message does not depend on the same hosts.
+    for _ in 0..RELAY_HOSTS.min(hosts.len()) {
+        let (ip, _) = hosts.swap_remove(rng.next_u32() as usize % hosts.len());
         // One of the hosts is enough.
         let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
     }
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -8,7 +8,7 @@
 use chestnutpick_client::client;
 use chestnutpick_fleet::{config, host};
 use chestnutpick_process::page;
-use chestnutpick_routing::{retry, suspects};
+use chestnutpick_routing::retry;
 use chestnutpick_types::{digest, id, time};
 use rand_core::{Rng, SeedableRng};
 use serde_json::json;
@@ -16,20 +16,16 @@
 use tokio::sync::Notify;
 
 use crate::choice;
-use crate::crash;
 use crate::forward;
 use crate::loads;
 use crate::relay;
+use crate::suspicion;
 use crate::view;
 
 /// Time-out for connecting to an endpoint. Healthy hosts accept within milliseconds. A host that takes longer is
 /// unreachable or without power, and the request still has time for another endpoint.
 const CONNECT_TIMEOUT: time::Millis = time::Millis(250);
 
-/// Crashes without a success in between after which a request is quarantined. One attempt of a caller runs at two
-/// endpoints at most, so a single unlucky attempt does not lead to a refusal.
-const QUARANTINE_CRASHES: usize = 3;
-
 /// State of the router.
 pub(crate) struct Node<C> {
     /// Host on which the router runs.
@@ -42,10 +38,10 @@
     pub(crate) view: cell::RefCell<view::View>,
     /// Retry budget of each service.
     budgets: cell::RefCell<collections::HashMap<id::ServiceId, retry::Budget>>,
-    /// Requests recently lost at endpoints that may have crashed.
-    pub(crate) losses: cell::RefCell<crash::Losses>,
-    /// Crash suspects: requests that were lost in crashes of endpoints.
-    pub(crate) suspects: cell::RefCell<suspects::List>,
+    /// Requests, and parts of prompts, that may crash endpoints.
+    pub(crate) suspicion: cell::RefCell<suspicion::Suspicion>,
+    /// Notified when a request was lost with its endpoint.
+    pub(crate) probe_due: Notify,
     /// Random number generator for choices.
     pub(crate) rng: cell::RefCell<rand_xoshiro::Xoshiro256PlusPlus>,
     /// Socket for load datagrams, once it is bound.
@@ -88,8 +84,8 @@
             clock: time::Clock::start(),
             view: cell::RefCell::new(view),
             budgets: cell::RefCell::default(),
-            losses: cell::RefCell::default(),
-            suspects: cell::RefCell::new(suspects::List::with_threshold(QUARANTINE_CRASHES)),
+            suspicion: cell::RefCell::default(),
+            probe_due: Notify::new(),
             rng: cell::RefCell::new(rng),
             socket: cell::OnceCell::new(),
             engines_changed: Notify::new(),
@@ -221,7 +217,7 @@
             "config_version": view.config.as_ref().map(|config| config.version),
             "confirmed_age_ms": view.confirmed_at.map(|at| now.since(at)),
             "evacuated": view.evacuated,
-            "suspects": self.suspects.borrow().dump(),
+            "suspects": self.suspicion.borrow().dump(),
             "endpoints": endpoints.collect::<Vec<_>>(),
         })
     }
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -15,6 +15,7 @@
 use tokio::net::UdpSocket;
 use tokio_util::sync;
 
+use crate::crash;
 use crate::handle;
 use crate::loads;
 use crate::node;
@@ -94,6 +95,7 @@
         .spawn_handler(stop.clone(), move || host::apply_bounds(&reloading.bounds, reload()));
     actix_rt::spawn(watch::follow(rc::Rc::clone(&node), store, stop.clone()));
     actix_rt::spawn(loads::exchange(rc::Rc::clone(&node), stop.clone()));
+    actix_rt::spawn(crash::probe(rc::Rc::clone(&node), stop.clone()));
     let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
     let closing = sync::CancellationToken::new();
     for listener in [ready, page] {
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -8,6 +8,7 @@
 use actix_http as http;
 use actix_http::body;
 use bytes::Bytes;
+use chestnutpick_client::client;
 use chestnutpick_fleet::codec;
 use chestnutpick_http::respond;
 use chestnutpick_telemetry::event;
@@ -119,18 +120,24 @@
             let Some(time_left) = self.call.time_left(self.node.now()) else {
                 return Err(self.on_broken("the deadline has passed"));
             };
-            let reason = match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
-                Ok(Some(bytes)) => match self.accept(&bytes) {
-                    Ok(()) => continue,
-                    Err(reason) => reason,
-                },
-                Ok(None) if self.framer.is_empty() => {
-                    self.on_end();
-                    return Ok(None);
-                }
-                Ok(None) => "the stream ended inside an event".to_owned(),
-                Err(reason) => reason.to_string(),
-            };
+            let (reason, is_lost) =
+                match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
+                    Ok(Some(bytes)) => match self.accept(&bytes) {
+                        Ok(()) => continue,
+                        Err(reason) => (reason, false),
+                    },
+                    Ok(None) if self.framer.is_empty() => {
+                        self.on_end();
+                        return Ok(None);
+                    }
+                    Ok(None) => ("the stream ended inside an event".to_owned(), true),
+                    Err(reason) => {
+                        (reason.to_string(), matches!(reason, client::CallError::Lost { .. }))
+                    }
+                };
+            if is_lost && !self.tries.begun {
+                crash::on_lost(&self.node, &self.call, &self.opened.endpoint);
+            }
             self.resume(&reason).await?;
         }
     }
@@ -148,15 +155,15 @@
 
     /// Queues the events that the caller has not received.
     fn queue_events(&mut self, new_events: Vec<events::Event>) {
-        if !new_events.is_empty() && self.last_event_id == self.call.head.last_event {
-            crash::on_answered(&self.node, &self.call);
-        }
         for event in new_events {
             let is_repeated = event.id.is_some() && event.id <= self.last_event_id;
             if is_repeated || event.id.is_none() && !event.has_data {
                 self.padding += event.bytes.len();
             } else {
                 self.padding = 0;
+                if !std::mem::replace(&mut self.tries.begun, true) {
+                    crash::on_answered(&self.node, &self.call);
+                }
             }
             if is_repeated {
                 continue;
@@ -177,9 +184,6 @@
 
     /// Resumes the stream at another endpoint.
     async fn resume(&mut self, reason: &str) -> io::Result<()> {
-        if self.last_event_id == self.call.head.last_event {
-            crash::on_lost(&self.node, &self.call, &self.opened.endpoint);
-        }
         self.node.view.borrow_mut().on_failed(self.node.now(), &self.opened.endpoint);
         self.tries.failed.push(self.opened.endpoint.clone());
         self.tries.runs += 1;
@@ -219,6 +223,7 @@
         self.call.admitted.route.is_repeatable()
             && self.tries.runs < self.call.admitted.route.attempts
             && self.call.time_left(self.node.now()).is_some()
+            && (self.tries.begun || crash::may_repeat(&self.node, &self.call))
             && self.node.try_retry(&self.call.admitted.service.name)
     }
 
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -44,6 +44,8 @@
     pub expires_at: Option<time::Millis>,
     /// Time at which the first load report of a newer engine on the endpoint's host arrived.
     pub superseded_at: Option<time::Millis>,
+    /// Time at which the loader on the endpoint's host reported that the engine does not run.
+    pub down_at: Option<time::Millis>,
     /// Requests of this router in flight to the endpoint.
     pub in_flight: u32,
     /// Requests that this router has sent to the endpoint.
@@ -85,6 +87,7 @@
             endpoint,
             expires_at: None,
             superseded_at: None,
+            down_at: None,
             in_flight: 0,
             total: 0,
             recent: 0,
@@ -251,6 +254,7 @@
                 endpoint_view.superseded_at.get_or_insert(now);
                 continue;
             }
+            endpoint_view.down_at = None;
             endpoint_view.occupied = load.occupied;
             endpoint_view.recent = load.recent;
             endpoint_view.admission_draw = Some(draw(self.salt, now.0, &endpoint_view.endpoint.id));
@@ -264,6 +268,22 @@
         }
     }
 
+    /// Records that the engine on the host `ip` that started at `started_at` does not run any more.
+    pub fn on_engine_down(
+        &mut self,
+        now: time::Millis,
+        ip: std::net::IpAddr,
+        started_at: Option<u64>,
+    ) {
+        let engines = self.endpoints.values_mut().filter(|endpoint_view| {
+            let endpoint = &endpoint_view.endpoint;
+            endpoint.address.ip() == ip && endpoint.started_at == started_at
+        });
+        for endpoint_view in engines {
+            endpoint_view.down_at.get_or_insert(now);
+        }
+    }
+
     /// Returns whether an engine has restarted recently and its new announcement has not arrived.
     pub fn awaits_announcement(&self, now: time::Millis) -> bool {
         let recent = |endpoint_view: &&EndpointView| {
--- a/crates/chestnutpick_routing/src/suspects.rs
+++ b/crates/chestnutpick_routing/src/suspects.rs
@@ -204,14 +204,71 @@
     /// assert_eq!(suspects.status(Millis(0), &Digest::of(b"a")), suspects::Status::Clear);
     /// ```
     pub fn status(&self, now: time::Millis, fingerprint: &digest::Digest) -> Status {
-        let crashes = self.fingerprints.get(fingerprint).into_iter().flatten();
-        match crashes.filter(|(_, at)| is_valid(now, **at)).count() {
+        match self.crashes(now, fingerprint) {
             0 => Status::Clear,
             count if count < self.threshold => Status::Suspect,
             _ => Status::Quarantined,
         }
     }
 
+    /// Returns the number of crashes of `fingerprint` that have not expired.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::List::default();
+    /// let prompt = Digest::of(b"prompt");
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[prompt]);
+    /// assert_eq!(suspects.crashes(Millis(1), &prompt), 1);
+    /// ```
+    pub fn crashes(&self, now: time::Millis, fingerprint: &digest::Digest) -> usize {
+        let crashes = self.fingerprints.get(fingerprint).into_iter().flatten();
+        crashes.filter(|(_, at)| is_valid(now, **at)).count()
+    }
+
+    /// Returns the quarantined fingerprints, in ascending order.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::List::with_threshold(1);
+    /// let prompt = Digest::of(b"prompt");
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[prompt]);
+    /// assert_eq!(suspects.quarantined(Millis(1)), [prompt]);
+    /// ```
+    pub fn quarantined(&self, now: time::Millis) -> Vec<digest::Digest> {
+        let candidates =
+            self.fingerprints.iter().filter(|(_, crashes)| crashes.len() >= self.threshold);
+        let mut found: Vec<_> = candidates.map(|(fingerprint, _)| *fingerprint).collect();
+        found.retain(|fingerprint| self.crashes(now, fingerprint) >= self.threshold);
+        found
+    }
+
+    /// Returns the records of `fingerprint` that have not expired, in ascending order of time.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::List::default();
+    /// let prompt = Digest::of(b"prompt");
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[prompt]);
+    /// assert_eq!(suspects.records_of(Millis(1), &prompt)[0].generation, 7);
+    /// ```
+    pub fn records_of(&self, now: time::Millis, fingerprint: &digest::Digest) -> Vec<Record> {
+        let crashes = self.fingerprints.get(fingerprint).into_iter().flatten();
+        let valid = crashes.filter(|(_, at)| is_valid(now, **at));
+        let mut records: Vec<_> = valid
+            .map(|((host, generation), at)| Record {
+                at: *at,
+                fingerprint: *fingerprint,
+                host: host.clone(),
+                generation: *generation,
+            })
+            .collect();
+        records.sort();
+        records
+    }
+
     /// Returns the records that have not expired, in ascending order of fingerprint, to be sent to another process.
     ///
     /// ```
