Do not take a stream without length or chunks for complete before its first event

An engine may send a response with neither a length nor chunks and end it with its connection. When such a stream ended before its first event, as when the engine crashes after the head, the caller received an empty stream that looked complete.

Cause: a stream was complete whenever no partial event was left. Now a stream that only the end of its connection ends, and that has no event, counts as lost; it is resumed elsewhere and is a loss for crash suspicion. The rest of a stream that a caller resumes may still be empty.

`response_that_ends_with_its_connection_is_complete_only_if_its_last_event_is` printed for the case before_its_first_event: "assertion `left == right` failed: HTTP/1.1 200 OK ... left: true right: false". Its other cases (whole response, whole stream, end inside an event, end before the blank line) passed before.

--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -120,28 +120,45 @@
             let Some(time_left) = self.call.time_left(self.node.now()) else {
                 return Err(self.on_broken("the deadline has passed"));
             };
-            let (reason, is_lost) =
-                match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
-                    Ok(Some(bytes)) => match self.accept(&bytes) {
-                        Ok(()) => continue,
-                        Err(reason) => (reason, false),
-                    },
-                    Ok(None) if self.framer.is_empty() => {
-                        self.on_end();
-                        return Ok(None);
-                    }
-                    Ok(None) => ("the stream ended inside an event".to_owned(), true),
-                    Err(reason) => {
-                        (reason.to_string(), matches!(reason, client::CallError::Lost { .. }))
-                    }
-                };
-            if is_lost && !self.tries.begun {
-                crash::on_lost(&self.node, &self.call, &self.opened.endpoint);
+            match self.read(time_left).await {
+                Ok(true) => {}
+                Ok(false) => {
+                    self.on_end();
+                    return Ok(None);
+                }
+                Err(reason) => self.resume(&reason).await?,
             }
-            self.resume(&reason).await?;
         }
     }
 
+    /// Reads from the endpoint and queues the events. Returns whether the stream goes on, or a reason to give up the
+    /// endpoint.
+    async fn read(&mut self, time_left: time::Millis) -> Result<bool, String> {
+        let reason = match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
+            Ok(Some(bytes)) => return self.accept(&bytes).map(|()| true),
+            Ok(None) if self.ended_before_first_event() => {
+                "the stream ended before its first event".to_owned()
+            }
+            Ok(None) if self.framer.is_empty() => return Ok(false),
+            Ok(None) => "the stream ended inside an event".to_owned(),
+            Err(reason @ client::CallError::Timeout { .. }) => return Err(reason.to_string()),
+            Err(reason) => reason.to_string(),
+        };
+        if !self.tries.begun {
+            crash::on_lost(&self.node, &self.call, &self.opened.endpoint);
+        }
+        Err(reason)
+    }
+
+    /// Returns whether a stream whose end only the connection marks has ended without an event, as when its engine
+    /// crashes. The rest of a resumed stream may be empty.
+    fn ended_before_first_event(&self) -> bool {
+        let response = &self.opened.response;
+        let is_framed = response.header("content-length").is_some()
+            || response.header("transfer-encoding").is_some();
+        !is_framed && !self.tries.begun && self.call.head.last_event.is_none()
+    }
+
     /// Queues the events that `bytes` complete. Returns a reason to give up the endpoint.
     fn accept(&mut self, bytes: &[u8]) -> Result<(), String> {
         let new_events = self.framer.push(bytes).map_err(|reason| reason.to_string())?;
