--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -86,6 +86,8 @@
     pub(crate) config: u64,
     /// Version of the weights that served the request, as its endpoint reports.
     pub(crate) weights: Option<u64>,
+    /// Whether an endpoint has begun to answer the request.
+    pub(crate) begun: bool,
 }
 
 /// Forwards a request and returns the response for the caller.
@@ -136,7 +138,9 @@
         };
         let (kind, reason) = match failed {
             Failed::NotRun(_, reason) => {
-                let retry = tries.sends < MAX_REJECTIONS && may_retry(node, call);
+                let retry = tries.sends < MAX_REJECTIONS
+                    && crash::check(node, call).is_ok()
+                    && may_retry(node, call);
                 if retry {
                     continue;
                 }
@@ -146,6 +150,7 @@
                 tries.runs += 1;
                 let retry = call.admitted.route.is_repeatable()
                     && tries.runs < call.admitted.route.attempts
+                    && crash::may_repeat(node, call)
                     && may_retry(node, call);
                 if retry {
                     continue;
@@ -389,10 +394,12 @@
                 Rejection::Refused => view.on_full(now, &endpoint.id),
                 Rejection::NoTime => {}
             }
+            drop(view);
+            crash::confirm(node);
             (error::Ran::NotRun, reason)
         }
         Failed::Unknown(kind, reason) => {
-            if *kind == error::ErrorKind::EndpointLost {
+            if *kind == error::ErrorKind::EndpointLost && !tries.begun {
                 crash::on_lost(node, call, &endpoint.id);
             }
             node.view.borrow_mut().on_failed(now, &endpoint.id);
@@ -433,6 +440,9 @@
     let body = match read(node, call, &mut opened.response).await {
         Ok(body) => body,
         Err(reason) => {
+            if matches!(reason, client::CallError::Lost { .. }) {
+                crash::on_lost(node, call, &opened.endpoint);
+            }
             node.view.borrow_mut().on_failed(node.now(), &opened.endpoint);
             log_failed(node, call, &opened.endpoint, error::Ran::Unknown, &reason.to_string());
             tries.failed.push(opened.endpoint);
@@ -450,7 +460,10 @@
             }
         }
     }
-    crash::on_answered(node, call);
+    // An endpoint can fail a request without running it.
+    if (200..300).contains(&status) {
+        crash::on_answered(node, call);
+    }
     // Load reports of engines arrive by datagram and are more recent.
     if let (Some((running, waiting)), None) = (opened.head.load, &call.admitted.service.engine) {
         node.view.borrow_mut().on_response_load(node.now(), &opened.endpoint, running, waiting);
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -8,6 +8,7 @@
 use actix_http as http;
 use actix_http::body;
 use bytes::Bytes;
+use chestnutpick_client::client;
 use chestnutpick_fleet::codec;
 use chestnutpick_http::respond;
 use chestnutpick_telemetry::event;
@@ -119,20 +120,43 @@
             let Some(time_left) = self.call.time_left(self.node.now()) else {
                 return Err(self.on_broken("the deadline has passed"));
             };
-            let reason = match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
-                Ok(Some(bytes)) => match self.accept(&bytes) {
-                    Ok(()) => continue,
-                    Err(reason) => reason,
-                },
-                Ok(None) if self.framer.is_empty() => {
+            match self.read(time_left).await {
+                Ok(true) => {}
+                Ok(false) => {
                     self.on_end();
                     return Ok(None);
                 }
-                Ok(None) => "the stream ended inside an event".to_owned(),
-                Err(reason) => reason.to_string(),
-            };
-            self.resume(&reason).await?;
+                Err(reason) => self.resume(&reason).await?,
+            }
+        }
+    }
+
+    /// Reads from the endpoint and queues the events. Returns whether the stream goes on, or a reason to give up the
+    /// endpoint.
+    async fn read(&mut self, time_left: time::Millis) -> Result<bool, String> {
+        let reason = match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
+            Ok(Some(bytes)) => return self.accept(&bytes).map(|()| true),
+            Ok(None) if self.ended_before_first_event() => {
+                "the stream ended before its first event".to_owned()
+            }
+            Ok(None) if self.framer.is_empty() => return Ok(false),
+            Ok(None) => "the stream ended inside an event".to_owned(),
+            Err(reason @ client::CallError::Timeout { .. }) => return Err(reason.to_string()),
+            Err(reason) => reason.to_string(),
+        };
+        if !self.tries.begun {
+            crash::on_lost(&self.node, &self.call, &self.opened.endpoint);
         }
+        Err(reason)
+    }
+
+    /// Returns whether a stream whose end only the connection marks has ended without an event, as when its engine
+    /// crashes. The rest of a resumed stream may be empty.
+    fn ended_before_first_event(&self) -> bool {
+        let response = &self.opened.response;
+        let is_framed = response.header("content-length").is_some()
+            || response.header("transfer-encoding").is_some();
+        !is_framed && !self.tries.begun && self.call.head.last_event.is_none()
     }
 
     /// Queues the events that `bytes` complete. Returns a reason to give up the endpoint.
@@ -148,15 +172,15 @@
 
     /// Queues the events that the caller has not received.
     fn queue_events(&mut self, new_events: Vec<events::Event>) {
-        if !new_events.is_empty() && self.last_event_id == self.call.head.last_event {
-            crash::on_answered(&self.node, &self.call);
-        }
         for event in new_events {
             let is_repeated = event.id.is_some() && event.id <= self.last_event_id;
             if is_repeated || event.id.is_none() && !event.has_data {
                 self.padding += event.bytes.len();
             } else {
                 self.padding = 0;
+                if !std::mem::replace(&mut self.tries.begun, true) {
+                    crash::on_answered(&self.node, &self.call);
+                }
             }
             if is_repeated {
                 continue;
@@ -177,9 +201,6 @@
 
     /// Resumes the stream at another endpoint.
     async fn resume(&mut self, reason: &str) -> io::Result<()> {
-        if self.last_event_id == self.call.head.last_event {
-            crash::on_lost(&self.node, &self.call, &self.opened.endpoint);
-        }
         self.node.view.borrow_mut().on_failed(self.node.now(), &self.opened.endpoint);
         self.tries.failed.push(self.opened.endpoint.clone());
         self.tries.runs += 1;
@@ -219,6 +240,7 @@
         self.call.admitted.route.is_repeatable()
             && self.tries.runs < self.call.admitted.route.attempts
             && self.call.time_left(self.node.now()).is_some()
+            && (self.tries.begun || crash::may_repeat(&self.node, &self.call))
             && self.node.try_retry(&self.call.admitted.service.name)
     }
 
