Send no requests to an endpoint whose response says that it is leaving

Callers would see requests at an endpoint that has already said that it is about to exit: broken streams, refused connections and purchases with an unknown outcome, because the announcement in the store still said "ready".

Cause: routers learned that an endpoint leaves from the store only. The header by which endpoints say so in each response was passed on unread.

Change: the codec reports the header as `ResponseHead::draining`. Each response head marks its sender, whatever its status, and also if the response is retried, resumes a stream or comes from another endpoint at the address. The choice of an endpoint leaves marked ones out, so the mark applies to first tries, retries and resumed streams. If all endpoints of a service are leaving, requests are refused as not run. The header is passed on to callers unchanged; requests in flight go on.

Why it works: the mark is set when the response head arrives, before anything of it is passed on, and there is no await between a choice and the send.

--- a/crates/chestnutpick_fleet/src/codec.rs
+++ b/crates/chestnutpick_fleet/src/codec.rs
@@ -64,6 +64,8 @@
     pub is_stream: bool,
     /// Whether the body has a content encoding, which endpoints never apply.
     pub encoded: bool,
+    /// Whether the endpoint states that it is about to leave and accepts no new requests.
+    pub draining: bool,
 }
 
 /// The platform's header format.
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -281,6 +281,7 @@
     };
     endpoint.service == request.service.name
         && endpoint.state == endpoint::State::Ready
+        && !view.notices.is_draining(endpoint)
         && endpoint_view.superseded_at.is_none()
         && !view.evacuated.contains(&endpoint.zone)
         && request.regions.iter().all(allows)
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -263,13 +263,18 @@
     let request = request(node, call, placement, time_left, last_event);
     let outcome = node.client.call(endpoint.address, request, time_left).await;
     let failed = match outcome {
-        Ok(response) => match check(node, call, endpoint, &response) {
-            Ok(head) => {
-                slot.on_response_started();
-                return Ok(Opened { response, head, endpoint: endpoint.id.clone(), _slot: slot });
+        Ok(response) => {
+            let head = node.codec.response_head(&response.headers);
+            on_head(node, endpoint, &response, &head);
+            match check(node, call, endpoint, &response, &head) {
+                Ok(()) => {
+                    slot.on_response_started();
+                    let endpoint = endpoint.id.clone();
+                    return Ok(Opened { response, head, endpoint, _slot: slot });
+                }
+                Err(failed) => failed,
             }
-            Err(failed) => failed,
-        },
+        }
         Err(reason) => call_failed(&reason),
     };
     on_failed(node, call, tries, endpoint, &failed);
@@ -319,17 +324,38 @@
     request
 }
 
+/// Records what the sender of a response states about itself in the headers.
+fn on_head<C>(
+    node: &node::Node<C>,
+    endpoint: &endpoint::Endpoint,
+    response: &client::Response,
+    head: &codec::ResponseHead,
+) where
+    C: codec::Codec,
+{
+    if !head.draining {
+        return;
+    }
+    let responder = node.codec.endpoint_id(&response.headers);
+    let is_new = node.view.borrow_mut().on_draining(node.now(), endpoint, responder.as_ref());
+    if is_new {
+        event::Event::new("endpoint_draining")
+            .with("endpoint", responder.as_ref().unwrap_or(&endpoint.id))
+            .info();
+    }
+}
+
 /// Checks that the response belongs to this request and that the endpoint ran it.
 fn check<C>(
     node: &node::Node<C>,
     call: &handle::Call,
     endpoint: &endpoint::Endpoint,
     response: &client::Response,
-) -> Result<codec::ResponseHead, Failed>
+    head: &codec::ResponseHead,
+) -> Result<(), Failed>
 where
     C: codec::Codec,
 {
-    let head = node.codec.response_head(&response.headers);
     if head.not_run || response.status == 421 {
         let responder = node.codec.endpoint_id(&response.headers);
         let is_other_endpoint =
@@ -348,7 +374,7 @@
         let reason = "a success without the endpoint's seal".to_owned();
         return Err(Failed::Unknown(error::ErrorKind::AnswerMismatch, reason));
     }
-    Ok(head)
+    Ok(())
 }
 
 fn on_failed<C>(
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -204,6 +204,7 @@
                 "service": endpoint_view.endpoint.service,
                 "address": endpoint_view.endpoint.address,
                 "state": endpoint_view.endpoint.state.to_string(),
+                "draining": view.notices.is_draining(&endpoint_view.endpoint),
                 "in_flight": endpoint_view.in_flight,
                 "occupied": endpoint_view.occupied,
                 "weights": endpoint_view.weights(now),
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -6,6 +6,7 @@
 use chestnutpick_fleet::{config, declared, directory, endpoint, load};
 use chestnutpick_types::{digest, id, time};
 
+use crate::notices;
 use crate::routers;
 use crate::window;
 
@@ -133,6 +134,8 @@
     pub config: Option<sync::Arc<config::Config>>,
     /// Endpoints by id.
     pub endpoints: collections::BTreeMap<id::EndpointId, EndpointView>,
+    /// What endpoints state about themselves in responses.
+    pub notices: notices::Notices,
     /// Zones that get no new requests.
     pub evacuated: collections::BTreeSet<id::ZoneId>,
     /// Declared versions of the weights of each model.
@@ -225,6 +228,7 @@
     pub fn expire(&mut self, now: time::Millis) {
         self.endpoints
             .retain(|_, endpoint_view| endpoint_view.expires_at.is_none_or(|at| at > now));
+        self.notices.retain(now, |id| self.endpoints.contains_key(id));
     }
 
     /// Records that the view matched the store at the time `at`.
@@ -387,6 +391,18 @@
         }
     }
 
+    /// Records that a response to a request to `endpoint` states that its sender accepts no new requests. The sender is
+    /// `responder` if the response names it. Returns whether this was unknown.
+    pub fn on_draining(
+        &mut self,
+        now: time::Millis,
+        endpoint: &endpoint::Endpoint,
+        responder: Option<&id::EndpointId>,
+    ) -> bool {
+        let sender = sender(&self.endpoints, endpoint, responder);
+        sender.is_some_and(|sender| self.notices.on_draining(now, sender))
+    }
+
     fn is_engine(&self, endpoint_view: &EndpointView) -> bool {
         let service =
             self.config.as_ref().and_then(|config| config.service(&endpoint_view.endpoint.service));
@@ -427,6 +443,18 @@
     }
 }
 
+/// Returns the endpoint that sent a response to a request to `endpoint`: another one may have answered at its address.
+fn sender<'a>(
+    endpoints: &'a collections::BTreeMap<id::EndpointId, EndpointView>,
+    endpoint: &'a endpoint::Endpoint,
+    responder: Option<&id::EndpointId>,
+) -> Option<&'a endpoint::Endpoint> {
+    match responder {
+        Some(id) if *id != endpoint.id => Some(&endpoints.get(id)?.endpoint),
+        _ => Some(endpoint),
+    }
+}
+
 /// Returns a pseudo-random number from 0 to 1 that depends on the router's salt, the endpoint and the round.
 pub(crate) fn draw(salt: u64, round: u64, endpoint: &id::EndpointId) -> f64 {
     let text = format!("{salt}/{round}/{endpoint}");
