Respect the pause that an endpoint asks for with a 503

Callers would see refusals and repeated tries that could have gone to a free endpoint: an endpoint that turned a request away with 503 and `Retry-After` got the next requests of the same router 100 ms later, or at once if it had run the request.

Cause: routers knew only the fixed pause after "full", and only for responses that state that the request did not run. `Retry-After` was not read.

A 503 with it pauses the sender for that time, whether or not the request ran. Pauses are kept in `notices` per run of an endpoint, as for leaving endpoints: a renewed announcement does not end one, a restart does. A shorter pause in a later response does not shorten an earlier one. If all endpoints of a service are paused, requests are refused as not run, and `Retry-After` is the time until the first pause ends, at most a third of the caller's time as before. Whether an endpoint accepts requests in principle is now one function of the view.

Why it works: the pause is set when the response head arrives, and every first try, retry and resumed stream chooses its endpoint with the same function.

Loaders call only the report, stage and orders of their own host's engine, which are no requests; they are unchanged.

--- a/crates/chestnutpick_fleet/src/codec.rs
+++ b/crates/chestnutpick_fleet/src/codec.rs
@@ -66,6 +66,8 @@
     pub encoded: bool,
     /// Whether the endpoint states that it is about to leave and accepts no new requests.
     pub draining: bool,
+    /// Time for which a refusing endpoint wants no further requests from this process.
+    pub retry_after: Option<time::Millis>,
 }
 
 /// The platform's header format.
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -280,10 +280,7 @@
         regions.is_empty() || region.is_some_and(|region| regions.contains(region))
     };
     endpoint.service == request.service.name
-        && endpoint.state == endpoint::State::Ready
-        && !view.notices.is_draining(endpoint)
-        && endpoint_view.superseded_at.is_none()
-        && !view.evacuated.contains(&endpoint.zone)
+        && view.is_available(endpoint_view)
         && request.regions.iter().all(allows)
         && !request.tried.contains(&endpoint.id)
 }
@@ -310,7 +307,8 @@
     request: &Request<'_>,
     endpoint_view: &view::EndpointView,
 ) -> bool {
-    if endpoint_view.blocked_until > now {
+    let pause = view.notices.pause(now, &endpoint_view.endpoint);
+    if endpoint_view.blocked_until > now || pause > time::Millis::ZERO {
         return false;
     }
     if request.service.cold_rate <= 0.0 {
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -333,15 +333,15 @@
 ) where
     C: codec::Codec,
 {
-    if !head.draining {
-        return;
-    }
+    let (now, mut view) = (node.now(), node.view.borrow_mut());
     let responder = node.codec.endpoint_id(&response.headers);
-    let is_new = node.view.borrow_mut().on_draining(node.now(), endpoint, responder.as_ref());
-    if is_new {
-        event::Event::new("endpoint_draining")
-            .with("endpoint", responder.as_ref().unwrap_or(&endpoint.id))
-            .info();
+    let sender = responder.as_ref().unwrap_or(&endpoint.id);
+    if head.draining && view.on_draining(now, endpoint, responder.as_ref()) {
+        event::Event::new("endpoint_draining").with("endpoint", sender).info();
+    }
+    if let (503, Some(pause)) = (response.status, head.retry_after) {
+        view.on_pause(now, endpoint, responder.as_ref(), pause);
+        event::Event::new("endpoint_paused").with("endpoint", sender).with("ms", pause.0).info();
     }
 }
 
--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -78,7 +78,7 @@
                 .with("kind", refusal.kind)
                 .with("message", &refusal.message)
                 .info();
-            outcome::respond(&refusal, timeout)
+            outcome::respond(&refusal, timeout, time::Millis::ZERO)
         }
     }
 }
--- a/crates/chestnutpick_router/src/notices.rs
+++ b/crates/chestnutpick_router/src/notices.rs
@@ -11,6 +11,10 @@
 /// Time after the last response of an endpoint for which its notice is kept while it is not announced.
 const RETENTION: time::Millis = time::Millis::from_secs(3_600);
 
+/// Longest pause that an endpoint can ask for. A longer one is a fault of the endpoint, which would otherwise never get
+/// requests again.
+const MAX_PAUSE: time::Millis = RETENTION;
+
 /// Notice of one run of an endpoint.
 #[derive(Debug, Clone, Copy)]
 struct Notice {
@@ -20,11 +24,18 @@
     received_at: time::Millis,
     /// Whether the endpoint accepts no new requests.
     draining: bool,
+    /// Time until which the endpoint wants no requests from this router.
+    paused_until: time::Millis,
 }
 
 impl Notice {
     fn new(started_at: Option<u64>) -> Self {
-        Self { started_at, received_at: time::Millis::ZERO, draining: false }
+        Self {
+            started_at,
+            received_at: time::Millis::ZERO,
+            draining: false,
+            paused_until: time::Millis::ZERO,
+        }
     }
 
     /// Returns whether the notice applies to a run; an unknown start time matches every run.
@@ -51,6 +62,23 @@
         self.get(endpoint).is_some_and(|notice| notice.draining)
     }
 
+    /// Records that an endpoint wants no requests from this router for the time `pause`.
+    pub fn on_pause(
+        &mut self,
+        now: time::Millis,
+        endpoint: &endpoint::Endpoint,
+        pause: time::Millis,
+    ) {
+        if let Some(notice) = self.get_or_insert(now, endpoint) {
+            notice.paused_until = notice.paused_until.max(now + pause.min(MAX_PAUSE));
+        }
+    }
+
+    /// Returns how long an endpoint still wants no requests from this router.
+    pub fn pause(&self, now: time::Millis, endpoint: &endpoint::Endpoint) -> time::Millis {
+        self.get(endpoint).map_or(time::Millis::ZERO, |notice| notice.paused_until.since(now))
+    }
+
     /// Forgets the notices of runs that are not announced and will not be announced again.
     pub fn retain<F>(&mut self, now: time::Millis, is_announced: F)
     where
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -41,11 +41,17 @@
         .with("deadline_ms", call.head.deadline.map_or(0, |deadline| deadline.0))
         .with("ms", now.since(call.arrived).0)
         .info();
-    respond(refusal, call.time_left(now).unwrap_or_default())
+    let pause = node.view.borrow().service_pause(now, &call.admitted.service.name);
+    respond(refusal, call.time_left(now).unwrap_or_default(), pause)
 }
 
-/// Returns the response to a refusal, with a `retry-after` header if the request has not run.
-pub(crate) fn respond(refusal: &error::Refusal, time_left: time::Millis) -> respond::Response {
+/// Returns the response to a refusal, with a `retry-after` header if the request has not run. For the time `pause`, no
+/// endpoint accepts the request.
+pub(crate) fn respond(
+    refusal: &error::Refusal,
+    time_left: time::Millis,
+    pause: time::Millis,
+) -> respond::Response {
     let mut response = respond::refusal(refusal);
     let wait = match refusal.kind {
         kind if kind.response().ran != error::Ran::NotRun => return response,
@@ -53,7 +59,9 @@
             OTHER_ROUTER_RETRY_AFTER
         }
         error::ErrorKind::VersionNotLoaded | error::ErrorKind::SuspectBusy => LOADING_RETRY_AFTER,
-        kind if kind.response().status == 429 || kind.response().status == 503 => FULL_RETRY_AFTER,
+        kind if kind.response().status == 429 || kind.response().status == 503 => {
+            FULL_RETRY_AFTER.max(pause)
+        }
         _ => return response,
     };
     let wait = wait.0.min(time_left.0 / RETRY_AFTER_DIVISOR);
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -403,6 +403,39 @@
         sender.is_some_and(|sender| self.notices.on_draining(now, sender))
     }
 
+    /// Records that a response to a request to `endpoint` states that its sender wants no requests from this router for
+    /// the time `pause`. The sender is `responder` if the response names it.
+    pub fn on_pause(
+        &mut self,
+        now: time::Millis,
+        endpoint: &endpoint::Endpoint,
+        responder: Option<&id::EndpointId>,
+        pause: time::Millis,
+    ) {
+        if let Some(sender) = sender(&self.endpoints, endpoint, responder) {
+            self.notices.on_pause(now, sender, pause);
+        }
+    }
+
+    /// Returns whether an endpoint accepts new requests in principle, although it may be full or paused.
+    pub fn is_available(&self, endpoint_view: &EndpointView) -> bool {
+        let endpoint = &endpoint_view.endpoint;
+        endpoint.state == endpoint::State::Ready
+            && !self.notices.is_draining(endpoint)
+            && endpoint_view.superseded_at.is_none()
+            && !self.evacuated.contains(&endpoint.zone)
+    }
+
+    /// Returns the time until the first pause of a service's endpoints ends, or zero unless all of them are paused.
+    pub fn service_pause(&self, now: time::Millis, service: &id::ServiceId) -> time::Millis {
+        let endpoints = self.endpoints.values().filter(|endpoint_view| {
+            endpoint_view.endpoint.service == *service && self.is_available(endpoint_view)
+        });
+        let pauses =
+            endpoints.map(|endpoint_view| self.notices.pause(now, &endpoint_view.endpoint));
+        pauses.min().unwrap_or_default()
+    }
+
     fn is_engine(&self, endpoint_view: &EndpointView) -> bool {
         let service =
             self.config.as_ref().and_then(|config| config.service(&endpoint_view.endpoint.service));
--- a/crates/chestnutpick_router/tests/notices.rs
+++ b/crates/chestnutpick_router/tests/notices.rs
@@ -127,6 +127,68 @@
     assert!(!view.on_draining(Millis(30), &started(Some(1)), Some(&common::endpoint_id(3))));
 }
 
+/// Guards against requests to an endpoint that has asked for a pause, also after its announcement was read again, and
+/// against a pause that does not end.
+#[rstest]
+#[case::no_change(|_: &mut view::View| {})]
+#[case::renewed(renew)]
+#[case::listed(list)]
+#[case::removed_for_a_while(remove_and_announce)]
+#[case::overwritten_for_a_while(overwrite_and_announce)]
+#[case::written_without_start_time(announce_without_start_time)]
+#[case::lapsed_in_an_outage(lose_store)]
+fn paused_endpoint_gets_no_requests<F>(#[case] change: F)
+where
+    F: FnOnce(&mut view::View),
+{
+    let mut view = common::view(2);
+    view.on_pause(Millis(10), &started(Some(1)), None, Millis(5_000));
+    // An earlier response with a shorter pause may arrive later.
+    view.on_pause(Millis(11), &started(Some(1)), None, Millis(100));
+    change(&mut view);
+    assert_eq!(available(&view, Millis(5_009)), [common::endpoint_id(2)]);
+    assert_eq!(available(&view, Millis(5_010)).len(), 2);
+}
+
+/// Guards against streams that resume at a paused endpoint, and against callers that are told to return too early or
+/// too late.
+#[test]
+fn requests_are_refused_while_all_endpoints_are_paused() {
+    let mut view = common::view(3);
+    let service = "llm".parse().unwrap();
+    view.on_draining(Millis(0), &common::endpoint(3, "llm", "lima"), None);
+    view.on_pause(Millis(0), &common::endpoint(1, "llm", "lima"), None, Millis(900));
+    assert_eq!(view.service_pause(Millis(10), &service), Millis::ZERO);
+    view.on_pause(Millis(0), &common::endpoint(2, "llm", "lima"), None, Millis(700));
+    assert_eq!(view.service_pause(Millis(10), &service), Millis(690));
+    let none = common::choose(&view, Millis(699), TARGET, 1).unwrap_err();
+    assert_eq!(none.reason, choice::Reason::Full);
+    let none = common::choose_for_stream(&view, Millis(699), 1).unwrap_err();
+    assert_eq!(none.reason, choice::Reason::Full);
+    assert_eq!(view.service_pause(Millis(700), &service), Millis::ZERO);
+    assert_eq!(available(&view, Millis(700)), [common::endpoint_id(2)]);
+}
+
+/// Guards against a pause that outlives the run that asked for it, or that counts for another endpoint.
+#[test]
+fn pause_applies_to_one_run() {
+    let mut view = common::view(2);
+    view.on_pause(Millis(10), &started(Some(1)), None, Millis(5_000));
+    view.apply(Millis(20), common::announced(started(Some(2))));
+    assert_eq!(available(&view, Millis(20)).len(), 2);
+    view.on_pause(Millis(30), &started(Some(2)), Some(&common::endpoint_id(2)), Millis(5_000));
+    assert_eq!(available(&view, Millis(40)), [common::endpoint_id(1)]);
+}
+
+/// Guards against an endpoint that gets no requests for years because of a meaningless header.
+#[test]
+fn pause_is_bounded() {
+    let mut view = common::view(1);
+    view.on_pause(Millis(10), &started(Some(1)), None, Millis(u64::MAX));
+    assert!(available(&view, Millis(3_600_009)).is_empty());
+    assert_eq!(available(&view, Millis(3_600_010)), [common::endpoint_id(1)]);
+}
+
 /// Guards against memory that grows with each endpoint that has left.
 #[test]
 fn notices_of_runs_that_are_gone_are_forgotten() {
