--- a/crates/chestnutpick_fleet/src/codec.rs
+++ b/crates/chestnutpick_fleet/src/codec.rs
@@ -66,6 +66,10 @@
     pub is_stream: bool,
     /// Whether the body has a content encoding, which endpoints never apply.
     pub encoded: bool,
+    /// Whether the endpoint states that it is about to leave and accepts no new requests.
+    pub draining: bool,
+    /// Time for which a refusing endpoint wants no further requests from this process.
+    pub retry_after: Option<time::Millis>,
 }
 
 /// The platform's header format.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -273,14 +273,19 @@
         .call(endpoint.address, request, begin_timeout(node, call, placement, time_left))
         .await;
     let failed = match outcome {
-        Ok(response) => match check(node, call, endpoint, &response) {
-            Ok(head) => {
-                slot.on_response_started();
-                tries.weights = head.version;
-                return Ok(Opened { response, head, endpoint: endpoint.id.clone(), _slot: slot });
+        Ok(response) => {
+            let head = node.codec.response_head(&response.headers);
+            on_head(node, endpoint, &response, &head);
+            match check(node, call, endpoint, &response, &head) {
+                Ok(()) => {
+                    slot.on_response_started();
+                    tries.weights = head.version;
+                    let endpoint = endpoint.id.clone();
+                    return Ok(Opened { response, head, endpoint, _slot: slot });
+                }
+                Err(failed) => failed,
             }
-            Err(failed) => failed,
-        },
+        }
         Err(reason) => call_failed(&reason),
     };
     on_failed(node, call, tries, endpoint, &failed);
@@ -344,17 +349,38 @@
     request
 }
 
+/// Records what the sender of a response states about itself in the headers.
+fn on_head<C>(
+    node: &node::Node<C>,
+    endpoint: &endpoint::Endpoint,
+    response: &client::Response,
+    head: &codec::ResponseHead,
+) where
+    C: codec::Codec,
+{
+    let (now, mut view) = (node.now(), node.view.borrow_mut());
+    let responder = node.codec.endpoint_id(&response.headers);
+    let sender = responder.as_ref().unwrap_or(&endpoint.id);
+    if head.draining && view.on_draining(now, endpoint, responder.as_ref()) {
+        event::Event::new("endpoint_draining").with("endpoint", sender).info();
+    }
+    if let (503, Some(pause)) = (response.status, head.retry_after) {
+        view.on_pause(now, endpoint, responder.as_ref(), pause);
+        event::Event::new("endpoint_paused").with("endpoint", sender).with("ms", pause.0).info();
+    }
+}
+
 /// Checks that the response belongs to this request and that the endpoint ran it.
 fn check<C>(
     node: &node::Node<C>,
     call: &handle::Call,
     endpoint: &endpoint::Endpoint,
     response: &client::Response,
-) -> Result<codec::ResponseHead, Failed>
+    head: &codec::ResponseHead,
+) -> Result<(), Failed>
 where
     C: codec::Codec,
 {
-    let head = node.codec.response_head(&response.headers);
     if head.not_run || response.status == 421 {
         let responder = node.codec.endpoint_id(&response.headers);
         let is_other_endpoint =
@@ -373,7 +399,7 @@
         let reason = "a success without the endpoint's seal".to_owned();
         return Err(Failed::Unknown(error::ErrorKind::AnswerMismatch, reason));
     }
-    Ok(head)
+    Ok(())
 }
 
 fn on_failed<C>(
