--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -268,10 +268,8 @@
     tries.config = placement.terms.version;
     let slot = node::Slot::new(node, &endpoint.id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
-    let outcome = node
-        .client
-        .call(endpoint.address, request, begin_timeout(node, call, placement, time_left))
-        .await;
+    let timeout = begin_timeout(node, placement, time_left);
+    let outcome = node.client.call(endpoint.address, request, timeout).await;
     let failed = match outcome {
         Ok(response) => {
             let head = node.codec.response_head(&response.headers);
@@ -292,11 +290,10 @@
     Err(failed)
 }
 
-/// Returns the time within which a request must begin at its endpoint. Engines respond when they begin. A request that
-/// can be sent elsewhere is cancelled before its engine's version is outdated; another one ends as lost in that case.
+/// Returns the time within which a request must begin at its endpoint. Engines respond when they begin. A request that may
+/// be repeated is sent elsewhere after this time; another one ends as lost, because it may have run.
 fn begin_timeout<C>(
     node: &node::Node<C>,
-    call: &handle::Call,
     placement: &Placement,
     time_left: time::Millis,
 ) -> time::Millis {
