Split the HTTP client by concern

client.rs held the errors, settings, pool, requests and responses of the client in 512 lines. Each has a module of its own now, which client re-exports under the same paths, so callers are unchanged.

--- /dev/null
+++ b/crates/chestnutpick_client/src/client/request.rs
@@ -0,0 +1,48 @@
+//! Requests.
+
+use std::sync;
+
+use actix_http::body;
+use bytes::Bytes;
+use chestnutpick_types::size;
+
+/// A header of a request or response: its name in lower case and its value.
+pub type Header = (sync::Arc<str>, sync::Arc<str>);
+
+/// A request; the path includes the query string.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Method, such as `GET`.
+    pub method: sync::Arc<str>,
+    /// Path with the query string, from the first `/`.
+    pub path: sync::Arc<str>,
+    /// Headers in addition to `host` and `content-length`.
+    pub headers: Vec<Header>,
+    /// Pieces of the body, sent one after the other without being concatenated.
+    pub body: Vec<Bytes>,
+}
+
+impl Request {
+    /// Returns a request without headers or body.
+    ///
+    /// ```
+    /// use chestnutpick_client::client;
+    /// assert_eq!(&*client::Request::new("GET", "/health").path, "/health");
+    /// ```
+    pub fn new<P>(method: &str, path: P) -> Self
+    where
+        P: Into<sync::Arc<str>>,
+    {
+        Self { method: method.into(), path: path.into(), headers: Vec::new(), body: Vec::new() }
+    }
+}
+
+/// Returns a body of known length that is sent piece by piece.
+pub(super) fn sized_body(pieces: Vec<Bytes>) -> impl body::MessageBody + 'static {
+    let len = pieces.iter().map(|piece| size::Bytes::of_len(piece.len()).0).sum();
+    let pieces = pieces.into_iter().filter(|piece| !piece.is_empty());
+    body::SizedStream::new(
+        len,
+        futures::stream::iter(pieces.map(Ok::<_, std::convert::Infallible>)),
+    )
+}
--- /dev/null
+++ b/crates/chestnutpick_client/src/client/response.rs
@@ -0,0 +1,237 @@
+//! Responses and their bodies.
+
+use std::net;
+use std::task;
+use std::time;
+
+use bytes::{Bytes, BytesMut};
+use chestnutpick_types::size;
+use chestnutpick_types::time::Millis;
+use futures::StreamExt;
+
+use crate::client;
+use crate::connection;
+use crate::usage;
+
+/// Bytes of chunk framing and trailers that a body may have in any case.
+const MIN_FRAMING: u64 = 256 << 10;
+
+/// Bytes of content per byte of chunk framing beyond that. Smaller chunks than 20 bytes take more time than all else.
+const MIN_CONTENT_RATIO: u64 = 4;
+
+/// Rate, in bytes per millisecond, below which a body is given up once the time-out of the call has passed.
+const MIN_BODY_RATE: u64 = 16;
+
+/// Reason for giving up a body beyond these limits.
+const EXCESSIVE_FRAMING: &str = "the body consists mostly of chunk framing";
+
+/// A response whose body is read as it arrives.
+pub struct Response {
+    /// Status code.
+    pub status: u16,
+    /// Headers whose values are text.
+    pub headers: Vec<client::Header>,
+    share: usage::Share,
+    timeout: Millis,
+    body: awc::ClientResponse,
+    /// Announced bytes (`content-length`) that have not arrived yet. awc reports a connection that closes early as the
+    /// end of the body.
+    remaining: Option<u64>,
+    /// Filled by the connection while the body is polled.
+    record: connection::Record,
+    /// What the connection has read during this body.
+    progress: connection::Progress,
+    /// Number of bytes of the body that have arrived.
+    arrived: u64,
+}
+
+impl Response {
+    pub(super) fn new(
+        share: usage::Share,
+        timeout: Millis,
+        body: awc::ClientResponse,
+        is_head_request: bool,
+        record: connection::Record,
+    ) -> Self {
+        let headers: Vec<client::Header> = body
+            .headers()
+            .iter()
+            .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
+            .collect();
+        let status = body.status().as_u16();
+        let mut response = Self {
+            status,
+            headers,
+            share,
+            timeout,
+            body,
+            remaining: None,
+            record,
+            progress: connection::Progress::default(),
+            arrived: 0,
+        };
+        if !is_head_request && status != 304 {
+            response.remaining =
+                response.header("content-length").and_then(|length| length.parse().ok());
+        }
+        response
+    }
+
+    /// Returns the response with another time-out for each piece of its body than that of the call.
+    ///
+    /// ```
+    /// use std::io::{Read, Write};
+    ///
+    /// use chestnutpick_client::client;
+    /// use chestnutpick_types::{size, time};
+    ///
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let address = listener.local_addr().unwrap();
+    /// std::thread::spawn(move || {
+    ///     let (mut connection, _) = listener.accept().unwrap();
+    ///     connection.read(&mut [0; 1024]).unwrap();
+    ///     connection.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").unwrap();
+    /// });
+    /// actix_rt::System::new().block_on(async {
+    ///     let (request, timeout) = (client::Request::new("GET", "/"), time::Millis(5_000));
+    ///     let response = client::Client::new().call(address, request, timeout).await.unwrap();
+    ///     let mut response = response.with_body_timeout(time::Millis(10_000));
+    ///     assert_eq!(response.read(size::Bytes(10)).await.unwrap(), "ok");
+    /// });
+    /// ```
+    #[must_use]
+    pub fn with_body_timeout(mut self, timeout: Millis) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Returns the peer's address.
+    pub fn address(&self) -> net::SocketAddr {
+        self.share.peer()
+    }
+
+    /// Returns the value of a header. `name` must be in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(key, _)| &**key == name).map(|(_, value)| &**value)
+    }
+
+    /// Returns the next piece of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`client::CallError::Timeout`] if no piece arrives within `timeout`, and [`client::CallError::Lost`] if the body ends
+    /// early or consists mostly of chunk framing.
+    pub async fn next(&mut self, timeout: Millis) -> Result<Option<Bytes>, client::CallError> {
+        let address = self.address();
+        let lost = |reason: String| client::CallError::Lost { address, reason: reason.into() };
+        let piece = futures::future::poll_fn(|context| {
+            self.record.take();
+            let poll = self.body.poll_next_unpin(context);
+            let progress = self.record.take();
+            self.progress.bytes += progress.bytes;
+            self.progress.eof |= progress.eof;
+            // awc reads framing until a piece is complete, which may never be.
+            if poll.is_pending() && self.has_excessive_framing() {
+                return task::Poll::Ready(None);
+            }
+            poll
+        });
+        match tokio::time::timeout(timeout.to_duration(), piece).await {
+            Ok(Some(Ok(piece))) => {
+                let len = size::Bytes::of_len(piece.len()).0;
+                self.arrived += len;
+                if self.has_excessive_framing() {
+                    return Err(lost(EXCESSIVE_FRAMING.to_owned()));
+                }
+                self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(len));
+                Ok(Some(piece))
+            }
+            Ok(Some(Err(reason))) => Err(lost(format!("the body broke off: {reason}"))),
+            Ok(None) if self.has_excessive_framing() => Err(lost(EXCESSIVE_FRAMING.to_owned())),
+            Ok(None) => match self.remaining {
+                Some(remaining) if remaining > 0 => {
+                    Err(lost(format!("the body broke off {remaining} bytes before its end")))
+                }
+                _ if self.progress.eof && self.header("transfer-encoding").is_some() => {
+                    Err(lost("the body broke off before its last chunk".to_owned()))
+                }
+                _ => Ok(None),
+            },
+            Err(_) => Err(client::CallError::Timeout {
+                address,
+                reason: format!("no piece of the body within {timeout}").into(),
+            }),
+        }
+    }
+
+    fn has_excessive_framing(&self) -> bool {
+        let framing = self.progress.bytes.saturating_sub(self.arrived);
+        framing > MIN_FRAMING + self.arrived / MIN_CONTENT_RATIO
+    }
+
+    /// Reads the rest of the body. Each piece must arrive within the time-out of the call. A body that takes longer than
+    /// that in all must arrive at 16 KB/s or faster.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`client::CallError::Lost`] if the body ends early, exceeds `limit`, or makes the peer exceed its limit, and
+    /// [`client::CallError::Timeout`].
+    pub async fn read(&mut self, limit: size::Bytes) -> Result<Bytes, client::CallError> {
+        self.check_limit(size::Bytes(self.remaining.unwrap_or(0)), limit)?;
+        let start = time::Instant::now();
+        let Some(first) = self.next_in_time(start).await? else { return Ok(Bytes::new()) };
+        self.check_limit(size::Bytes::of_len(first.len()), limit)?;
+        let Some(second) = self.next_in_time(start).await? else { return Ok(first) };
+        let mut body = BytesMut::from(first);
+        let mut piece = second;
+        loop {
+            let len = size::Bytes::of_len(body.len() + piece.len());
+            self.check_limit(len, limit)?;
+            self.hold(len)?;
+            body.extend_from_slice(&piece);
+            match self.next_in_time(start).await? {
+                Some(next) => piece = next,
+                None => return Ok(body.freeze()),
+            }
+        }
+    }
+
+    /// Returns the next piece of a body that is being read since `start`.
+    async fn next_in_time(
+        &mut self,
+        start: time::Instant,
+    ) -> Result<Option<Bytes>, client::CallError> {
+        let elapsed = Millis(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let allowed = self.timeout + Millis(self.arrived / MIN_BODY_RATE);
+        let time_left = allowed.since(elapsed);
+        if time_left == Millis::ZERO {
+            let reason = format!("only {} bytes of the body within {allowed}", self.arrived);
+            return Err(client::CallError::Timeout {
+                address: self.address(),
+                reason: reason.into(),
+            });
+        }
+        self.next(self.timeout.min(time_left)).await
+    }
+
+    /// Counts `len` bytes of this response that the caller keeps until it is complete, in place of any earlier number.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`client::CallError::Lost`] if the unfinished responses of the peer now exceed its limit.
+    pub fn hold(&mut self, len: size::Bytes) -> Result<(), client::CallError> {
+        if self.share.resize(len) {
+            return Ok(());
+        }
+        let reason = "the unfinished responses of the peer exceed its limit".into();
+        Err(client::CallError::Lost { address: self.address(), reason })
+    }
+
+    fn check_limit(&self, len: size::Bytes, limit: size::Bytes) -> Result<(), client::CallError> {
+        if len <= limit {
+            return Ok(());
+        }
+        let reason = format!("the body exceeds the limit of {limit}").into();
+        Err(client::CallError::Lost { address: self.address(), reason })
+    }
+}
