Shorten the calls and body reads of the client

Client::call parsed headers in place, and Response::next polled, counted and checked a body in one function. Each step has a function of its own, and the errors of lost responses are built in one place.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -10,7 +10,6 @@
 use std::net;
 use std::rc;
 
-use actix_http::header;
 use chestnutpick_types::time::Millis;
 
 use crate::connection;
@@ -91,20 +90,17 @@
         request: Request,
         timeout: Millis,
     ) -> Result<Response, CallError> {
-        let invalid = |reason: String| CallError::NotSent { address, reason: reason.into() };
         let method = actix_http::Method::from_bytes(request.method.as_bytes())
-            .map_err(|reason| invalid(reason.to_string()))?;
+            .map_err(|reason| not_sent(address, reason.to_string()))?;
         let is_head_request = method == actix_http::Method::HEAD;
         let (client, record) = self.pool();
         let mut call = client.request(method, format!("http://{address}{}", request.path));
         if !self.options.reuse {
             call = call.force_close();
         }
-        for (name, value) in &request.headers {
-            let name = header::HeaderName::from_bytes(name.as_bytes())
-                .map_err(|reason| invalid(format!("header {name:?}: {reason}")))?;
-            let value = header::HeaderValue::from_str(value)
-                .map_err(|reason| invalid(format!("header {name}: {reason}")))?;
+        for header in &request.headers {
+            let (name, value) =
+                request::parse_header(header).map_err(|reason| not_sent(address, reason))?;
             call.headers_mut().append(name, value);
         }
         let sending = if request.body.is_empty() {
@@ -131,3 +127,7 @@
         Self::new()
     }
 }
+
+fn not_sent(address: net::SocketAddr, reason: String) -> CallError {
+    CallError::NotSent { address, reason: reason.into() }
+}
--- a/crates/chestnutpick_client/src/client/request.rs
+++ b/crates/chestnutpick_client/src/client/request.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use actix_http::body;
+use actix_http::header;
 use bytes::Bytes;
 use chestnutpick_types::size;
 
@@ -37,6 +38,17 @@
     }
 }
 
+/// Returns a header in the form of the HTTP library, or the reason why it is invalid.
+pub(super) fn parse_header(
+    (name, value): &Header,
+) -> Result<(header::HeaderName, header::HeaderValue), String> {
+    let name = header::HeaderName::from_bytes(name.as_bytes())
+        .map_err(|reason| format!("header {name:?}: {reason}"))?;
+    let value = header::HeaderValue::from_str(value)
+        .map_err(|reason| format!("header {name}: {reason}"))?;
+    Ok((name, value))
+}
+
 /// Returns a body of known length that is sent piece by piece.
 pub(super) fn sized_body(pieces: Vec<Bytes>) -> impl body::MessageBody + 'static {
     let len = pieces.iter().map(|piece| size::Bytes::of_len(piece.len()).0).sum();
--- a/crates/chestnutpick_client/src/client/response.rs
+++ b/crates/chestnutpick_client/src/client/response.rs
@@ -1,9 +1,12 @@
 //! Responses and their bodies.
 
+use std::future;
 use std::net;
+use std::sync;
 use std::task;
 use std::time;
 
+use awc::error;
 use bytes::{Bytes, BytesMut};
 use chestnutpick_types::size;
 use chestnutpick_types::time::Millis;
@@ -119,51 +122,71 @@
     ///
     /// # Errors
     ///
-    /// Returns [`client::CallError::Timeout`] if no piece arrives within `timeout`, and [`client::CallError::Lost`] if the body ends
-    /// early or consists mostly of chunk framing.
+    /// Returns [`client::CallError::Timeout`] if no piece arrives within `timeout`, and [`client::CallError::Lost`] if
+    /// the body ends early or consists mostly of chunk framing.
     pub async fn next(&mut self, timeout: Millis) -> Result<Option<Bytes>, client::CallError> {
-        let address = self.address();
-        let lost = |reason: String| client::CallError::Lost { address, reason: reason.into() };
-        let piece = futures::future::poll_fn(|context| {
-            self.record.take();
-            let poll = self.body.poll_next_unpin(context);
-            let progress = self.record.take();
-            self.progress.bytes += progress.bytes;
-            self.progress.eof |= progress.eof;
-            // awc reads framing until a piece is complete, which may never be.
-            if poll.is_pending() && self.has_excessive_framing() {
-                return task::Poll::Ready(None);
-            }
-            poll
-        });
+        let piece = future::poll_fn(|context| self.poll_piece(context));
         match tokio::time::timeout(timeout.to_duration(), piece).await {
-            Ok(Some(Ok(piece))) => {
-                let len = size::Bytes::of_len(piece.len()).0;
-                self.arrived += len;
-                if self.has_excessive_framing() {
-                    return Err(lost(EXCESSIVE_FRAMING.to_owned()));
-                }
-                self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(len));
-                Ok(Some(piece))
+            Ok(Some(Ok(piece))) => self.on_piece(piece).map(Some),
+            Ok(Some(Err(reason))) => Err(self.lost(format!("the body broke off: {reason}"))),
+            Ok(None) => self.check_end().map(|()| None),
+            Err(_) => {
+                let reason = format!("no piece of the body within {timeout}").into();
+                Err(client::CallError::Timeout { address: self.address(), reason })
+            }
+        }
+    }
+
+    /// Polls the next piece of the body. Reports the end of the body when it has excessive framing, since awc reads
+    /// framing until a piece is complete, which may never be.
+    fn poll_piece(
+        &mut self,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<Bytes, error::PayloadError>>> {
+        self.record.take();
+        let poll = self.body.poll_next_unpin(context);
+        let progress = self.record.take();
+        self.progress.bytes += progress.bytes;
+        self.progress.eof |= progress.eof;
+        if poll.is_pending() && self.has_excessive_framing() {
+            return task::Poll::Ready(None);
+        }
+        poll
+    }
+
+    fn on_piece(&mut self, piece: Bytes) -> Result<Bytes, client::CallError> {
+        let len = size::Bytes::of_len(piece.len()).0;
+        self.arrived += len;
+        if self.has_excessive_framing() {
+            return Err(self.lost(EXCESSIVE_FRAMING));
+        }
+        self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(len));
+        Ok(piece)
+    }
+
+    /// Checks that the end of the body is not early.
+    fn check_end(&self) -> Result<(), client::CallError> {
+        if self.has_excessive_framing() {
+            return Err(self.lost(EXCESSIVE_FRAMING));
+        }
+        match self.remaining {
+            Some(remaining) if remaining > 0 => {
+                Err(self.lost(format!("the body broke off {remaining} bytes before its end")))
+            }
+            _ if self.progress.eof && self.header("transfer-encoding").is_some() => {
+                Err(self.lost("the body broke off before its last chunk"))
             }
-            Ok(Some(Err(reason))) => Err(lost(format!("the body broke off: {reason}"))),
-            Ok(None) if self.has_excessive_framing() => Err(lost(EXCESSIVE_FRAMING.to_owned())),
-            Ok(None) => match self.remaining {
-                Some(remaining) if remaining > 0 => {
-                    Err(lost(format!("the body broke off {remaining} bytes before its end")))
-                }
-                _ if self.progress.eof && self.header("transfer-encoding").is_some() => {
-                    Err(lost("the body broke off before its last chunk".to_owned()))
-                }
-                _ => Ok(None),
-            },
-            Err(_) => Err(client::CallError::Timeout {
-                address,
-                reason: format!("no piece of the body within {timeout}").into(),
-            }),
+            _ => Ok(()),
         }
     }
 
+    fn lost<R>(&self, reason: R) -> client::CallError
+    where
+        R: Into<sync::Arc<str>>,
+    {
+        client::CallError::Lost { address: self.address(), reason: reason.into() }
+    }
+
     fn has_excessive_framing(&self) -> bool {
         let framing = self.progress.bytes.saturating_sub(self.arrived);
         framing > MIN_FRAMING + self.arrived / MIN_CONTENT_RATIO
@@ -174,8 +197,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`client::CallError::Lost`] if the body ends early, exceeds `limit`, or makes the peer exceed its limit, and
-    /// [`client::CallError::Timeout`].
+    /// Returns [`client::CallError::Lost`] if the body ends early, exceeds `limit`, or makes the peer exceed its limit,
+    /// and [`client::CallError::Timeout`].
     pub async fn read(&mut self, limit: size::Bytes) -> Result<Bytes, client::CallError> {
         self.check_limit(size::Bytes(self.remaining.unwrap_or(0)), limit)?;
         let start = time::Instant::now();
@@ -223,15 +246,13 @@
         if self.share.resize(len) {
             return Ok(());
         }
-        let reason = "the unfinished responses of the peer exceed its limit".into();
-        Err(client::CallError::Lost { address: self.address(), reason })
+        Err(self.lost("the unfinished responses of the peer exceed its limit"))
     }
 
     fn check_limit(&self, len: size::Bytes, limit: size::Bytes) -> Result<(), client::CallError> {
         if len <= limit {
             return Ok(());
         }
-        let reason = format!("the body exceeds the limit of {limit}").into();
-        Err(client::CallError::Lost { address: self.address(), reason })
+        Err(self.lost(format!("the body exceeds the limit of {limit}")))
     }
 }
