Check body limits in one place

bodies::Bodies and client::Response each compared the length of a body with the caller's limit and built the same error. Both use Response::check_limit.

--- a/crates/chestnutpick_client/src/bodies.rs
+++ b/crates/chestnutpick_client/src/bodies.rs
@@ -174,10 +174,7 @@
         let address = response.address();
         while let Some(piece) = response.next(timeout).await? {
             let mut parts = self.parts.borrow_mut();
-            if size::Bytes::of_len(parts.len(id) + piece.len()) > limit {
-                let reason = format!("the body exceeds the limit of {limit}").into();
-                return Err(client::CallError::Lost { address, reason });
-            }
+            response.check_limit(size::Bytes::of_len(parts.len(id) + piece.len()), limit)?;
             if !parts.append(self.limit, id, &piece) {
                 return Err(given_up_error(address));
             }
--- a/crates/chestnutpick_client/src/client/response.rs
+++ b/crates/chestnutpick_client/src/client/response.rs
@@ -249,7 +249,16 @@
         Err(self.lost("the unfinished responses of the peer exceed its limit"))
     }
 
-    fn check_limit(&self, len: size::Bytes, limit: size::Bytes) -> Result<(), client::CallError> {
+    /// Checks the length of the body against the limit of its caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`client::CallError::Lost`] if `len` exceeds `limit`.
+    pub(crate) fn check_limit(
+        &self,
+        len: size::Bytes,
+        limit: size::Bytes,
+    ) -> Result<(), client::CallError> {
         if len <= limit {
             return Ok(());
         }
