Split the table of members by concern

members.rs held the table, the state of one host and the events between the table and its driver in 650 lines. Member and the events have modules of their own, and the free functions that changed one member are its methods. The public paths are re-exported, so callers are unchanged.

--- a/crates/chestnutpick_membership/src/members.rs
+++ b/crates/chestnutpick_membership/src/members.rs
@@ -1,7 +1,9 @@
 //! Table of all hosts known to this process.
 
+mod event;
+mod member;
+
 use std::collections;
-use std::net;
 
 use chestnutpick_types::id;
 use chestnutpick_types::time;
@@ -9,6 +11,9 @@
 use crate::detector;
 use crate::list;
 
+pub use self::event::{Action, Change, Heartbeat};
+pub use self::member::Member;
+
 /// Minimum delay of a tick that counts as a pause of this process. It exceeds the delays of a driver that ticks only
 /// once a second. Otherwise each of these ticks would count as a pause, and no host would ever become suspect.
 pub const PAUSE_THRESHOLD: time::Millis = time::Millis(2_000);
@@ -17,206 +22,6 @@
 /// an earlier process may arrive late. The host's incarnation and announcement must be kept for longer than both.
 pub const GONE_RETENTION: time::Millis = time::Millis(600_000);
 
-/// Content of a heartbeat, or of a host's announcement that it is leaving.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// Location of the host.
-    pub place: list::Place,
-    /// Incarnation of the host: at least 1, and higher with each start of the process.
-    pub incarnation: u64,
-    /// Whether the host has announced its planned stop.
-    pub leaving: bool,
-}
-
-/// Change of a host's state.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum Change {
-    /// The host, or its incarnation, is new.
-    Found,
-    /// The host answers in time again, or is no longer leaving.
-    Alive,
-    /// The host answers late.
-    Slow,
-    /// The host may have failed.
-    Suspect,
-    /// The host has failed.
-    Dead,
-    /// The host is leaving and gets no new work.
-    Leaving,
-    /// The host is neither listed nor heard from any more.
-    Gone,
-}
-
-/// Step for the driver to take.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Open a new connection to the host, send a heartbeat on it and close the old connection.
-    Connect {
-        /// The host.
-        host: id::HostId,
-        /// Its addresses.
-        addresses: Vec<net::SocketAddr>,
-    },
-    /// Notify the other parts of the process of a change.
-    Notify {
-        /// The host.
-        host: id::HostId,
-        /// Incarnation of the host; 0 until its first heartbeat.
-        incarnation: u64,
-        /// The change.
-        change: Change,
-    },
-}
-
-/// A known host.
-#[derive(Debug, Clone)]
-pub struct Member {
-    place: list::Place,
-    incarnation: u64,
-    /// Whether this incarnation of the host has announced that it is leaving.
-    announced: bool,
-    /// Whether the list shows the host as leaving, and did not before this incarnation appeared.
-    listed_leaving: bool,
-    /// Failure detector, if this process exchanges heartbeats with the host.
-    detector: Option<detector::Detector>,
-    /// Whether monitoring was stopped, so that a late heartbeat does not start it again.
-    monitoring_stopped: bool,
-    in_list: bool,
-}
-
-impl Member {
-    fn new(place: list::Place, in_list: bool) -> Self {
-        Self {
-            place,
-            incarnation: 0,
-            announced: false,
-            listed_leaving: false,
-            detector: None,
-            monitoring_stopped: false,
-            in_list,
-        }
-    }
-}
-
-impl Member {
-    /// Returns the location of the host.
-    ///
-    /// ```
-    /// # use chestnutpick_membership::{list, members, detector};
-    /// # use chestnutpick_types::time;
-    /// # let place = list::Place {
-    /// #     host: "agent-1".parse().unwrap(),
-    /// #     zone: "lima".parse().unwrap(),
-    /// #     region: "peru".parse().unwrap(),
-    /// #     kind: list::Kind::Agent,
-    /// #     addresses: vec![],
-    /// # };
-    /// # let host = place.host.clone();
-    /// let mut members = members::Members::new(detector::Settings::default());
-    /// let heartbeat = members::Heartbeat { place, incarnation: 7, leaving: false };
-    /// members.on_heartbeat(time::Millis(0), heartbeat);
-    /// assert_eq!(members.get(&host).unwrap().place().zone.as_str(), "lima");
-    /// ```
-    pub fn place(&self) -> &list::Place {
-        &self.place
-    }
-
-    /// Returns the host's incarnation, 0 until its first heartbeat.
-    ///
-    /// ```
-    /// # use chestnutpick_membership::{list, members, detector};
-    /// # use chestnutpick_types::time;
-    /// # let place = list::Place {
-    /// #     host: "agent-1".parse().unwrap(),
-    /// #     zone: "lima".parse().unwrap(),
-    /// #     region: "peru".parse().unwrap(),
-    /// #     kind: list::Kind::Agent,
-    /// #     addresses: vec![],
-    /// # };
-    /// # let host = place.host.clone();
-    /// let mut members = members::Members::new(detector::Settings::default());
-    /// let heartbeat = members::Heartbeat { place, incarnation: 7, leaving: false };
-    /// members.on_heartbeat(time::Millis(0), heartbeat);
-    /// assert_eq!(members.get(&host).unwrap().incarnation(), 7);
-    /// ```
-    pub fn incarnation(&self) -> u64 {
-        self.incarnation
-    }
-
-    /// Returns whether the host is leaving and gets no new work.
-    ///
-    /// ```
-    /// # use chestnutpick_membership::{list, members, detector};
-    /// # use chestnutpick_types::time;
-    /// # let place = list::Place {
-    /// #     host: "agent-1".parse().unwrap(),
-    /// #     zone: "lima".parse().unwrap(),
-    /// #     region: "peru".parse().unwrap(),
-    /// #     kind: list::Kind::Agent,
-    /// #     addresses: vec![],
-    /// # };
-    /// # let host = place.host.clone();
-    /// let mut members = members::Members::new(detector::Settings::default());
-    /// let heartbeat = members::Heartbeat { place, incarnation: 7, leaving: false };
-    /// members.on_heartbeat(time::Millis(0), members::Heartbeat { leaving: true, ..heartbeat });
-    /// assert!(members.get(&host).unwrap().is_leaving());
-    /// ```
-    pub fn is_leaving(&self) -> bool {
-        self.announced || self.listed_leaving
-    }
-
-    /// Returns the detected state; a host that is not monitored counts as alive.
-    ///
-    /// ```
-    /// # use chestnutpick_membership::{list, members, detector};
-    /// # use chestnutpick_types::time;
-    /// # let place = list::Place {
-    /// #     host: "agent-1".parse().unwrap(),
-    /// #     zone: "lima".parse().unwrap(),
-    /// #     region: "peru".parse().unwrap(),
-    /// #     kind: list::Kind::Agent,
-    /// #     addresses: vec![],
-    /// # };
-    /// # let host = place.host.clone();
-    /// let mut members = members::Members::new(detector::Settings::default());
-    /// let heartbeat = members::Heartbeat { place, incarnation: 7, leaving: false };
-    /// members.on_heartbeat(time::Millis(0), heartbeat);
-    /// assert_eq!(members.get(&host).unwrap().state(), detector::State::Alive);
-    /// ```
-    pub fn state(&self) -> detector::State {
-        self.detector.as_ref().map_or(detector::State::Alive, detector::Detector::state)
-    }
-
-    /// Returns whether the host may get new work: it is neither leaving nor suspect nor dead.
-    ///
-    /// ```
-    /// # use chestnutpick_membership::{list, members, detector};
-    /// # use chestnutpick_types::time;
-    /// # let place = list::Place {
-    /// #     host: "agent-1".parse().unwrap(),
-    /// #     zone: "lima".parse().unwrap(),
-    /// #     region: "peru".parse().unwrap(),
-    /// #     kind: list::Kind::Agent,
-    /// #     addresses: vec![],
-    /// # };
-    /// # let host = place.host.clone();
-    /// let mut members = members::Members::new(detector::Settings::default());
-    /// let heartbeat = members::Heartbeat { place, incarnation: 7, leaving: false };
-    /// members.on_heartbeat(time::Millis(0), heartbeat);
-    /// assert!(members.get(&host).unwrap().is_usable());
-    /// ```
-    pub fn is_usable(&self) -> bool {
-        let state = self.state();
-        !self.is_leaving() && matches!(state, detector::State::Alive | detector::State::Slow)
-    }
-
-    fn notify(&self, change: Change) -> Action {
-        let host = self.place.host.clone();
-        Action::Notify { host, incarnation: self.incarnation, change }
-    }
-}
-
 /// Table of known hosts, merged from the list and from heartbeats.
 ///
 /// ```
@@ -346,7 +151,7 @@
             let place = &entry.place;
             let member =
                 get_or_restore(now, &mut self.members, &mut self.gone, place, &mut actions);
-            merge_listed(member, entry, was_leaving, &mut actions);
+            member.merge_listed(entry, was_leaving, &mut actions);
         }
         for member in self.members.values_mut() {
             member.in_list = self.list.get(&member.place.host).is_some();
@@ -404,7 +209,7 @@
             get_or_restore(now, &mut self.members, &mut self.gone, &heartbeat.place, &mut actions);
         member.in_list = self.list.get(&host).is_some();
         if heartbeat.incarnation > member.incarnation {
-            start_incarnation(member, &heartbeat, now, &self.settings, &mut actions);
+            member.start_incarnation(&heartbeat, now, &self.settings, &mut actions);
         }
         member.place = heartbeat.place;
         if heartbeat.leaving && !member.announced {
@@ -415,7 +220,7 @@
             }
         }
         let settings = self.settings;
-        update_state(member, &mut actions, |detector| detector.on_heartbeat(now, &settings));
+        member.update_state(&mut actions, |detector| detector.on_heartbeat(now, &settings));
         actions
     }
 
@@ -473,7 +278,7 @@
         let mut actions = Vec::new();
         let settings = self.settings;
         if let Some(member) = self.members.get_mut(host) {
-            update_state(member, &mut actions, |detector| detector.on_call(now, call, &settings));
+            member.update_state(&mut actions, |detector| detector.on_call(now, call, &settings));
         }
         actions
     }
@@ -493,9 +298,8 @@
         let settings = self.settings;
         for member in self.members.values_mut() {
             let mut connect = false;
-            update_state(member, &mut actions, |detector| {
-                connect = detector.on_tick(now, &settings)
-            });
+            member
+                .update_state(&mut actions, |detector| connect = detector.on_tick(now, &settings));
             if connect {
                 let Member { place, .. } = member;
                 let (host, addresses) = (place.host.clone(), place.addresses.clone());
@@ -539,7 +343,7 @@
     /// ```
     pub fn dump(&self) -> serde_json::Value {
         let hosts: serde_json::Map<_, _> =
-            self.members.iter().map(|(id, member)| (id.to_string(), dump_member(member))).collect();
+            self.members.iter().map(|(id, member)| (id.to_string(), member.dump())).collect();
         serde_json::json!({
             "list": self.list.dump(),
             "gone": self.gone.len(),
@@ -550,18 +354,6 @@
     }
 }
 
-fn dump_member(member: &Member) -> serde_json::Value {
-    serde_json::json!({
-        "zone": member.place.zone,
-        "kind": member.place.kind,
-        "incarnation": member.incarnation,
-        "announced": member.announced,
-        "listed_leaving": member.listed_leaving,
-        "in_list": member.in_list,
-        "suspicion": member.detector.as_ref().map(detector::Detector::dump),
-    })
-}
-
 /// Returns the entry of a host. A gone host is restored with its earlier state; a new host is added.
 fn get_or_restore<'a>(
     now: time::Millis,
@@ -581,70 +373,8 @@
             actions.push(member.notify(Change::Leaving));
         }
         if member.state() != detector::State::Alive {
-            actions.push(member.notify(change_for(member.state())));
+            actions.push(member.notify(member::change_for(member.state())));
         }
         member
     })
 }
-
-fn merge_listed(
-    member: &mut Member,
-    entry: &list::Entry,
-    was_leaving: bool,
-    actions: &mut Vec<Action>,
-) {
-    let leaving = entry.state == list::Status::Leaving;
-    let already_leaving = member.is_leaving();
-    // If the list showed the host as leaving before this incarnation appeared, that state is of an earlier incarnation.
-    member.listed_leaving = leaving && (member.listed_leaving || !was_leaving);
-    if member.detector.is_none() {
-        member.place = entry.place.clone();
-    }
-    match (already_leaving, member.is_leaving()) {
-        (false, true) => actions.push(member.notify(Change::Leaving)),
-        (true, false) => actions.push(member.notify(Change::Alive)),
-        _ => {}
-    }
-}
-
-/// Resets the state of a host for a new incarnation.
-fn start_incarnation(
-    member: &mut Member,
-    heartbeat: &Heartbeat,
-    now: time::Millis,
-    settings: &detector::Settings,
-    actions: &mut Vec<Action>,
-) {
-    // The first heartbeat of a host that was only listed does not contradict the list.
-    let first = member.incarnation == 0;
-    member.incarnation = heartbeat.incarnation;
-    member.announced = false;
-    member.listed_leaving &= first;
-    member.detector = (!member.monitoring_stopped).then(|| detector::Detector::new(now, settings));
-    // Adding or restoring the host may have produced notifications; this one replaces them.
-    actions.retain(|action| !matches!(action, Action::Notify { .. }));
-    actions.push(member.notify(Change::Found));
-}
-
-/// Passes an event to the detector of a host, if any, and reports a change of state.
-fn update_state<F>(member: &mut Member, actions: &mut Vec<Action>, step: F)
-where
-    F: FnOnce(&mut detector::Detector),
-{
-    let before = member.state();
-    let Some(detector) = &mut member.detector else { return };
-    step(detector);
-    let after = detector.state();
-    if after != before {
-        actions.push(member.notify(change_for(after)));
-    }
-}
-
-fn change_for(state: detector::State) -> Change {
-    match state {
-        detector::State::Alive => Change::Alive,
-        detector::State::Slow => Change::Slow,
-        detector::State::Suspect => Change::Suspect,
-        detector::State::Dead => Change::Dead,
-    }
-}
