Split the coordinator of claims by concern

It keeps the events; admission, response and schedule are modules of their own. Nothing but Coordinator is public, and its path is unchanged.

--- a/crates/chestnutpick_claims/src/coordinator.rs
+++ b/crates/chestnutpick_claims/src/coordinator.rs
@@ -1,11 +1,14 @@
 //! Coordinator of all claims at one entry.
 
+mod admission;
+mod response;
+mod schedule;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
 use chestnutpick_types::error;
 use chestnutpick_types::id;
-use chestnutpick_types::size;
 use chestnutpick_types::time;
 
 use crate::breaker;
@@ -114,75 +117,6 @@
         out
     }
 
-    fn reject_key(&self, now: time::Millis, key: &id::IdempotencyKey) -> Option<error::ErrorKind> {
-        let created = key::created_at(key)?;
-        let unix = self.epoch + now;
-        if created > unix + self.config.skew {
-            return Some(error::ErrorKind::InvalidRequest);
-        }
-        (created + self.config.retention < unix).then_some(error::ErrorKind::KeyExpired)
-    }
-
-    fn join(
-        &mut self,
-        now: time::Millis,
-        shard: shard::Shard,
-        key: key::Scoped,
-        waiter: key_state::Waiter,
-        out: &mut Vec<event::Action>,
-    ) {
-        self.tokens.insert(waiter.token, (shard, key.clone()));
-        self.with_key_state(now, shard, &key, out, |key_state, ctx, effects| {
-            key_state.join(ctx, waiter, effects);
-            key_state::Reconciled::Keep
-        });
-    }
-
-    fn open(
-        &mut self,
-        now: time::Millis,
-        shard: shard::Shard,
-        key: key::Scoped,
-        waiter: key_state::Waiter,
-        out: &mut Vec<event::Action>,
-    ) {
-        if let Some(stored) = self.cached_result(now, shard, &key, &waiter.call) {
-            out.push(decide(waiter.token, event::Decision::Replay(stored)));
-        } else if self.breaker.is_open(now) || self.is_full() {
-            let refusal = key_state::refusal(error::ErrorKind::StoreUnavailable);
-            out.push(decide(waiter.token, event::Decision::Refuse(refusal)));
-        } else {
-            self.sequence += 1;
-            self.tokens.insert(waiter.token, (shard, key.clone()));
-            let key_state =
-                key_state::KeyState::new(self.sequence, waiter, now + self.config.decision_timeout);
-            let shard_state = self.shards.entry(shard).or_insert_with(shard_state::ShardState::new);
-            shard_state.keys.insert(key, key_state);
-        }
-    }
-
-    /// Returns a result from the cached document. Results never change, so the document need not be current.
-    fn cached_result(
-        &self,
-        now: time::Millis,
-        shard: shard::Shard,
-        key: &key::Scoped,
-        call: &event::Call,
-    ) -> Option<shard::StoredResponse> {
-        let snapshot = self.shards.get(&shard)?.snapshot.as_ref()?;
-        let record = snapshot.document.records.get(key)?;
-        let live = !record.is_expired(self.epoch + now, self.config.skew);
-        match &record.state {
-            shard::State::Done(stored) if live && record.body == call.body => Some(stored.clone()),
-            _ => None,
-        }
-    }
-
-    fn is_full(&self) -> bool {
-        let claim_bytes = self.config.max_result.0 + shard::RECORD_BYTES.0;
-        (self.pending() as u64 + 1) * claim_bytes > self.config.max_memory.0
-    }
-
     /// Records the result of a call for which [`event::Decision::Run`] was given. The entry returns the result to its
     /// client at once; the coordinator keeps it until it is in the store.
     ///
@@ -281,36 +215,6 @@
         out
     }
 
-    fn handle_response(
-        &mut self,
-        now: time::Millis,
-        shard: shard::Shard,
-        response: event::StoreResponse,
-    ) {
-        self.record_health(now, &response);
-        let Some(shard_state) = self.shards.get_mut(&shard) else { return };
-        match std::mem::replace(&mut shard_state.io, shard_state::Io::Idle) {
-            shard_state::Io::Idle => {}
-            shard_state::Io::Read { .. } => handle_read(shard_state, now, response),
-            shard_state::Io::Write { draft, .. } => handle_write(shard_state, now, draft, response),
-        }
-    }
-
-    fn record_health(&mut self, now: time::Millis, response: &event::StoreResponse) {
-        match response {
-            event::StoreResponse::Lost | event::StoreResponse::Failed => {
-                self.lost += 1;
-                self.breaker.record_failure(now);
-            }
-            event::StoreResponse::Conflict => {
-                self.conflicts += 1;
-                self.breaker.record_success();
-            }
-            event::StoreResponse::RateLimited => self.pacer.record_refusal(now),
-            _ => self.breaker.record_success(),
-        }
-    }
-
     /// Handles an agent's verdict about an attempt named in [`event::Action::Settle`]. Late verdicts are ignored.
     ///
     /// ```
@@ -365,18 +269,6 @@
         out
     }
 
-    fn expire_op(&mut self, now: time::Millis, shard: shard::Shard) {
-        let timed_out = self.shards.get(&shard).and_then(|shard_state| match &shard_state.io {
-            shard_state::Io::Read { op, deadline }
-            | shard_state::Io::Write { op, deadline, .. } => (*deadline <= now).then_some(*op),
-            shard_state::Io::Idle => None,
-        });
-        if let Some(op) = timed_out {
-            self.ops.remove(&op);
-            self.handle_response(now, shard, event::StoreResponse::Lost);
-        }
-    }
-
     fn expire_keys(
         &mut self,
         now: time::Millis,
@@ -493,205 +385,6 @@
             }
         }
     }
-
-    fn advance(&mut self, now: time::Millis, shard: shard::Shard, out: &mut Vec<event::Action>) {
-        self.start_next(now, shard, out);
-        self.update_deadline(shard);
-        self.start_queued(now, out);
-    }
-
-    fn update_deadline(&mut self, shard: shard::Shard) {
-        if let Some(shard_state) = self.shards.get_mut(&shard) {
-            shard_state.update_deadline();
-        }
-    }
-
-    /// Starts the write of a shard that has just read its document for it. Any other operation waits in the queue.
-    fn start_next(&mut self, now: time::Millis, shard: shard::Shard, out: &mut Vec<event::Action>) {
-        let next_op = self.choose_op(now, shard, out);
-        let Some(shard_state) =
-            self.shards.get_mut(&shard).filter(|shard_state| shard_state.is_idle())
-        else {
-            return;
-        };
-        let write_granted = std::mem::take(&mut shard_state.write_granted);
-        match next_op {
-            shard_state::NextOp::Nothing => self.evict_unused(shard),
-            shard_state::NextOp::Write if write_granted => self.start_write(now, shard, out),
-            _ => self.enqueue(shard),
-        }
-    }
-
-    fn choose_op(
-        &mut self,
-        now: time::Millis,
-        shard: shard::Shard,
-        out: &mut Vec<event::Action>,
-    ) -> shard_state::NextOp {
-        let ctx = key_state::Context { now, unix: self.epoch + now, config: &self.config };
-        let Some(shard_state) = self.shards.get_mut(&shard) else {
-            return shard_state::NextOp::Nothing;
-        };
-        if !shard_state.is_idle() {
-            return shard_state::NextOp::Nothing;
-        }
-        let mut effects = Vec::new();
-        shard_state.reconcile(ctx, &mut effects);
-        let next_op = shard_state.next_op(ctx);
-        shard_state.delayed = next_op != shard_state::NextOp::Nothing && shard_state.retry_at > now;
-        let next_op = if shard_state.delayed { shard_state::NextOp::Nothing } else { next_op };
-        self.apply_effects(shard, effects, out);
-        next_op
-    }
-
-    fn enqueue(&mut self, shard: shard::Shard) {
-        let Some(shard_state) =
-            self.shards.get_mut(&shard).filter(|shard_state| !shard_state.queued)
-        else {
-            return;
-        };
-        shard_state.queued = true;
-        match std::mem::take(&mut shard_state.conflicted) {
-            true => self.queue.push_front(shard),
-            false => self.queue.push_back(shard),
-        }
-    }
-
-    /// Starts operations of queued shards as long as the pacer permits.
-    fn start_queued(&mut self, now: time::Millis, out: &mut Vec<event::Action>) {
-        while self.pacer.next_start() <= now {
-            let Some(shard) = self.queue.pop_front() else { return };
-            if let Some(shard_state) = self.shards.get_mut(&shard) {
-                shard_state.queued = false;
-            }
-            if self.choose_op(now, shard, out) != shard_state::NextOp::Nothing {
-                self.pacer.record_start(now);
-                self.start_op(now, shard, out);
-            }
-            self.update_deadline(shard);
-        }
-    }
-
-    fn start_op(&mut self, now: time::Millis, shard: shard::Shard, out: &mut Vec<event::Action>) {
-        match self.shards.get(&shard).is_some_and(|shard_state| shard_state.is_stale(now)) {
-            true => self.start_read(now, shard, out),
-            false => self.start_write(now, shard, out),
-        }
-    }
-
-    fn allocate_op(&mut self, shard: shard::Shard) -> event::OpId {
-        self.sequence += 1;
-        let op = event::OpId(self.sequence);
-        self.ops.insert(op, shard);
-        op
-    }
-
-    fn start_read(&mut self, now: time::Millis, shard: shard::Shard, out: &mut Vec<event::Action>) {
-        let op = self.allocate_op(shard);
-        if let Some(shard_state) = self.shards.get_mut(&shard) {
-            shard_state.io =
-                shard_state::Io::Read { op, deadline: now + self.config.store_timeout };
-            shard_state.write_granted = true;
-            out.push(event::Action::Read { op, shard });
-        }
-    }
-
-    fn start_write(
-        &mut self,
-        now: time::Millis,
-        shard: shard::Shard,
-        out: &mut Vec<event::Action>,
-    ) {
-        let ctx = key_state::Context { now, unix: self.epoch + now, config: &self.config };
-        let mut effects = Vec::new();
-        let draft = self
-            .shards
-            .get_mut(&shard)
-            .and_then(|shard_state| shard_state.compose_write(ctx, &mut effects));
-        self.apply_effects(shard, effects, out);
-        let Some(draft) = draft else { return self.start_next(now, shard, out) };
-        let op = self.allocate_op(shard);
-        let (expected, body) = (draft.base, draft.body.clone());
-        if let Some(shard_state) = self.shards.get_mut(&shard) {
-            shard_state.io =
-                shard_state::Io::Write { op, deadline: now + self.config.store_timeout, draft };
-        }
-        out.push(event::Action::Write { op, shard, expected, body });
-    }
-
-    /// Evicts a shard without keys in progress if the cached documents exceed their memory limit.
-    fn evict_unused(&mut self, shard: shard::Shard) {
-        let unused = self.shards.get(&shard).is_some_and(|shard_state| {
-            shard_state.is_idle() && shard_state.keys.is_empty() && !shard_state.queued
-        });
-        if unused && self.cached_bytes() > self.config.max_cache {
-            self.shards.remove(&shard);
-        }
-    }
-
-    fn cached_bytes(&self) -> size::Bytes {
-        let snapshots =
-            self.shards.values().filter_map(|shard_state| shard_state.snapshot.as_ref());
-        size::Bytes(snapshots.map(|snapshot| snapshot.bytes.0).sum())
-    }
-}
-
-fn handle_read(
-    shard_state: &mut shard_state::ShardState,
-    now: time::Millis,
-    response: event::StoreResponse,
-) {
-    let snapshot = match response {
-        event::StoreResponse::Found { revision, body } => {
-            shard::Document::decode(&body).ok().map(|document| shard_state::Snapshot {
-                revision: Some(revision),
-                document,
-                bytes: size::Bytes::of_len(body.len()),
-            })
-        }
-        event::StoreResponse::Absent => Some(shard_state::Snapshot {
-            revision: None,
-            document: shard::Document::default(),
-            bytes: size::Bytes(0),
-        }),
-        _ => None,
-    };
-    match snapshot {
-        Some(snapshot) => {
-            let before = shard_state.snapshot.as_ref().map(|before| before.revision);
-            shard_state.shared = before.is_some_and(|before| before != snapshot.revision);
-            shard_state.set_snapshot(now, snapshot);
-        }
-        None => shard_state.back_off(now),
-    }
-}
-
-fn handle_write(
-    shard_state: &mut shard_state::ShardState,
-    now: time::Millis,
-    draft: shard_state::Draft,
-    response: event::StoreResponse,
-) {
-    match response {
-        event::StoreResponse::Written { revision } => shard_state.set_snapshot(
-            now,
-            shard_state::Snapshot {
-                revision: Some(revision),
-                bytes: size::Bytes::of_len(draft.body.len()),
-                document: draft.document,
-            },
-        ),
-        event::StoreResponse::Lost => {
-            shard_state.mark_indeterminate(&draft);
-            shard_state.back_off(now);
-        }
-        event::StoreResponse::Failed => shard_state.back_off(now),
-        event::StoreResponse::RateLimited => {}
-        _ => {
-            shard_state.current = false;
-            shard_state.conflicted = true;
-        }
-    }
 }
 
 fn decide(token: event::Token, decision: event::Decision) -> event::Action {
