Keep one flag for a failing store

The follower of the store and the relay both recorded whether this router's last call to the store failed. The follower set both in the same places, so they always held the same value. It reads the relay's flag now, which the queries of other routers need.

--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -40,8 +40,7 @@
     C: 'static,
     D: directory::Directory,
 {
-    let mut follower =
-        Follower { node, store, failing: false, must_list: true, call_at: time::Millis::ZERO };
+    let mut follower = Follower { node, store, must_list: true, call_at: time::Millis::ZERO };
     let mut revision = 0;
     while !stop.is_cancelled() {
         let start = follower.node.now();
@@ -56,8 +55,6 @@
 struct Follower<C, D> {
     node: rc::Rc<node::Node<C>>,
     store: D,
-    /// Whether this router's last call to the store failed.
-    failing: bool,
     /// Whether the next call must list everything: the changes since the last revision may be larger, since they contain
     /// each version of the configuration in full.
     must_list: bool,
@@ -88,16 +85,21 @@
         let now = self.node.now();
         self.probe(*revision);
         let is_reader = self.node.relay.borrow().readers.is_reader(self.node.host.ip);
-        let calls_first = is_reader && (!self.failing || now >= self.call_at);
+        let calls_first = is_reader && (!self.is_failing() || now >= self.call_at);
         if !calls_first && self.ask_any(revision).await {
             return time::Millis::ZERO;
         }
-        if self.failing && self.node.now() < self.call_at {
+        if self.is_failing() && self.node.now() < self.call_at {
             return RETRY_PAUSE;
         }
         if self.must_list { self.list(revision).await } else { self.watch(revision).await }
     }
 
+    /// Returns whether this router's last call to the store failed.
+    fn is_failing(&self) -> bool {
+        self.node.relay.borrow().failing
+    }
+
     /// Probes the routers that have failed, without waiting for the results.
     fn probe(&self, after: u64) {
         let due = self.node.relay.borrow_mut().readers.due_probes(self.node.now());
@@ -111,7 +113,8 @@
     async fn ask_any(&mut self, revision: &mut u64) -> bool {
         let (start, own) = (self.node.now(), self.node.host.ip);
         let budget = relay::reader_timeout(&self.node);
-        let access = if self.failing { readers::Access::Refused } else { readers::Access::Granted };
+        let access =
+            if self.is_failing() { readers::Access::Refused } else { readers::Access::Granted };
         let sources = self.node.relay.borrow().readers.sources(own, access);
         let (mut waiting, mut failures) = (false, 0);
         for reader in sources {
@@ -162,7 +165,7 @@
         count_call("list", outcome.is_ok());
         match outcome {
             Ok((batch, body)) => {
-                let content = if self.failing {
+                let content = if self.is_failing() {
                     relay::Content::RecoveryListing
                 } else {
                     relay::Content::Listing
@@ -204,8 +207,7 @@
 
     /// Applies the response to a call to the store.
     fn on_called(&mut self, read: read::Read, after: u64, batch: directory::Batch) {
-        self.node.relay.borrow_mut().failing = false;
-        if std::mem::take(&mut self.failing) {
+        if std::mem::take(&mut self.node.relay.borrow_mut().failing) {
             event::Event::new("store_regained").with("revision", batch.revision).info();
         }
         self.apply(read, after, batch);
@@ -264,7 +266,7 @@
     fn on_error(&mut self, start: time::Millis, reason: &directory::Error) -> time::Millis {
         let now = self.node.now();
         let forgotten = *reason == directory::Error::HistoryLost;
-        if forgotten || !std::mem::replace(&mut self.failing, true) {
+        if forgotten || !self.is_failing() {
             event::Event::new("store_call_failed")
                 .with("took", now.since(start))
                 .with("reason", reason)
