--- a/crates/chestnutpick_agent/src/control.rs
+++ b/crates/chestnutpick_agent/src/control.rs
@@ -29,10 +29,7 @@
 
     fn get_config(&self, peer_revision: u64) -> (u64, Bytes) {
         let config = self.config.borrow();
-        if config.revision() <= peer_revision {
-            return (config.revision(), Bytes::new());
-        }
-        (config.revision(), config.update_since(peer_revision).encode().into())
+        (config.revision(), config.encoded_since(peer_revision).into())
     }
 
     fn drain(&self) {
--- a/crates/chestnutpick_config/src/replica.rs
+++ b/crates/chestnutpick_config/src/replica.rs
@@ -108,6 +108,19 @@
         update::Update::with_digest(&self.current, self.digest, revision)
     }
 
+    /// Returns the encoded update for a peer at `revision`; empty if the peer has the current or a later document.
+    ///
+    /// ```
+    /// use chestnutpick_config::replica;
+    /// assert_eq!(replica::Replica::new().encoded_since(0), "");
+    /// ```
+    pub fn encoded_since(&self, revision: u64) -> String {
+        if self.revision() <= revision {
+            return String::new();
+        }
+        self.update_since(revision).encode()
+    }
+
     /// Offers a whole document; one with a lower revision is never accepted.
     ///
     /// ```
