Share the temperature of endpoints

admission::ramp and routing::report each defined the same enum, with the same texts on the wire and in dumps. It is defined in chestnutpick_types now and re-exported at both paths, and the overload example needs no conversion.

--- a/crates/chestnutpick_admission/src/ramp.rs
+++ b/crates/chestnutpick_admission/src/ramp.rs
@@ -7,32 +7,12 @@
 
 use super::limits;
 
+pub use chestnutpick_types::temperature::Temperature;
+
 /// Number of completed attempts that raise the limit of a cold endpoint by one slot. With 2, the limit grows by half in
 /// the time in which each slot completes one attempt.
 pub const COMPLETIONS_PER_SLOT: u32 = 2;
 
-/// Whether an endpoint is in cold start.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    strum::Display,
-    strum::EnumString,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-#[strum(serialize_all = "snake_case")]
-#[serde(rename_all = "snake_case")]
-pub enum Temperature {
-    /// The limit is below the full limit.
-    Cold,
-    /// The endpoint has its full limit.
-    Warm,
-}
-
 /// Admission limit of one endpoint between cold start and full capacity.
 #[derive(Debug, Clone)]
 pub struct Ramp {
--- a/crates/chestnutpick_routing/examples/overload/agent.rs
+++ b/crates/chestnutpick_routing/examples/overload/agent.rs
@@ -172,10 +172,7 @@
             targets: vec![self.target.clone()],
             limits: report::Resources { slots: report.limits.slots, memory: report.limits.memory },
             load: report::Resources { slots: report.load.slots, memory: report.load.memory },
-            temperature: match report.temperature {
-                ramp::Temperature::Cold => report::Temperature::Cold,
-                ramp::Temperature::Warm => report::Temperature::Warm,
-            },
+            temperature: report.temperature,
             leaving: report.leaving,
             suspect: report.suspect,
         }
--- a/crates/chestnutpick_routing/src/report.rs
+++ b/crates/chestnutpick_routing/src/report.rs
@@ -4,6 +4,8 @@
 use chestnutpick_types::id;
 use chestnutpick_types::size;
 
+pub use chestnutpick_types::temperature::Temperature;
+
 /// Weights or service that a request is routed to.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Target {
@@ -68,28 +70,6 @@
     }
 }
 
-/// Whether an endpoint is in cold start.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    strum::Display,
-    strum::EnumString,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-#[strum(serialize_all = "snake_case")]
-#[serde(rename_all = "snake_case")]
-pub enum Temperature {
-    /// The limit is below the full limit.
-    Cold,
-    /// The endpoint has its full limit.
-    Warm,
-}
-
 /// Load and state of one endpoint, as reported by its agent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
