--- a/crates/chestnutpick_agent/src/calls.rs
+++ b/crates/chestnutpick_agent/src/calls.rs
@@ -29,10 +29,7 @@
 
 /// Handles `/v1/calls/<service>/<path>`.
 pub async fn handle(node: rc::Rc<node::Node>, mut request: http::Request) -> respond::Response {
-    match run(node, &mut request).await {
-        Ok(response) => response,
-        Err(refusal) => respond::refusal(&refusal),
-    }
+    run(node, &mut request).await.unwrap_or_else(|refusal| respond::refusal(&refusal))
 }
 
 async fn run(
