--- a/crates/chestnutpick_fleet/src/declared.rs
+++ b/crates/chestnutpick_fleet/src/declared.rs
@@ -86,6 +86,48 @@
         learned.min().map(|learned_at| learned_at + bound)
     }
 
+    /// Returns the versions before the newest and how long ago each was learned of, the newest first. A required version
+    /// counts as at least `cutoff` old. The list is empty once the newest version is due, `cutoff` after it was learned of.
+    ///
+    /// ```
+    /// use chestnutpick_fleet::declared;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut declared = declared::Declarations::default();
+    /// declared.declare(2, Some(Millis(0)));
+    /// declared.declare(3, Some(Millis(3_000)));
+    /// assert_eq!(declared.pending(Millis(4_000), Millis(6_000)), [(2, Millis(4_000))]);
+    /// assert_eq!(declared.pending(Millis(9_000), Millis(6_000)), []);
+    /// ```
+    pub fn pending(&self, now: time::Millis, cutoff: time::Millis) -> Vec<(u64, time::Millis)> {
+        let newest = self.newest();
+        if newest.is_none() || newest == self.required(now, cutoff) {
+            return Vec::new();
+        }
+        let age = |version: u64, learned_at: time::Millis| {
+            let age = now.since(learned_at);
+            if self.required == Some(version) { age.max(cutoff) } else { age }
+        };
+        let known = self.learned_at.iter().rev().skip(1);
+        let mut pending: Vec<_> = known
+            .filter_map(|(version, learned_at)| Some((*version, age(*version, (*learned_at)?))))
+            .collect();
+        let is_listed = |required| pending.iter().any(|(version, _)| *version == required);
+        if let Some(required) = self.required.filter(|required| !is_listed(*required)) {
+            pending.push((required, cutoff));
+        }
+        pending
+    }
+
+    /// Adds a version that another process reports, with the time at which that process learned of it. Returns whether the
+    /// time is earlier than known before.
+    pub fn on_reported(&mut self, version: u64, learned_at: time::Millis) -> bool {
+        if self.learned_at.contains_key(&version) {
+            return self.on_learned_elsewhere(version, learned_at);
+        }
+        self.declare(version, Some(learned_at));
+        true
+    }
+
     /// Returns the newest version that was learned of at least `age` ago.
     ///
     /// A newer declaration does not delay the time at which an older version becomes due.
--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -133,7 +133,7 @@
     /// assert!(bounds.version_cutoff() < bounds.version_limit());
     /// ```
     pub fn version_limit(&self) -> time::Millis {
-        self.version.since(VERSION_MARGIN)
+        self.version.since(VERSION_MARGIN).max(self.version_cutoff())
     }
 }
 
--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -10,7 +10,7 @@
 use std::net;
 
 use chestnutpick_routing::suspects;
-use chestnutpick_types::{digest, id};
+use chestnutpick_types::{digest, id, time};
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram, in bytes.
@@ -30,6 +30,8 @@
     Cleared(digest::Digest),
     /// Asks for the other routers of the router's zone.
     PeerQuery(id::ZoneId),
+    /// Reports the versions before the newest declared one, while that is not required.
+    Versions(Vec<Version>),
 }
 
 /// A datagram to a router.
@@ -45,6 +47,37 @@
     Peers(Vec<net::IpAddr>),
     /// Reports that the engine on the sender's host, with this start time, does not run any more.
     EngineDown(Option<u64>),
+    /// Reports the versions before the newest declared one, while that is not required.
+    Versions(Vec<Version>),
+}
+
+/// A declared version of the weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    /// Number of the version.
+    pub version: u64,
+    /// Time since the version was declared, in milliseconds.
+    pub age: u32,
+}
+
+impl Version {
+    /// Returns the time at which the sender learned of the version, on the receiver's clock.
+    ///
+    /// ```
+    /// use chestnutpick_fleet::load;
+    /// use chestnutpick_types::time::Millis;
+    /// let version = load::Version { version: 2, age: 500 };
+    /// assert_eq!(version.learned_at(Millis(2_000)), Millis(1_500));
+    /// ```
+    pub fn learned_at(self, now: time::Millis) -> time::Millis {
+        now.since(time::Millis(u64::from(self.age)))
+    }
+}
+
+impl From<(u64, time::Millis)> for Version {
+    fn from((version, age): (u64, time::Millis)) -> Self {
+        Self { version, age: u32::try_from(age.0).unwrap_or(u32::MAX) }
+    }
 }
 
 /// Subscription of a router to an engine's load.
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -197,6 +197,11 @@
         declared.is_some_and(|declared| declared.on_learned_elsewhere(version, learned_at))
     }
 
+    /// Adds a version that another process reports. Returns whether it was unknown or younger before.
+    pub(crate) fn on_reported(&self, model: &id::ModelId, version: u64, at: time::Millis) -> bool {
+        self.declared.borrow_mut().entry(model.clone()).or_default().on_reported(version, at)
+    }
+
     /// Returns the time at which a version was learned of, if known.
     pub(crate) fn learned_at(&self, version: &chunks::Version) -> Option<time::Millis> {
         self.declared.borrow().get(&version.0).and_then(|declared| declared.learned_at(version.1))
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -37,6 +37,8 @@
     started_at: Option<u64>,
     /// Time at which the routers were last told that the engine is down.
     down_sent_at: Option<time::Millis>,
+    /// Time at which the versions before the newest one were last sent.
+    versions_sent_at: time::Millis,
 }
 
 /// Reads the engine's reports and publishes load reports until `stop` is cancelled.
@@ -48,8 +50,15 @@
     E: engine::Engine,
 {
     let subscribers = subscribers::Subscribers::default();
-    let mut publisher =
-        Publisher { node, socket, subscribers, last: None, started_at: None, down_sent_at: None };
+    let mut publisher = Publisher {
+        node,
+        socket,
+        subscribers,
+        last: None,
+        started_at: None,
+        down_sent_at: None,
+        versions_sent_at: time::Millis::ZERO,
+    };
     let mut buffer = [0; load::MAX_LEN];
     let mut poll = tokio::time::interval(POLL_INTERVAL.to_duration());
     poll.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -109,10 +118,26 @@
         }
     }
 
+    /// Sends the versions before the newest one to all subscribers: a router that has started since does not find them in
+    /// the store.
+    fn publish_versions(&mut self, now: time::Millis) {
+        if now.since(self.versions_sent_at) < MAX_INTERVAL {
+            return;
+        }
+        self.versions_sent_at = now;
+        let cutoff = self.node.bounds.get().version_cutoff();
+        let pending = self.node.declared.borrow().values().next().map(|d| d.pending(now, cutoff));
+        let versions: Vec<_> = pending.into_iter().flatten().map(load::Version::from).collect();
+        if !versions.is_empty() {
+            self.broadcast(&load::ToRouter::Versions(versions), None);
+        }
+    }
+
     /// Sends the load to all subscribers if it has changed or [`MAX_INTERVAL`] has passed.
     fn publish(&mut self) {
         let now = self.node.now();
         self.subscribers.expire(now);
+        self.publish_versions(now);
         let Some(load) = self.load() else { return };
         metrics::gauge!("engine_version").set(load.version as f64);
         metrics::gauge!("engine_occupied").set(f64::from(load.occupied));
@@ -172,6 +197,7 @@
             Some(load::FromRouter::Cleared(fingerprint)) => {
                 self.broadcast(&load::ToRouter::Cleared(fingerprint), Some(from));
             }
+            Some(load::FromRouter::Versions(versions)) => self.on_versions(from, &versions),
             Some(load::FromRouter::PeerQuery(zone)) => self.on_peer_query(from, zone),
             None => {}
         }
@@ -184,6 +210,17 @@
         let _ = self.socket.try_send_to(&datagram, from);
     }
 
+    fn on_versions(&self, from: net::SocketAddr, versions: &[load::Version]) {
+        let now = self.node.now();
+        let Some((model, _)) = self.node.target_version() else { return };
+        for version in versions {
+            let learned_at = version.learned_at(now);
+            if self.node.on_reported(&model, version.version, learned_at) {
+                log_version(from, version.version, Some(now.since(learned_at)));
+            }
+        }
+    }
+
     fn on_subscribe(&mut self, from: net::SocketAddr, subscribe: load::Subscribe) {
         let now = self.node.now();
         self.subscribers.on_usage(now, from, subscribe.usage);
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -31,6 +31,7 @@
             () = stop.cancelled() => return,
             _ = renewal.tick() => {
                 subscribe(&node, socket);
+                report_versions(&node, socket);
                 ask_for_peers(&node, socket);
                 crash::confirm(&node);
                 crash::next_round(&node);
@@ -50,6 +51,20 @@
     }
 }
 
+/// Reports the versions before the newest one to the loaders: a loader that has started since does not find them in the
+/// store.
+fn report_versions<C>(node: &node::Node<C>, socket: &UdpSocket) {
+    let (view, now, cutoff) = (node.view.borrow(), node.now(), node.bounds.get().version_cutoff());
+    for (ip, _) in view.engine_hosts() {
+        let versions = view.pending_versions(now, ip, cutoff);
+        if !versions.is_empty() {
+            let datagram = load::encode(&load::FromRouter::Versions(versions));
+            // The next renewal replaces a lost datagram.
+            let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
+        }
+    }
+}
+
 /// Asks the hosts of a few engines in this zone for the other routers. All routers of the zone ask the same hosts.
 fn ask_for_peers<C>(node: &node::Node<C>, socket: &UdpSocket) {
     let datagram = load::encode(&load::FromRouter::PeerQuery(node.host.zone.clone()));
@@ -91,6 +106,7 @@
             Some(load::ToRouter::Lost(record)) => {
                 crash::on_record(node, record);
             }
+            Some(load::ToRouter::Versions(versions)) => on_versions(node, from.ip(), &versions),
             Some(load::ToRouter::Peers(peers)) => {
                 node.relay.borrow_mut().readers.on_peers(peers);
             }
@@ -119,6 +135,22 @@
     crash::confirm(node);
 }
 
+fn on_versions<C>(node: &node::Node<C>, from: net::IpAddr, versions: &[load::Version]) {
+    if node.view.borrow_mut().on_versions(node.now(), from, versions) {
+        for load::Version { version, age } in versions {
+            log_version(*version, time::Millis(u64::from(*age)), from);
+        }
+    }
+}
+
+fn log_version(version: u64, age: time::Millis, from: net::IpAddr) {
+    event::Event::new("version_age_learned")
+        .with("version", version)
+        .with("age", age)
+        .with("from", from)
+        .info();
+}
+
 /// Logs the age of the newest declared version if a loader has reported a greater age than was known before.
 fn log_age(
     before: (u64, Option<time::Millis>),
@@ -127,11 +159,7 @@
 ) {
     let (version, Some(age)) = after else { return };
     if before != after {
-        event::Event::new("version_age_learned")
-            .with("version", version)
-            .with("age", age)
-            .with("from", from)
-            .info();
+        log_version(version, age, from);
     }
 }
 
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -317,6 +317,33 @@
         }
     }
 
+    /// Applies the versions before the newest one that the loader on the host `ip` reports. Returns whether any of them was
+    /// unknown or younger before.
+    pub fn on_versions(
+        &mut self,
+        now: time::Millis,
+        ip: std::net::IpAddr,
+        versions: &[load::Version],
+    ) -> bool {
+        let Some(model) = self.model_at(ip) else { return false };
+        let declared = self.declared.entry(model).or_default();
+        versions.iter().fold(false, |is_news, version| {
+            declared.on_reported(version.version, version.learned_at(now)) || is_news
+        })
+    }
+
+    /// Returns the versions before the newest one of the model on the host `ip`, while the newest one is not required.
+    pub fn pending_versions(
+        &self,
+        now: time::Millis,
+        ip: std::net::IpAddr,
+        cutoff: time::Millis,
+    ) -> Vec<load::Version> {
+        let declared = self.model_at(ip).and_then(|model| self.declared.get(&model));
+        let pending = declared.map(|declared| declared.pending(now, cutoff));
+        pending.into_iter().flatten().map(load::Version::from).collect()
+    }
+
     /// Returns the model of the engine on the host `ip`.
     fn model_at(&self, ip: std::net::IpAddr) -> Option<id::ModelId> {
         let endpoint_view = self
