Send a bounded number of new crash records in each round

When many engines crash at once, each router sent a record for each trait of up to 256 lost requests, through three loaders to all routers. With four traits a request, 40 routers would each receive up to 40 x 1,024 x 3 datagrams (calculated, not measured). One crash makes a few.

--- a/crates/chestnutpick_router/src/suspicion.rs
+++ b/crates/chestnutpick_router/src/suspicion.rs
@@ -40,6 +40,10 @@
 /// Maximum number of successes in each of the two generations that are remembered.
 const MAX_SUCCESSES: usize = 8_192;
 
+/// Maximum number of new records that a router sends in each round. One crash makes a few; when many engines crash at
+/// once, no single request is the cause.
+const MAX_NEW: usize = 64;
+
 /// Number of times that a record or a clearance is sent again, once per round.
 const REPEATS: u32 = 2;
 
@@ -159,6 +163,8 @@
     owed: collections::BTreeSet<digest::Digest>,
     /// Messages to be repeated, and how often.
     repeated: collections::VecDeque<(load::FromRouter, u32)>,
+    /// Number of new records that were to be sent since the last round.
+    new: usize,
     /// Quarantined fingerprints that have been returned by [`Suspicion::take_quarantined`].
     reported: collections::BTreeSet<digest::Digest>,
 }
@@ -171,6 +177,7 @@
             successes: Successes::default(),
             owed: collections::BTreeSet::new(),
             repeated: collections::VecDeque::new(),
+            new: 0,
             reported: collections::BTreeSet::new(),
         }
     }
@@ -233,6 +240,10 @@
                     continue;
                 }
                 self.list.merge(unix, [record.clone()]);
+                self.new += 1;
+                if self.new > MAX_NEW {
+                    continue;
+                }
                 self.repeat(load::FromRouter::Lost(record.clone()));
                 suspected.push(Suspected { subject, record });
             }
@@ -288,6 +299,7 @@
         R: Rng,
     {
         self.list.expire(unix);
+        self.new = 0;
         let mut messages: Vec<_> =
             std::mem::take(&mut self.owed).into_iter().map(load::FromRouter::Cleared).collect();
         for (message, left) in &mut self.repeated {
