--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -327,9 +327,11 @@
     ) -> bool {
         let Some(model) = self.model_at(ip) else { return false };
         let declared = self.declared.entry(model).or_default();
-        versions.iter().fold(false, |is_news, version| {
-            declared.on_reported(version.version, version.learned_at(now)) || is_news
-        })
+        let mut is_news = false;
+        for version in versions {
+            is_news |= declared.on_reported(version.version, version.learned_at(now));
+        }
+        is_news
     }
 
     /// Returns the versions before the newest one of the model on the host `ip`, while the newest one is not required.
