--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -309,8 +309,7 @@
         // started does not know the age, and the store reports the version as well.
         if let Some(age) = load.age {
             let learned_at = now.since(time::Millis(u64::from(age)));
-            declared.declare(load.declared, Some(learned_at));
-            declared.on_learned_elsewhere(load.declared, learned_at);
+            declared.on_reported(load.declared, learned_at);
         }
         if load.required > 0 {
             declared.on_required(load.required);
