--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -70,13 +70,13 @@
     /// assert_eq!(version.learned_at(Millis(2_000)), Millis(1_500));
     /// ```
     pub fn learned_at(self, now: time::Millis) -> time::Millis {
-        now.since(time::Millis(u64::from(self.age)))
+        learned_at(now, self.age)
     }
 }
 
 impl From<(u64, time::Millis)> for Version {
     fn from((version, age): (u64, time::Millis)) -> Self {
-        Self { version, age: u32::try_from(age.0).unwrap_or(u32::MAX) }
+        Self { version, age: millis(age) }
     }
 }
 
@@ -131,6 +131,29 @@
     pub started_at: Option<u64>,
 }
 
+/// Returns a duration in the form in which datagrams hold it; more than 49 days count as that many.
+///
+/// ```
+/// use chestnutpick_fleet::load;
+/// use chestnutpick_types::time::Millis;
+/// assert_eq!(load::millis(Millis(500)), 500);
+/// ```
+pub fn millis(span: time::Millis) -> u32 {
+    u32::try_from(span.0).unwrap_or(u32::MAX)
+}
+
+/// Returns the time on the receiver's clock at which the sender learned of a version that it reports with `age`, in
+/// milliseconds.
+///
+/// ```
+/// use chestnutpick_fleet::load;
+/// use chestnutpick_types::time::Millis;
+/// assert_eq!(load::learned_at(Millis(2_000), 500), Millis(1_500));
+/// ```
+pub fn learned_at(now: time::Millis, age: u32) -> time::Millis {
+    now.since(time::Millis(u64::from(age)))
+}
+
 /// Encodes a datagram.
 ///
 /// ```
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -24,10 +24,6 @@
 /// Maximum time between two load reports to a subscriber; shorter than the age at which routers ignore a load report.
 const MAX_INTERVAL: time::Millis = time::Millis(500);
 
-fn millis(span: time::Millis) -> u32 {
-    u32::try_from(span.0).unwrap_or(u32::MAX)
-}
-
 struct Publisher<E> {
     node: rc::Rc<node::Node<E>>,
     socket: UdpSocket,
@@ -178,10 +174,10 @@
             recent: self.subscribers.recent(now),
             version: report.loaded.as_ref().map_or(0, |(_, version)| *version),
             loading_weights: self.node.loading.get() || report.busy,
-            weights_load_in: self.node.next_load().map(|at| millis(at.since(now))),
+            weights_load_in: self.node.next_load().map(|at| load::millis(at.since(now))),
             routers: self.subscribers.routers(self.node.clock.uptime()),
             declared: newest.unwrap_or(0),
-            age: learned_at.map(|learned_at| millis(now.since(learned_at))),
+            age: learned_at.map(|learned_at| load::millis(now.since(learned_at))),
             required: declared.and_then(|declared| declared.due(now, cutoff)).unwrap_or(0),
             started_at: report.started_at,
         })
@@ -232,7 +228,7 @@
         else {
             return;
         };
-        let learned_at = subscribe.age.map(|age| now.since(time::Millis(u64::from(age))));
+        let learned_at = subscribe.age.map(|age| load::learned_at(now, age));
         let is_news = if subscribe.version > version {
             self.node.declare(model, subscribe.version, learned_at)
         } else {
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -85,8 +85,7 @@
 
 fn subscription<C>(node: &node::Node<C>, view: &view::View, usage: load::Usage) -> load::Subscribe {
     let (version, age) = view.newest_declared(node.now());
-    let age = age.map(|age| u32::try_from(age.0).unwrap_or(u32::MAX));
-    load::Subscribe { version, age, usage }
+    load::Subscribe { version, age: age.map(load::millis), usage }
 }
 
 fn send<C>(node: &node::Node<C>, socket: &UdpSocket, ip: net::IpAddr, subscribe: load::Subscribe) {
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -308,8 +308,7 @@
         // A version of unknown age would be required immediately, so it is not declared here. A loader that has just
         // started does not know the age, and the store reports the version as well.
         if let Some(age) = load.age {
-            let learned_at = now.since(time::Millis(u64::from(age)));
-            declared.on_reported(load.declared, learned_at);
+            declared.on_reported(load.declared, load::learned_at(now, age));
         }
         if load.required > 0 {
             declared.on_required(load.required);
