--- a/crates/chestnutpick_routing/src/suspects.rs
+++ b/crates/chestnutpick_routing/src/suspects.rs
@@ -255,16 +255,10 @@
     /// assert_eq!(suspects.records_of(Millis(1), &prompt)[0].generation, 7);
     /// ```
     pub fn records_of(&self, now: time::Millis, fingerprint: &digest::Digest) -> Vec<Record> {
-        let crashes = self.fingerprints.get(fingerprint).into_iter().flatten();
-        let valid = crashes.filter(|(_, at)| is_valid(now, **at));
-        let mut records: Vec<_> = valid
-            .map(|((host, generation), at)| Record {
-                at: *at,
-                fingerprint: *fingerprint,
-                host: host.clone(),
-                generation: *generation,
-            })
-            .collect();
+        let crashes = self.fingerprints.get(fingerprint).into_iter();
+        let mut records: Vec<_> =
+            crashes.flat_map(|crashes| records_of(fingerprint, crashes)).collect();
+        records.retain(|record| is_valid(now, record.at));
         records.sort();
         records
     }
@@ -283,15 +277,8 @@
     }
 
     fn records(&self) -> Vec<Record> {
-        let all = self.fingerprints.iter().flat_map(|(fingerprint, crashes)| {
-            crashes.iter().map(|((host, generation), at)| Record {
-                at: *at,
-                fingerprint: *fingerprint,
-                host: host.clone(),
-                generation: *generation,
-            })
-        });
-        all.collect()
+        let all = self.fingerprints.iter();
+        all.flat_map(|(fingerprint, crashes)| records_of(fingerprint, crashes)).collect()
     }
 
     /// Returns the number of records.
@@ -323,6 +310,16 @@
     }
 }
 
+/// Returns the records of one fingerprint.
+fn records_of(fingerprint: &digest::Digest, crashes: &Crashes) -> impl Iterator<Item = Record> {
+    crashes.iter().map(|((host, generation), at)| Record {
+        at: *at,
+        fingerprint: *fingerprint,
+        host: host.clone(),
+        generation: *generation,
+    })
+}
+
 const fn is_valid(now: time::Millis, at: time::Millis) -> bool {
     now.since(at).0 < RETENTION.0
 }
