--- a/crates/chestnutpick_router/src/crash.rs
+++ b/crates/chestnutpick_router/src/crash.rs
@@ -100,6 +100,9 @@
 
 /// Adds the requests of confirmed crashes to the suspects and informs the other routers.
 pub(crate) fn confirm<C>(node: &node::Node<C>) {
+    if !node.suspicion.borrow().has_losses() {
+        return;
+    }
     let unix = time::unix_now();
     let confirmed = node.suspicion.borrow_mut().confirm(node.now(), unix, &node.view.borrow());
     if confirmed.is_empty() {
--- a/crates/chestnutpick_router/src/suspicion.rs
+++ b/crates/chestnutpick_router/src/suspicion.rs
@@ -204,6 +204,15 @@
         self.losses.push_back(Loss { at: now, traits: traits.to_vec(), endpoint, started_at });
     }
 
+    /// Returns whether any loss awaits a confirmation.
+    ///
+    /// ```
+    /// assert!(!chestnutpick_router::suspicion::Suspicion::default().has_losses());
+    /// ```
+    pub fn has_losses(&self) -> bool {
+        !self.losses.is_empty()
+    }
+
     /// Returns the endpoints with requests that were lost at `since` or later and whose crash is not confirmed.
     pub fn unconfirmed(&self, since: time::Millis) -> collections::BTreeSet<id::EndpointId> {
         let recent = self.losses.iter().filter(|loss| loss.at >= since);
@@ -218,9 +227,6 @@
         unix: time::Millis,
         view: &view::View,
     ) -> Vec<Suspected> {
-        if self.losses.is_empty() {
-            return Vec::new();
-        }
         let (crashed, rest): (Vec<_>, Vec<_>) =
             self.losses.drain(..).partition(|loss| loss.is_crash(view));
         let is_recent = |loss: &Loss| now.since(loss.at) < CONFIRMATION_TIMEOUT;
