Log callers that leave, and how long their endpoint has been silent

Change: a line caller_left for each request whose caller leaves before its response is complete, and a counter callers_left. No request is handled differently.

--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -59,7 +59,7 @@
     /// Endpoint that sent the response.
     pub(crate) endpoint: id::EndpointId,
     /// Guard that counts the request at the endpoint.
-    pub(crate) _slot: node::Slot<C>,
+    pub(crate) slot: node::Slot<C>,
 }
 
 /// Decision to send a request to an endpoint.
@@ -266,12 +266,13 @@
     tries.sends += 1;
     tries.chosen = Some(placement.chosen.clone());
     tries.config = placement.terms.version;
-    let slot = node::Slot::new(node, &endpoint.id, call.tokens());
+    let slot = node::Slot::new(node, &endpoint.id, &call.head.request_id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
     let timeout = begin_timeout(node, placement, time_left);
     let outcome = node.client.call(endpoint.address, request, timeout).await;
     let failed = match outcome {
         Ok(response) => {
+            slot.on_heard();
             let head = node.codec.response_head(&response.headers);
             on_head(node, endpoint, &response, &head);
             match check(node, call, endpoint, &response, &head) {
@@ -279,13 +280,14 @@
                     slot.on_response_started();
                     tries.weights = head.version;
                     let endpoint = endpoint.id.clone();
-                    return Ok(Opened { response, head, endpoint, _slot: slot });
+                    return Ok(Opened { response, head, endpoint, slot });
                 }
                 Err(failed) => failed,
             }
         }
         Err(reason) => call_failed(&reason),
     };
+    slot.end();
     on_failed(node, call, tries, endpoint, &failed);
     Err(failed)
 }
@@ -460,7 +462,9 @@
     C: codec::Codec,
 {
     let status = opened.response.status;
-    let body = match read(node, call, &mut opened.response).await {
+    let outcome = read(node, call, &mut opened.response).await;
+    opened.slot.end();
+    let body = match outcome {
         Ok(body) => body,
         Err(reason) => {
             if matches!(reason, client::CallError::Lost { .. }) {
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -161,6 +161,7 @@
 
     /// Queues the events that `bytes` complete. Returns a reason to give up the endpoint.
     fn accept(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.opened.slot.on_heard();
         let new_events = self.framer.push(bytes).map_err(|reason| reason.to_string())?;
         self.queue_events(new_events);
         if self.padding > MAX_PADDING {
@@ -191,8 +192,9 @@
         }
     }
 
-    /// Logs a stream with a longer pause between events than its route allows.
+    /// Ends the stream at its endpoint, and logs a stream with a longer pause between events than its route allows.
     fn on_end(&self) {
+        self.opened.slot.end();
         let longest = self.pauses.longest;
         if longest > self.call.admitted.route.gap {
             self.log("stream_paused", &format!("pause of {longest} between two events"));
@@ -201,6 +203,7 @@
 
     /// Resumes the stream at another endpoint.
     async fn resume(&mut self, reason: &str) -> io::Result<()> {
+        self.opened.slot.end();
         self.node.view.borrow_mut().on_failed(self.node.now(), &self.opened.endpoint);
         self.tries.failed.push(self.opened.endpoint.clone());
         self.tries.runs += 1;
@@ -223,6 +226,7 @@
                     return Ok(());
                 }
                 Ok(opened) => {
+                    opened.slot.end();
                     self.tries.runs += 1;
                     reason = format!("resumed with status {}", opened.response.status);
                 }
@@ -245,6 +249,7 @@
     }
 
     fn on_broken(&self, reason: &str) -> io::Error {
+        self.opened.slot.end();
         metrics::counter!("streams_broken").increment(1);
         self.log("stream_broken", reason);
         io::Error::other(reason.to_owned())
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -66,6 +66,8 @@
     pub occupied: u32,
     /// Arrival time of the last load report, by datagram or in a response.
     pub load_received_at: Option<time::Millis>,
+    /// Time of the endpoint's last sign of life: a load report, or a part of a response.
+    pub heard_at: Option<time::Millis>,
     /// Version of the weights according to the last load report.
     pub version: u64,
     /// Whether the endpoint is loading weights or about to.
@@ -97,6 +99,7 @@
             other_tokens: 0,
             occupied: 0,
             load_received_at: None,
+            heard_at: None,
             version: 0,
             loading_weights: false,
             weights_load_at: None,
@@ -265,6 +268,7 @@
             endpoint_view.other_tokens =
                 load.pending_tokens.saturating_sub(endpoint_view.pending_tokens);
             endpoint_view.load_received_at = Some(now);
+            endpoint_view.heard_at = Some(now);
             endpoint_view.version = load.version;
             endpoint_view.loading_weights = load.loading_weights;
             endpoint_view.weights_load_at =
@@ -368,6 +372,13 @@
         }
     }
 
+    /// Records that a part of a response has arrived from an endpoint.
+    pub fn on_heard(&mut self, now: time::Millis, id: &id::EndpointId) {
+        if let Some(endpoint_view) = self.endpoints.get_mut(id) {
+            endpoint_view.heard_at = Some(now);
+        }
+    }
+
     /// Records that a request was sent to an endpoint.
     pub fn on_sent(&mut self, now: time::Millis, id: &id::EndpointId, tokens: u32) {
         if let Some(endpoint_view) = self.endpoints.get_mut(id) {
