Leave endpoints that show no sign of life

Cause: the wait for the head of a response had no limit but the caller's deadline (6 s; callers of streams leave after 3.2 s without an event). A router did not put together what it knew of an endpoint: its load report was over 1.2 s old, and none of its responses went on. It also kept on choosing such an endpoint. Class: a wait whose only limit is the time of somebody else who waits as well. Closing the connection does not help, since a host that stands still does not read it.

Ruled out: a router that closes late; overload (other callers left endpoints that were heard 16 to 60 ms before, and these stopped at once).

Change: router::liveness keeps each endpoint's signs of life (load reports, parts of any response). After 1.2 s without one (four target latencies if shorter) a request that may run twice moves to another endpoint, if the retry budget allows and the response can start before its caller leaves. It is answered as lost after half that time more, so that the caller can repeat it. Purchases stay. The endpoint gets single trials until it is heard. A router that was itself suspended or overloaded counts anew. Requests at endpoints whose announcement has lapsed are covered.

--- a/crates/chestnutpick_fleet/src/config.rs
+++ b/crates/chestnutpick_fleet/src/config.rs
@@ -44,6 +44,9 @@
     pub target: time::Millis,
     /// Maximum pause between two events of a stream that counts as on time.
     pub gap: time::Millis,
+    /// Time without an event after which callers abandon a stream, also before its first event; for other requests the
+    /// time-out.
+    pub patience: time::Millis,
     /// Priority; 0 is the highest.
     pub priority: u32,
     /// Services that serve the route; never empty.
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -18,6 +18,9 @@
 /// Added for an endpoint whose last load report is stale, in milliseconds.
 const STALE_LOAD_PENALTY_MS: f64 = 150.0;
 
+/// Added for an endpoint that has been silent and has not shown a sign of life since, in milliseconds.
+const SILENT_PENALTY_MS: f64 = 1_000.0;
+
 /// Added for an engine that is scheduled to load weights before the request would end, in milliseconds. The engine
 /// loads them only after its requests have finished and serves nothing while it waits for the last one.
 const WEIGHTS_LOAD_PENALTY_MS: f64 = 400.0;
@@ -69,8 +72,8 @@
     pub tokens: u32,
     /// Expected output tokens, if the caller provides an estimate.
     pub output_tokens: Option<u32>,
-    /// Time remaining until the response counts as late. `None` if the request may have partly run and therefore must
-    /// not be refused for lateness.
+    /// Time remaining until the response counts as late, or until the caller leaves if the request may have partly run.
+    /// `None` if the request must not be refused for lateness.
     pub time_left: Option<time::Millis>,
     /// Endpoints that have failed the request.
     pub tried: &'a [id::EndpointId],
@@ -339,6 +342,9 @@
     if endpoint_view.blocked_until > now || pause > time::Millis::ZERO {
         return false;
     }
+    if !endpoint_view.liveness.allows(now, endpoint_view.in_flight) {
+        return false;
+    }
     if request.service.cold_rate <= 0.0 {
         return true;
     }
@@ -419,7 +425,21 @@
         } else {
             0.0
         };
-    region + stale_load + FAILURE_PENALTY_MS * f64::from(endpoint_view.failures)
+    region
+        + stale_load
+        + silence_penalty(now, endpoint_view)
+        + FAILURE_PENALTY_MS * f64::from(endpoint_view.failures)
+}
+
+/// Returns the penalty of an endpoint that shows no sign of life.
+fn silence_penalty(now: time::Millis, endpoint_view: &view::EndpointView) -> f64 {
+    if endpoint_view.liveness.is_silent() {
+        SILENT_PENALTY_MS
+    } else if endpoint_view.liveness.is_suspicious(now, endpoint_view.in_flight) {
+        endpoint_view.silence(now).0 as f64
+    } else {
+        0.0
+    }
 }
 
 /// Returns the penalty of an engine whose scheduled weight load the request would delay.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -1,5 +1,6 @@
 //! Forwarding of a request to endpoints, with retries.
 
+use std::net;
 use std::rc;
 
 use actix_http as http;
@@ -15,6 +16,7 @@
 use crate::handle;
 use crate::node;
 use crate::outcome;
+use crate::silence;
 use crate::stream;
 use crate::terms;
 
@@ -69,10 +71,12 @@
     chosen: choice::Chosen,
     /// Terms under which the request is sent.
     terms: terms::Terms,
+    /// Version of the weights on which the stream started, if it is being resumed.
+    version: Option<u64>,
 }
 
 /// Record of a request's tries.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Tries {
     /// Endpoints that failed the request.
     pub(crate) failed: Vec<id::EndpointId>,
@@ -231,11 +235,18 @@
 ) -> Result<Placement, error::Refusal> {
     let terms = renew_terms(node, call, tries)?;
     let elapsed = node.now().since(call.arrived);
-    // Refusing a request that may have partly run counts as a failure; a late response is better.
-    let time_left = (tries.runs == 0).then(|| call.admitted.route.target.since(elapsed));
+    let route = &call.admitted.route;
+    // Refusing a request that may have partly run counts as a failure. A late response is better, if the caller still
+    // waits for it.
+    let limit = match tries.runs {
+        0 => Some(route.target),
+        _ if tries.begun => None,
+        _ => Some(route.patience),
+    };
+    let time_left = limit.map(|limit| limit.since(elapsed));
     let regions = [call.admitted.regions(), terms.regions()].concat();
     let chosen = node.choose(&choice::Request {
-        target: call.admitted.route.target,
+        target: route.target,
         service: &terms.service,
         regions: &regions,
         tokens: call.tokens(),
@@ -245,7 +256,7 @@
         version,
     });
     let chosen = chosen.map_err(|none| no_choice(tries, &none))?;
-    Ok(Placement { chosen, terms })
+    Ok(Placement { chosen, terms, version })
 }
 
 /// Sends a request to the chosen endpoint and waits for the response headers.
@@ -269,7 +280,12 @@
     let slot = node::Slot::new(node, &endpoint.id, &call.head.request_id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
     let timeout = begin_timeout(node, placement, time_left);
-    let outcome = node.client.call(endpoint.address, request, timeout).await;
+    let outcome = tokio::select! {
+        outcome = node.client.call(endpoint.address, request, timeout) => outcome,
+        reason = silence::wait(node, call, tries, &slot, placement.version) => {
+            Err(silent(endpoint.address, reason))
+        }
+    };
     let failed = match outcome {
         Ok(response) => {
             slot.on_heard();
@@ -305,6 +321,11 @@
     }
 }
 
+/// Returns the outcome of a call that is given up because its endpoint shows no sign of life.
+fn silent(address: net::SocketAddr, reason: String) -> client::CallError {
+    client::CallError::Timeout { address, reason: reason.into() }
+}
+
 fn call_failed(reason: &client::CallError) -> Failed {
     match reason {
         client::CallError::NotSent { .. } => {
@@ -329,7 +350,7 @@
 where
     C: codec::Codec,
 {
-    let Placement { chosen, terms } = placement;
+    let Placement { chosen, terms, .. } = placement;
     let rank = terms.workspace.as_deref().and_then(|workspace| workspace.priority);
     let rank = rank.unwrap_or(terms.route.priority).min(codec::LEAST_URGENT.into());
     let forward = codec::Forward {
@@ -462,7 +483,11 @@
     C: codec::Codec,
 {
     let status = opened.response.status;
-    let outcome = read(node, call, &mut opened.response).await;
+    let address = opened.response.address();
+    let outcome = tokio::select! {
+        outcome = read(node, call, &mut opened.response) => outcome,
+        reason = silence::wait(node, call, tries, &opened.slot, None) => Err(silent(address, reason)),
+    };
     opened.slot.end();
     let body = match outcome {
         Ok(body) => body,
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -42,6 +42,8 @@
     budgets: cell::RefCell<collections::HashMap<id::ServiceId, retry::Budget>>,
     /// Requests, and parts of prompts, that may crash endpoints.
     pub(crate) suspicion: cell::RefCell<suspicion::Suspicion>,
+    /// Notified when the endpoints have been checked for signs of life.
+    pub(crate) silence_checked: Notify,
     /// Notified when a request was lost with its endpoint.
     pub(crate) probe_due: Notify,
     /// Random number generator for choices.
@@ -89,6 +91,7 @@
             view: cell::RefCell::new(view),
             budgets: cell::RefCell::default(),
             suspicion: cell::RefCell::default(),
+            silence_checked: Notify::new(),
             probe_due: Notify::new(),
             rng: cell::RefCell::new(rng),
             socket: cell::OnceCell::new(),
@@ -136,11 +139,22 @@
         self.budgets.borrow_mut().entry(service.clone()).or_default().on_first_attempt(now);
     }
 
+    /// Returns the retries that a service's retry budget allows regardless of the number of requests.
+    fn retry_floor(&self, now: time::Millis) -> u64 {
+        self.bounds.get().retry_floor(self.view.borrow().routers.count(now))
+    }
+
+    /// Returns whether a service's retry budget allows one more retry.
+    pub(crate) fn has_retry(&self, service: &id::ServiceId) -> bool {
+        let now = self.now();
+        let floor = self.retry_floor(now);
+        self.budgets.borrow_mut().entry(service.clone()).or_default().has_retry(now, floor)
+    }
+
     /// Takes one retry from a service's retry budget. Returns `false` if the budget is exhausted.
     pub(crate) fn try_retry(&self, service: &id::ServiceId) -> bool {
         let now = self.now();
-        let routers = self.view.borrow().routers.count(now);
-        let floor = self.bounds.get().retry_floor(routers);
+        let floor = self.retry_floor(now);
         let mut budgets = self.budgets.borrow_mut();
         let granted = budgets.entry(service.clone()).or_default().try_retry_with_min(now, floor);
         metrics::counter!("retries", "granted" => granted.to_string()).increment(1);
@@ -257,6 +271,8 @@
     endpoint: id::EndpointId,
     request_id: sync::Arc<str>,
     sent_at: time::Millis,
+    /// Time of the last part of the response, or of sending the request.
+    heard_at: cell::Cell<time::Millis>,
     /// Prompt tokens that the endpoint has not processed.
     pending_tokens: cell::Cell<u32>,
     /// Whether the endpoint has started to respond.
@@ -281,6 +297,7 @@
             endpoint: endpoint.clone(),
             request_id: sync::Arc::clone(request_id),
             sent_at,
+            heard_at: cell::Cell::new(sent_at),
             pending_tokens: cell::Cell::new(tokens),
             started: cell::Cell::new(false),
             ended: cell::Cell::new(false),
@@ -289,7 +306,19 @@
 
     /// Records that a part of the response has arrived.
     pub(crate) fn on_heard(&self) {
-        self.node.view.borrow_mut().on_heard(self.node.now(), &self.endpoint);
+        let now = self.node.now();
+        self.heard_at.set(now);
+        self.node.view.borrow_mut().on_heard(now, &self.endpoint);
+    }
+
+    /// Returns the endpoint.
+    pub(crate) fn endpoint(&self) -> &id::EndpointId {
+        &self.endpoint
+    }
+
+    /// Returns the time of the last part of the response, or of sending the request.
+    pub(crate) fn heard_at(&self) -> time::Millis {
+        self.heard_at.get()
     }
 
     /// Records that the endpoint has started to respond.
@@ -309,16 +338,18 @@
     fn log_caller_left(&self) {
         let (view, now) = (self.node.view.borrow(), self.node.now());
         let endpoint_view = view.endpoints.get(&self.endpoint);
-        let age = |at: Option<time::Millis>| {
-            at.map_or_else(|| "none".to_owned(), |at| now.since(at).0.to_string())
+        let load_received_at = endpoint_view.and_then(|found| found.load_received_at);
+        let load_age = load_received_at.map(|at| now.since(at));
+        let or_none = |age: Option<time::Millis>| {
+            age.map_or_else(|| "none".to_owned(), |age| age.0.to_string())
         };
         event::Event::new("caller_left")
             .with("request", &self.request_id)
             .with("endpoint", &self.endpoint)
             .with("started", self.started.get())
             .with("ms", now.since(self.sent_at).0)
-            .with("heard_ms", age(endpoint_view.and_then(|found| found.heard_at)))
-            .with("load_age_ms", age(endpoint_view.and_then(|found| found.load_received_at)))
+            .with("heard_ms", or_none(endpoint_view.and_then(|found| found.liveness.age(now))))
+            .with("load_age_ms", or_none(load_age))
             .with("in_flight", endpoint_view.map_or(0, |found| found.in_flight))
             .info();
     }
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -20,6 +20,7 @@
 use crate::loads;
 use crate::node;
 use crate::relay;
+use crate::silence;
 use crate::watch;
 
 /// Time-out of a call to the store, in addition to the wait of a watch.
@@ -96,6 +97,7 @@
     actix_rt::spawn(watch::follow(rc::Rc::clone(&node), store, stop.clone()));
     actix_rt::spawn(loads::exchange(rc::Rc::clone(&node), stop.clone()));
     actix_rt::spawn(crash::probe(rc::Rc::clone(&node), stop.clone()));
+    actix_rt::spawn(silence::watch(rc::Rc::clone(&node), stop.clone()));
     let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
     let closing = sync::CancellationToken::new();
     for listener in [ready, page] {
--- /dev/null
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -0,0 +1,119 @@
+//! Detection of endpoints that show no sign of life, and of requests that can move away from them.
+
+use std::collections;
+use std::rc;
+
+use chestnutpick_fleet::codec;
+use chestnutpick_telemetry::event;
+use chestnutpick_types::{id, time};
+use tokio_util::sync;
+
+use crate::crash;
+use crate::forward;
+use crate::handle;
+use crate::liveness;
+use crate::node;
+
+/// Interval between two checks.
+const CHECK_INTERVAL: time::Millis = time::Millis(100);
+
+/// Delay of a check from which this process was suspended or overloaded. Signs of life may then have arrived unread.
+const MAX_DELAY: time::Millis = time::Millis(300);
+
+/// Checks the endpoints until `stop` is cancelled, and then lets the requests in flight check their own.
+pub(crate) async fn watch<C>(node: rc::Rc<node::Node<C>>, stop: sync::CancellationToken) {
+    let (mut last_check_at, mut silent) = (node.now(), collections::BTreeSet::new());
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = actix_rt::time::sleep(CHECK_INTERVAL.to_duration()) => {}
+        }
+        let now = node.now();
+        if now.since(last_check_at) > CHECK_INTERVAL + MAX_DELAY {
+            node.view.borrow_mut().on_stalled(now);
+        }
+        last_check_at = now;
+        check(&node, now, &mut silent);
+    }
+}
+
+/// Marks silent endpoints, and logs those that have become silent or are no longer.
+fn check<C>(
+    node: &node::Node<C>,
+    now: time::Millis,
+    silent: &mut collections::BTreeSet<id::EndpointId>,
+) {
+    node.view.borrow_mut().check_liveness(now);
+    let view = node.view.borrow();
+    let found = view.endpoints.values().filter(|found| found.liveness.is_silent());
+    let now_silent = found.map(|found| found.endpoint.id.clone()).collect();
+    for id in collections::BTreeSet::difference(&now_silent, silent) {
+        let age = view.endpoints.get(id).and_then(|found| found.liveness.age(now));
+        let in_flight = view.endpoints.get(id).map_or(0, |found| found.in_flight);
+        event::Event::new("endpoint_silent")
+            .with("endpoint", id)
+            .with("heard_ms", age.map_or_else(|| "none".to_owned(), |age| age.0.to_string()))
+            .with("in_flight", in_flight)
+            .warn();
+    }
+    for id in silent.difference(&now_silent) {
+        let event = event::Event::new("endpoint_heard").with("endpoint", id);
+        event.with("announced", view.endpoints.contains_key(id)).info();
+    }
+    drop(view);
+    *silent = now_silent;
+    node.silence_checked.notify_waiters();
+}
+
+/// Waits until the endpoint of `slot` is silent and the request, or the stream that started on `version`, can move to
+/// another endpoint. If it cannot move, it is given up after a longer silence, so that its caller can repeat it.
+/// A request that may not be repeated stays: the endpoint may still answer it. Returns the reason for leaving the endpoint.
+pub(crate) async fn wait<C>(
+    node: &node::Node<C>,
+    call: &handle::Call,
+    tries: &forward::Tries,
+    slot: &node::Slot<C>,
+    version: Option<u64>,
+) -> String
+where
+    C: codec::Codec,
+{
+    let (endpoint, target) = (slot.endpoint(), call.admitted.route.target);
+    loop {
+        node.silence_checked.notified().await;
+        let now = node.now();
+        let silence = node.view.borrow().silence(now, endpoint, slot.heard_at());
+        let is_over = silence >= liveness::timeout(target)
+            && call.admitted.route.is_repeatable()
+            && (silence >= liveness::give_up_timeout(target)
+                || can_move(node, call, tries, endpoint, version));
+        if is_over {
+            node.view.borrow_mut().on_left(now, endpoint);
+            return format!("no sign of life for {silence}");
+        }
+    }
+}
+
+/// Returns whether a request that may run at `endpoint` may run at another one as well, and one can take it.
+fn can_move<C>(
+    node: &node::Node<C>,
+    call: &handle::Call,
+    tries: &forward::Tries,
+    endpoint: &id::EndpointId,
+    version: Option<u64>,
+) -> bool
+where
+    C: codec::Codec,
+{
+    let route = &call.admitted.route;
+    let is_permitted = tries.runs + 1 < route.attempts
+        && (tries.begun || crash::may_repeat(node, call))
+        && node.has_retry(&call.admitted.service.name);
+    if !is_permitted {
+        return false;
+    }
+    let mut tries = tries.clone();
+    tries.runs += 1;
+    tries.failed.push(endpoint.clone());
+    forward::choose(node, call, &tries, version).is_ok()
+}
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::forward;
 use crate::handle;
 use crate::node;
+use crate::silence;
 
 /// Maximum pause between two reads from an endpoint. A batch that processes many prompts pauses for several hundred
 /// milliseconds.
@@ -134,7 +135,14 @@
     /// Reads from the endpoint and queues the events. Returns whether the stream goes on, or a reason to give up the
     /// endpoint.
     async fn read(&mut self, time_left: time::Millis) -> Result<bool, String> {
-        let reason = match self.opened.response.next(time_left.min(EVENT_TIMEOUT)).await {
+        let slot = &self.opened.slot;
+        let piece = tokio::select! {
+            piece = self.opened.response.next(time_left.min(EVENT_TIMEOUT)) => piece,
+            reason = silence::wait(&self.node, &self.call, &self.tries, slot, self.version) => {
+                return Err(reason);
+            }
+        };
+        let reason = match piece {
             Ok(Some(bytes)) => return self.accept(&bytes).map(|()| true),
             Ok(None) if self.ended_before_first_event() => {
                 "the stream ended before its first event".to_owned()
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -6,6 +6,7 @@
 use chestnutpick_fleet::{config, declared, directory, endpoint, load};
 use chestnutpick_types::{digest, id, time};
 
+use crate::liveness;
 use crate::notices;
 use crate::routers;
 use crate::window;
@@ -14,8 +15,8 @@
 /// A live endpoint renews its announcement within this time.
 pub const RECOVERY_GRACE: time::Millis = time::Millis(2_000);
 
-/// Age at which a load report becomes stale and is ignored. Loaders send one at least every 500 ms.
-pub const MAX_LOAD_AGE: time::Millis = time::Millis(1_200);
+/// Age at which a load report becomes stale and is ignored.
+pub const MAX_LOAD_AGE: time::Millis = liveness::TIMEOUT;
 
 /// Circuit breaker of an endpoint: number of consecutive failures that opens it, and time for which it stays open.
 const BREAKER: (u32, time::Millis) = (3, time::Millis(1_000));
@@ -66,8 +67,8 @@
     pub occupied: u32,
     /// Arrival time of the last load report, by datagram or in a response.
     pub load_received_at: Option<time::Millis>,
-    /// Time of the endpoint's last sign of life: a load report, or a part of a response.
-    pub heard_at: Option<time::Millis>,
+    /// Signs of life of the endpoint.
+    pub liveness: liveness::Liveness,
     /// Version of the weights according to the last load report.
     pub version: u64,
     /// Whether the endpoint is loading weights or about to.
@@ -99,7 +100,7 @@
             other_tokens: 0,
             occupied: 0,
             load_received_at: None,
-            heard_at: None,
+            liveness: liveness::Liveness::default(),
             version: 0,
             loading_weights: false,
             weights_load_at: None,
@@ -118,6 +119,11 @@
         }
     }
 
+    /// Returns for how long the endpoint has owed a sign of life.
+    pub fn silence(&self, now: time::Millis) -> time::Millis {
+        self.liveness.silence(now, self.in_flight)
+    }
+
     /// Returns whether the last load report is recent.
     pub fn has_recent_load(&self, now: time::Millis) -> bool {
         self.load_received_at.is_some_and(|at| now.since(at) < MAX_LOAD_AGE)
@@ -150,6 +156,8 @@
     pub confirmed_at: Option<time::Millis>,
     /// Time at which the store last recovered from an outage.
     recovered_at: Option<time::Millis>,
+    /// Time until which this process could not receive anything, because it was suspended or overloaded.
+    stalled_until: time::Millis,
     /// Makes this router's random draws differ from those of other routers.
     pub salt: u64,
     /// Estimated number of routers that share the engines.
@@ -268,7 +276,7 @@
             endpoint_view.other_tokens =
                 load.pending_tokens.saturating_sub(endpoint_view.pending_tokens);
             endpoint_view.load_received_at = Some(now);
-            endpoint_view.heard_at = Some(now);
+            endpoint_view.liveness.on_report(now);
             endpoint_view.version = load.version;
             endpoint_view.loading_weights = load.loading_weights;
             endpoint_view.weights_load_at =
@@ -375,13 +383,52 @@
     /// Records that a part of a response has arrived from an endpoint.
     pub fn on_heard(&mut self, now: time::Millis, id: &id::EndpointId) {
         if let Some(endpoint_view) = self.endpoints.get_mut(id) {
-            endpoint_view.heard_at = Some(now);
+            endpoint_view.liveness.on_heard(now);
+        }
+    }
+
+    /// Records that a request has left an endpoint because it is silent.
+    pub fn on_left(&mut self, now: time::Millis, id: &id::EndpointId) {
+        if let Some(endpoint_view) = self.endpoints.get_mut(id) {
+            endpoint_view.liveness.on_left(now);
+        }
+    }
+
+    /// Takes endpoints for silent that have shown no sign of life for too long.
+    pub fn check_liveness(&mut self, now: time::Millis) {
+        for endpoint_view in self.endpoints.values_mut() {
+            endpoint_view.liveness.check(now, endpoint_view.in_flight);
+        }
+    }
+
+    /// Records that this process could not receive anything until now.
+    pub fn on_stalled(&mut self, now: time::Millis) {
+        self.stalled_until = now;
+        for endpoint_view in self.endpoints.values_mut() {
+            endpoint_view.liveness.on_stalled(now);
+        }
+    }
+
+    /// Returns for how long an endpoint has owed a sign of life. If it is no longer announced, only
+    /// the signs of one request count, the last of which arrived at `heard_at`.
+    pub fn silence(
+        &self,
+        now: time::Millis,
+        id: &id::EndpointId,
+        heard_at: time::Millis,
+    ) -> time::Millis {
+        match self.endpoints.get(id) {
+            Some(endpoint_view) => endpoint_view.silence(now),
+            None => now.since(heard_at.max(self.stalled_until)),
         }
     }
 
     /// Records that a request was sent to an endpoint.
     pub fn on_sent(&mut self, now: time::Millis, id: &id::EndpointId, tokens: u32) {
         if let Some(endpoint_view) = self.endpoints.get_mut(id) {
+            if endpoint_view.in_flight == 0 {
+                endpoint_view.liveness.on_asked(now);
+            }
             endpoint_view.in_flight += 1;
             endpoint_view.total = endpoint_view.total.wrapping_add(1);
             endpoint_view.recent += 1;
@@ -412,11 +459,13 @@
     }
 
     /// Records that an endpoint failed a request. Several consecutive failures block the endpoint for a while. Requests
-    /// that an engine aborts before it loads weights do not count as failures.
+    /// that an engine aborts before it loads weights do not count as failures, nor do requests that leave an endpoint
+    /// because it is silent.
     pub fn on_failed(&mut self, now: time::Millis, id: &id::EndpointId) {
-        if let Some(endpoint_view) =
-            self.endpoints.get_mut(id).filter(|endpoint_view| !endpoint_view.loading_weights)
-        {
+        let counts = |endpoint_view: &&mut EndpointView| {
+            !endpoint_view.loading_weights && !endpoint_view.liveness.is_silent()
+        };
+        if let Some(endpoint_view) = self.endpoints.get_mut(id).filter(counts) {
             endpoint_view.failures += 1;
             if endpoint_view.failures >= BREAKER.0 {
                 endpoint_view.blocked_until = endpoint_view.blocked_until.max(now + BREAKER.1);
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -22,6 +22,7 @@
         timeout: Millis(6_000),
         target: Millis(500),
         gap: Millis(400),
+        patience: Millis(3_200),
         priority: 1,
         shares: vec![config::Share { service: service.parse().unwrap(), weight: 1 }],
         attempts: 2,
--- a/crates/chestnutpick_routing/src/retry.rs
+++ b/crates/chestnutpick_routing/src/retry.rs
@@ -100,10 +100,7 @@
     /// assert!(!budget.try_retry_with_min(Millis(1), 1));
     /// ```
     pub fn try_retry_with_min(&mut self, now: time::Millis, min: u64) -> bool {
-        self.advance(now);
-        let sum = self.window();
-        let allowed = min.max(sum.first * self.percent / 100);
-        if self.percent == 0 || sum.retries >= allowed {
+        if !self.has_retry(now, min) {
             self.denied += 1;
             return false;
         }
@@ -112,6 +109,23 @@
         true
     }
 
+    /// Returns whether the budget allows one more retry, with `min` retries per window always allowed.
+    ///
+    /// ```
+    /// use chestnutpick_routing::retry;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut budget = retry::Budget::default();
+    /// assert!(budget.has_retry(Millis(0), 1));
+    /// budget.try_retry_with_min(Millis(0), 1);
+    /// assert!(!budget.has_retry(Millis(1), 1));
+    /// ```
+    pub fn has_retry(&mut self, now: time::Millis, min: u64) -> bool {
+        self.advance(now);
+        let sum = self.window();
+        let allowed = min.max(sum.first * self.percent / 100);
+        self.percent > 0 && sum.retries < allowed
+    }
+
     fn window(&self) -> Counts {
         let oldest = self.steps[((self.step + 1) % STEPS as u64) as usize].first;
         let sum = self.steps.iter().fold(Counts::default(), |sum, step| Counts {
