Share the limits that endpoints name

What callers saw: nothing yet; an engine that named a limit got 45 requests in 4 s where the users allow 27, which engines in need do not bear.

Cause: no code read the header in which an endpoint names the requests per second that it takes from all routers together (LIMIT).

Change: the limit is a notice of one run of an endpoint, like a pause, until a response that was served names none. router::limit keeps it with the mechanism that limits requests to cold endpoints, which moves there from router::choice: equal shares while the routers are few, otherwise a random draw against the requests that the loader reports, and a few pseudo-random seconds where nothing reports them. Shares of a named limit are evenly spaced, since they are mostly below one request per second; the equal shares apply while all routers may send one request at the same moment within the users' tolerance (half of the limit and 5 requests in 4 s). A limit of zero counts as one request in 4 s, so that its end is noticed. Places at an endpoint that gets nothing because of its limit, or because it is silent, no longer count as free: requests were accepted, late, at full engines.

--- a/crates/chestnutpick_fleet/src/codec.rs
+++ b/crates/chestnutpick_fleet/src/codec.rs
@@ -4,7 +4,7 @@
 
 use actix_http::header;
 use chestnutpick_client::client;
-use chestnutpick_types::{id, time};
+use chestnutpick_types::{id, rate, time};
 
 use crate::endpoint;
 
@@ -48,7 +48,7 @@
 }
 
 /// Fields of an endpoint's response headers.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseHead {
     /// Id of the request that the response answers.
     pub request_id: Option<sync::Arc<str>>,
@@ -68,6 +68,8 @@
     pub encoded: bool,
     /// Whether the endpoint states that it is about to leave and accepts no new requests.
     pub draining: bool,
+    /// Requests per second that the endpoint takes from all routers together, if it names a limit.
+    pub limit: Option<rate::RequestsPerSec>,
     /// Time for which a refusing endpoint wants no further requests from this process.
     pub retry_after: Option<time::Millis>,
 }
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -6,6 +6,7 @@
 use chestnutpick_types::{id, time};
 use rand_core::Rng;
 
+use crate::limit;
 use crate::view;
 
 /// Added to the expected wait at an endpoint of another region, in milliseconds. Covers the round trip and the cost of
@@ -35,14 +36,6 @@
 /// same endpoint.
 const JITTER_MS: f64 = 30.0;
 
-/// Fraction of a cold endpoint's rate that the routers together use when admission relies on the reported request
-/// count. This is the case when the rate per router is below one request per second. The rest, and the users' allowance
-/// above the rate, is headroom for requests in transit.
-const REPORTED_RATE_FRACTION: f64 = 0.7;
-
-/// Fraction of seconds in which a router sends to an endpoint while no loader can be reached.
-const ACTIVE_SECONDS_FRACTION: f64 = 0.25;
-
 /// Mean number of candidates that are compared.
 const SAMPLE_SIZE: f64 = 4.0;
 
@@ -112,7 +105,7 @@
     NoEndpoint,
     /// No endpoint holds the required version of the weights.
     NoVersion,
-    /// All endpoints are at their limit or temporarily blocked.
+    /// All endpoints are at a limit, silent or temporarily blocked.
     Full,
     /// The response would be late at every endpoint.
     Late,
@@ -188,6 +181,10 @@
             reason = reason.max_with(Reason::NoVersion);
             continue;
         }
+        if is_withheld(now, view, request, endpoint_view) {
+            reason = reason.max_with(Reason::Full);
+            continue;
+        }
         capacity.add(endpoint_view);
         if !has_room(now, view, context, request, endpoint_view) {
             reason = reason.max_with(Reason::Full);
@@ -331,49 +328,34 @@
         && request.version.is_none_or(|pinned| pinned == version)
 }
 
-fn has_room(
+/// Returns whether an endpoint that can serve the request gets none for now: it is silent, or this router has sent its
+/// share of the limit that the endpoint has named.
+fn is_withheld(
     now: time::Millis,
     view: &view::View,
-    context: &Context<'_>,
     request: &Request<'_>,
     endpoint_view: &view::EndpointView,
 ) -> bool {
-    let pause = view.notices.pause(now, &endpoint_view.endpoint);
-    if endpoint_view.blocked_until > now || pause > time::Millis::ZERO {
-        return false;
-    }
-    if !endpoint_view.liveness.allows(now, endpoint_view.in_flight) {
-        return false;
-    }
-    if request.service.cold_rate <= 0.0 {
-        return true;
-    }
-    let routers = view.routers.count(now);
-    // The limit applies to warm endpoints too because an endpoint can become cold at any time.
-    let share = request.service.cold_rate * context.bounds.cold_rate_factor() / f64::from(routers);
-    if share >= 1.0 {
-        return endpoint_view.window.allows(now, share as usize);
-    }
-    // With more routers than allowed requests per second, a router sends only if it knows the recent requests of all
-    // routers. It may send if its random draw is below its share of the remaining requests.
-    let room = request.service.cold_rate * REPORTED_RATE_FRACTION - f64::from(endpoint_view.recent);
-    let admitted =
-        endpoint_view.admission_draw.is_some_and(|draw| draw * f64::from(routers) < room);
-    endpoint_view.has_recent_load(now) && admitted
-        || view.routers.is_silent(now)
-            && is_active_second(now, view, endpoint_view)
-            && endpoint_view.window.allows(now, 1)
+    let has_loader = request.service.engine.is_some();
+    let named = view.notices.limit(&endpoint_view.endpoint).map(limit::Limit::named);
+    !endpoint_view.liveness.allows(now, endpoint_view.in_flight)
+        || named.is_some_and(|limit| !limit.allows(now, view, endpoint_view, has_loader))
 }
 
-/// Returns whether this router may send to an endpoint in the current second while no loader reports the requests of
-/// the other routers. The seconds are chosen pseudo-randomly per router, so that only a fraction of the routers sends
-/// to the endpoint in any one second.
-fn is_active_second(
+fn has_room(
     now: time::Millis,
     view: &view::View,
+    context: &Context<'_>,
+    request: &Request<'_>,
     endpoint_view: &view::EndpointView,
 ) -> bool {
-    view::draw(view.salt, now.0 / 1_000, &endpoint_view.endpoint.id) < ACTIVE_SECONDS_FRACTION
+    let pause = view.notices.pause(now, &endpoint_view.endpoint);
+    if endpoint_view.blocked_until > now || pause > time::Millis::ZERO {
+        return false;
+    }
+    let has_loader = request.service.engine.is_some();
+    let cold = limit::Limit::cold(request.service.cold_rate, &context.bounds);
+    cold.is_none_or(|limit| limit.allows(now, view, endpoint_view, has_loader))
 }
 
 /// Returns the expected time until an endpoint starts to respond, in milliseconds.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -384,6 +384,13 @@
     if head.draining && view.on_draining(now, endpoint, responder.as_ref()) {
         event::Event::new("endpoint_draining").with("endpoint", sender).info();
     }
+    // Only a response to a request that was served shows that the sender names no limit any more.
+    let names_limit = head.limit.is_some() || (200..300).contains(&response.status);
+    if names_limit && view.on_limit(now, endpoint, responder.as_ref(), head.limit) {
+        let limit = head.limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        let event = event::Event::new("endpoint_limited").with("endpoint", sender);
+        event.with("limit", limit).info();
+    }
     if let (503, Some(pause)) = (response.status, head.retry_after) {
         view.on_pause(now, endpoint, responder.as_ref(), pause);
         event::Event::new("endpoint_paused").with("endpoint", sender).with("ms", pause.0).info();
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -219,6 +219,7 @@
                 "address": endpoint_view.endpoint.address,
                 "state": endpoint_view.endpoint.state.to_string(),
                 "draining": view.notices.is_draining(&endpoint_view.endpoint),
+                "limit": view.notices.limit(&endpoint_view.endpoint),
                 "in_flight": endpoint_view.in_flight,
                 "occupied": endpoint_view.occupied,
                 "weights": endpoint_view.weights(now),
--- a/crates/chestnutpick_router/src/notices.rs
+++ b/crates/chestnutpick_router/src/notices.rs
@@ -6,7 +6,7 @@
 use std::collections;
 
 use chestnutpick_fleet::endpoint;
-use chestnutpick_types::{id, time};
+use chestnutpick_types::{id, rate, time};
 
 /// Time after the last response of an endpoint for which its notice is kept while it is not announced.
 const RETENTION: time::Millis = time::Millis::from_secs(3_600);
@@ -26,6 +26,8 @@
     draining: bool,
     /// Time until which the endpoint wants no requests from this router.
     paused_until: time::Millis,
+    /// Requests that the endpoint takes from all routers together, if it names a limit.
+    limit: Option<rate::RequestsPerSec>,
 }
 
 impl Notice {
@@ -35,6 +37,7 @@
             received_at: time::Millis::ZERO,
             draining: false,
             paused_until: time::Millis::ZERO,
+            limit: None,
         }
     }
 
@@ -79,6 +82,25 @@
         self.get(endpoint).map_or(time::Millis::ZERO, |notice| notice.paused_until.since(now))
     }
 
+    /// Records the limit that an endpoint names, or that it names none any more. Returns whether it has changed.
+    pub fn on_limit(
+        &mut self,
+        now: time::Millis,
+        endpoint: &endpoint::Endpoint,
+        limit: Option<rate::RequestsPerSec>,
+    ) -> bool {
+        if limit == self.limit(endpoint) {
+            return false;
+        }
+        let notice = self.get_or_insert(now, endpoint);
+        notice.is_some_and(|notice| std::mem::replace(&mut notice.limit, limit) != limit)
+    }
+
+    /// Returns the limit that an endpoint names.
+    pub fn limit(&self, endpoint: &endpoint::Endpoint) -> Option<rate::RequestsPerSec> {
+        self.get(endpoint).and_then(|notice| notice.limit)
+    }
+
     /// Forgets the notices of runs that are not announced and will not be announced again.
     pub fn retain<F>(&mut self, now: time::Millis, is_announced: F)
     where
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -4,7 +4,7 @@
 use std::sync;
 
 use chestnutpick_fleet::{config, declared, directory, endpoint, load};
-use chestnutpick_types::{digest, id, time};
+use chestnutpick_types::{digest, id, rate, time};
 
 use crate::liveness;
 use crate::notices;
@@ -524,6 +524,19 @@
         }
     }
 
+    /// Records the limit that the sender of a response to a request to `endpoint` names, or that it names none. Returns
+    /// whether it has changed.
+    pub fn on_limit(
+        &mut self,
+        now: time::Millis,
+        endpoint: &endpoint::Endpoint,
+        responder: Option<&id::EndpointId>,
+        limit: Option<rate::RequestsPerSec>,
+    ) -> bool {
+        let sender = sender(&self.endpoints, endpoint, responder);
+        sender.is_some_and(|sender| self.notices.on_limit(now, sender, limit))
+    }
+
     /// Returns whether an endpoint accepts new requests in principle, although it may be full or paused.
     pub fn is_available(&self, endpoint_view: &EndpointView) -> bool {
         let endpoint = &endpoint_view.endpoint;
--- a/crates/chestnutpick_router/src/window.rs
+++ b/crates/chestnutpick_router/src/window.rs
@@ -1,4 +1,4 @@
-//! Sliding window over the requests of the last second.
+//! Sliding window over the requests of the last second, and the last request before.
 
 use std::collections;
 
@@ -7,28 +7,29 @@
 /// Length of the window.
 const SPAN: time::Millis = time::Millis(1_000);
 
-/// Send times of the requests of the last second.
+/// Send times of the requests of the last second and of the last request.
 #[derive(Debug, Clone, Default)]
 pub struct Window {
     sent: collections::VecDeque<time::Millis>,
 }
 
 impl Window {
-    /// Returns whether one more request stays within `limit` requests per second.
+    /// Returns whether one more request stays within `limit` requests per `span`. If `span` exceeds a second, `limit` must
+    /// be 1.
     ///
     /// ```
     /// use chestnutpick_router::window;
     /// use chestnutpick_types::time::Millis;
     /// let mut window = window::Window::default();
     /// window.on_sent(Millis(0));
-    /// assert!(!window.allows(Millis(999), 1));
-    /// assert!(window.allows(Millis(1_000), 1));
+    /// assert!(!window.allows(Millis(2_999), 1, Millis(3_000)));
+    /// assert!(window.allows(Millis(3_000), 1, Millis(3_000)));
     /// ```
-    pub fn allows(&self, now: time::Millis, limit: usize) -> bool {
-        self.count(now, SPAN) < limit
+    pub fn allows(&self, now: time::Millis, limit: usize, span: time::Millis) -> bool {
+        self.count(now, span) < limit
     }
 
-    /// Returns the number of requests in the last `span`, which must not exceed one second.
+    /// Returns the number of requests in the last `span`, of those that the window holds.
     ///
     /// ```
     /// use chestnutpick_router::window;
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -161,20 +161,40 @@
     choose_with(view, now, None, Some(version), 1)
 }
 
+/// Chooses an endpoint of `service` for a request that is never late.
+pub fn choose_for(
+    view: &view::View,
+    now: Millis,
+    service: &config::Service,
+    seed: u64,
+) -> Result<choice::Chosen, choice::NoChoice> {
+    choose_of(view, now, service, None, None, seed)
+}
+
 fn choose_with(
     view: &view::View,
     now: Millis,
     time_left: Option<Millis>,
     version: Option<u64>,
     seed: u64,
+) -> Result<choice::Chosen, choice::NoChoice> {
+    choose_of(view, now, &engine_service(), time_left, version, seed)
+}
+
+fn choose_of(
+    view: &view::View,
+    now: Millis,
+    service: &config::Service,
+    time_left: Option<Millis>,
+    version: Option<u64>,
+    seed: u64,
 ) -> Result<choice::Chosen, choice::NoChoice> {
     use rand_core::SeedableRng;
     let (regions, zone) = (regions(), "lima".parse().unwrap());
     let context = choice::Context { zone: &zone, regions: &regions, bounds: bounds() };
-    let service = engine_service();
     let request = choice::Request {
         target: route("llm", config::Kind::Stream).target,
-        service: &service,
+        service,
         regions: &[],
         tokens: 977,
         output_tokens: None,
--- a/crates/chestnutpick_types/src/rate.rs
+++ b/crates/chestnutpick_types/src/rate.rs
@@ -1,4 +1,4 @@
-//! Data rates.
+//! Rates of data and of requests.
 
 use std::fmt;
 use std::str;
@@ -64,3 +64,45 @@
         }
     }
 }
+
+/// Error returned when parsing [`RequestsPerSec`] fails.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display(
+    "invalid rate {text:?}: expected requests per second as a decimal number, at least 0"
+))]
+pub struct ParseRequestsError {
+    /// Rejected text.
+    text: String,
+}
+
+/// A rate in requests per second, finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default, serde::Serialize)]
+#[serde(transparent)]
+pub struct RequestsPerSec(pub f64);
+
+impl fmt::Display for RequestsPerSec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl str::FromStr for RequestsPerSec {
+    type Err = ParseRequestsError;
+
+    /// Parses a number with or without the suffix `/s`.
+    ///
+    /// ```
+    /// use chestnutpick_types::rate;
+    /// assert_eq!("2.6".parse(), Ok(rate::RequestsPerSec(2.6)));
+    /// assert_eq!(rate::RequestsPerSec(4.0).to_string().parse(), Ok(rate::RequestsPerSec(4.0)));
+    /// assert!("-1".parse::<rate::RequestsPerSec>().is_err());
+    /// assert!("inf".parse::<rate::RequestsPerSec>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("/s").unwrap_or(text).parse().ok();
+        match number.filter(|number: &f64| number.is_finite() && *number >= 0.0) {
+            Some(number) => Ok(Self(number)),
+            None => ParseRequestsSnafu { text }.fail(),
+        }
+    }
+}
