Report named limits to all routers with the load

What callers saw: requests were refused although an engine had lifted its limit.

Cause: a router learned of a limit and of its end only from responses to its own requests. Change: a router whose response changes what it knows tells the engine's loader, which names the last limit in its load reports. Routers apply it to that run of the engine. A lost datagram is made up for by the next report or response. Services without loaders: as before.

--- a/crates/chestnutpick_fleet/src/codec.rs
+++ b/crates/chestnutpick_fleet/src/codec.rs
@@ -48,7 +48,7 @@
 }
 
 /// Fields of an endpoint's response headers.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct ResponseHead {
     /// Id of the request that the response answers.
     pub request_id: Option<sync::Arc<str>>,
--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -5,12 +5,14 @@
 //! subscribers when the load changes, and immediately while the engine is nearly full. A lost datagram only reduces
 //! accuracy.
 //!
+//! Routers report the limits that engines name, and loaders report them to all routers with the load.
+//!
 //! Loaders also forward messages from one router to all others: which requests were lost in a crash of an endpoint.
 
 use std::net;
 
 use chestnutpick_routing::suspects;
-use chestnutpick_types::{digest, id, time};
+use chestnutpick_types::{digest, id, rate, time};
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram, in bytes.
@@ -32,6 +34,8 @@
     PeerQuery(id::ZoneId),
     /// Reports the versions before the newest declared one, while that is not required.
     Versions(Vec<Version>),
+    /// Reports the limit that a response of the engine with this start time names.
+    Limit(Option<u64>, Limit),
 }
 
 /// A datagram to a router.
@@ -129,6 +133,26 @@
     pub required: u64,
     /// Unix time of the engine's start in milliseconds, if reported.
     pub started_at: Option<u64>,
+    /// Limit that the engine named last, according to the routers.
+    pub limit: Limit,
+}
+
+/// What is known about the limit on the requests of all routers that an engine names in its responses.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Limit {
+    /// No router has reported any.
+    #[default]
+    Unknown,
+    /// The last response named none.
+    Unlimited,
+    /// The last response named this limit.
+    Named(rate::RequestsPerSec),
+}
+
+impl From<Option<rate::RequestsPerSec>> for Limit {
+    fn from(limit: Option<rate::RequestsPerSec>) -> Self {
+        limit.map_or(Self::Unlimited, Self::Named)
+    }
 }
 
 /// Returns a duration in the form in which datagrams hold it; more than 49 days count as that many.
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -33,6 +33,8 @@
     started_at: Option<u64>,
     /// Time at which the routers were last told that the engine is down.
     down_sent_at: Option<time::Millis>,
+    /// Limit that the engine named last, according to the routers.
+    limit: load::Limit,
     /// Time at which the versions before the newest one were last sent.
     versions_sent_at: time::Millis,
 }
@@ -53,6 +55,7 @@
         last: None,
         started_at: None,
         down_sent_at: None,
+        limit: load::Limit::Unknown,
         versions_sent_at: time::Millis::ZERO,
     };
     let mut buffer = [0; load::MAX_LEN];
@@ -88,6 +91,9 @@
                     event::Event::new("engine_reports").with("running", report.running).info();
                 }
                 self.subscribers.on_report(report.running + report.waiting);
+                if self.started_at != report.started_at {
+                    self.limit = load::Limit::Unknown;
+                }
                 self.started_at = report.started_at;
                 self.down_sent_at = None;
                 *self.node.report.borrow_mut() = Some((report, now));
@@ -180,6 +186,7 @@
             age: learned_at.map(|learned_at| load::millis(now.since(learned_at))),
             required: declared.and_then(|declared| declared.due(now, cutoff)).unwrap_or(0),
             started_at: report.started_at,
+            limit: self.limit,
         })
     }
 
@@ -194,11 +201,20 @@
                 self.broadcast(&load::ToRouter::Cleared(fingerprint), Some(from));
             }
             Some(load::FromRouter::Versions(versions)) => self.on_versions(from, &versions),
+            Some(load::FromRouter::Limit(started_at, limit)) => self.on_limit(started_at, limit),
             Some(load::FromRouter::PeerQuery(zone)) => self.on_peer_query(from, zone),
             None => {}
         }
     }
 
+    /// Applies the limit that the engine has named to a router, unless the engine has restarted since.
+    fn on_limit(&mut self, started_at: Option<u64>, limit: load::Limit) {
+        if started_at == self.started_at && limit != self.limit {
+            self.limit = limit;
+            self.publish();
+        }
+    }
+
     fn on_peer_query(&mut self, from: net::SocketAddr, zone: id::ZoneId) {
         let peers = self.subscribers.on_peer_query(self.node.now(), from.ip(), zone);
         let datagram = load::encode(&load::ToRouter::Peers(peers));
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -14,6 +14,7 @@
 use crate::choice;
 use crate::crash;
 use crate::handle;
+use crate::loads;
 use crate::node;
 use crate::outcome;
 use crate::silence;
@@ -386,15 +387,17 @@
     }
     // Only a response to a request that was served shows that the sender names no limit any more.
     let names_limit = head.limit.is_some() || (200..300).contains(&response.status);
-    if names_limit && view.on_limit(now, endpoint, responder.as_ref(), head.limit) {
-        let limit = head.limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
-        let event = event::Event::new("endpoint_limited").with("endpoint", sender);
-        event.with("limit", limit).info();
-    }
+    let sender_of_limit =
+        names_limit.then(|| view.on_limit(now, endpoint, responder.as_ref(), head.limit)).flatten();
     if let (503, Some(pause)) = (response.status, head.retry_after) {
         view.on_pause(now, endpoint, responder.as_ref(), pause);
         event::Event::new("endpoint_paused").with("endpoint", sender).with("ms", pause.0).info();
     }
+    drop(view);
+    if let Some(sender) = sender_of_limit {
+        loads::log_limit(&sender.id, head.limit, "response");
+        loads::send_limit(node, &sender, head.limit);
+    }
 }
 
 /// Checks that the response belongs to this request and that the endpoint ran it.
--- a/crates/chestnutpick_router/src/limit.rs
+++ b/crates/chestnutpick_router/src/limit.rs
@@ -77,11 +77,11 @@
     /// ```
     /// use chestnutpick_router::limit;
     /// use chestnutpick_types::{rate, time};
-    /// let limit = limit::Limit::named(rate::RequestsPerSec(4.0));
+    /// let limit = limit::Limit::named(rate::RequestsPerSec::from_thousandths(4_000));
     /// assert_eq!(limit.share(8), (1, time::Millis(2_000)));
     /// ```
     pub fn named(rate: rate::RequestsPerSec) -> Self {
-        let rate = rate.0.max(MIN_RATE);
+        let rate = rate.as_f64().max(MIN_RATE);
         Self {
             rate,
             window: time::Millis::ZERO,
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -3,9 +3,9 @@
 use std::net;
 use std::rc;
 
-use chestnutpick_fleet::load;
+use chestnutpick_fleet::{endpoint, load};
 use chestnutpick_telemetry::event;
-use chestnutpick_types::{id, time};
+use chestnutpick_types::{id, rate, time};
 use rand_core::Rng;
 use tokio::net::UdpSocket;
 use tokio_util::sync;
@@ -83,6 +83,21 @@
     }
 }
 
+/// Reports the limit that an endpoint has named to the engine's loader, so that the other routers learn it.
+pub(crate) fn send_limit<C>(
+    node: &node::Node<C>,
+    endpoint: &endpoint::Endpoint,
+    limit: Option<rate::RequestsPerSec>,
+) {
+    let is_engine = node.view.borrow().usage_at(&endpoint.id).is_some();
+    if let Some(socket) = node.socket.get().filter(|_| is_engine) {
+        let message = load::FromRouter::Limit(endpoint.started_at, limit.into());
+        let address = node.host.load_address(endpoint.address.ip());
+        // If the datagram is lost, the other routers learn the limit from responses.
+        let _ = socket.try_send_to(&load::encode(&message), address);
+    }
+}
+
 fn subscription<C>(node: &node::Node<C>, view: &view::View, usage: load::Usage) -> load::Subscribe {
     let (version, age) = view.newest_declared(node.now());
     load::Subscribe { version, age: age.map(load::millis), usage }
@@ -125,7 +140,9 @@
 fn on_load<C>(node: &node::Node<C>, ip: net::IpAddr, load: &load::Load) {
     let (mut view, now) = (node.view.borrow_mut(), node.now());
     let before = view.newest_declared(now);
-    view.on_load_report(now, ip, load);
+    for (endpoint, limit) in view.on_load_report(now, ip, load) {
+        log_limit(&endpoint, limit, "loader");
+    }
     log_age(before, view.newest_declared(now), ip);
     if view.awaits_announcement(now) {
         node.announcement_awaited.notify_one();
@@ -134,6 +151,19 @@
     crash::confirm(node);
 }
 
+/// Logs a change of the limit that an endpoint names, and where this router learned it.
+pub(crate) fn log_limit(
+    endpoint: &id::EndpointId,
+    limit: Option<rate::RequestsPerSec>,
+    source: &'static str,
+) {
+    event::Event::new("endpoint_limited")
+        .with("endpoint", endpoint)
+        .with("limit", limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string()))
+        .with("source", source)
+        .info();
+}
+
 fn on_versions<C>(node: &node::Node<C>, from: net::IpAddr, versions: &[load::Version]) {
     if node.view.borrow_mut().on_versions(node.now(), from, versions) {
         for load::Version { version, age } in versions {
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -255,8 +255,14 @@
         self.recovered_at = Some(now);
     }
 
-    /// Applies a load report of the engine on the host `ip`.
-    pub fn on_load_report(&mut self, now: time::Millis, ip: std::net::IpAddr, load: &load::Load) {
+    /// Applies a load report of the engine on the host `ip`. Returns the endpoints whose named limit has changed.
+    pub fn on_load_report(
+        &mut self,
+        now: time::Millis,
+        ip: std::net::IpAddr,
+        load: &load::Load,
+    ) -> Vec<(id::EndpointId, Option<rate::RequestsPerSec>)> {
+        let mut limits = Vec::new();
         self.routers.on_count(now, load.routers);
         self.on_reported_versions(now, ip, load);
         let engines = self.endpoints.values_mut().filter(|endpoint_view| {
@@ -281,7 +287,17 @@
             endpoint_view.loading_weights = load.loading_weights;
             endpoint_view.weights_load_at =
                 load.weights_load_in.map(|ms| now + time::Millis(u64::from(ms)));
+            let endpoint = &endpoint_view.endpoint;
+            let limit = match load.limit {
+                load::Limit::Unknown => continue,
+                load::Limit::Unlimited => None,
+                load::Limit::Named(limit) => Some(limit),
+            };
+            if self.notices.on_limit(now, endpoint, limit) {
+                limits.push((endpoint.id.clone(), limit));
+            }
         }
+        limits
     }
 
     /// Records that the engine on the host `ip` that started at `started_at` does not run any more.
@@ -525,16 +541,16 @@
     }
 
     /// Records the limit that the sender of a response to a request to `endpoint` names, or that it names none. Returns
-    /// whether it has changed.
+    /// the sender if that has changed.
     pub fn on_limit(
         &mut self,
         now: time::Millis,
         endpoint: &endpoint::Endpoint,
         responder: Option<&id::EndpointId>,
         limit: Option<rate::RequestsPerSec>,
-    ) -> bool {
-        let sender = sender(&self.endpoints, endpoint, responder);
-        sender.is_some_and(|sender| self.notices.on_limit(now, sender, limit))
+    ) -> Option<endpoint::Endpoint> {
+        let sender = sender(&self.endpoints, endpoint, responder)?;
+        self.notices.on_limit(now, sender, limit).then(|| sender.clone())
     }
 
     /// Returns whether an endpoint accepts new requests in principle, although it may be full or paused.
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -113,6 +113,7 @@
         age: None,
         required: 0,
         started_at: Some(1),
+        limit: load::Limit::Unknown,
     }
 }
 
--- a/crates/chestnutpick_router/tests/limit.rs
+++ b/crates/chestnutpick_router/tests/limit.rs
@@ -4,7 +4,6 @@
 
 use chestnutpick_fleet::{config, load};
 use chestnutpick_router::{routers, view};
-use chestnutpick_types::rate::RequestsPerSec;
 use chestnutpick_types::time::Millis;
 use rstest::rstest;
 
@@ -24,7 +23,8 @@
 
 fn limit_endpoint(view: &mut view::View, now: Millis, limit: Option<f64>) -> bool {
     let endpoint = view.endpoints[&common::endpoint_id(1)].endpoint.clone();
-    view.on_limit(now, &endpoint, None, limit.map(RequestsPerSec))
+    let limit = limit.map(|limit| limit.to_string().parse().unwrap());
+    view.on_limit(now, &endpoint, None, limit).is_some()
 }
 
 /// Returns the views of `count` routers that know one endpoint.
@@ -169,3 +169,19 @@
     view.on_sent(now, &common::endpoint_id(1), 1);
     assert!(common::choose(&view, now, Millis(500), 1).is_err());
 }
+
+/// Guards against a router that does not apply the limit that other routers have learned, or that forgets its own because
+/// a loader does not know it.
+#[rstest]
+#[case::named(load::Limit::Named("2".parse().unwrap()), Some("2"))]
+#[case::ended(load::Limit::Unlimited, None)]
+#[case::unknown(load::Limit::Unknown, Some("4"))]
+fn limit_in_a_load_report_is_ignored(#[case] reported: load::Limit, #[case] limit: Option<&str>) {
+    let (mut view, now) = (common::view(1), Millis(1_200));
+    limit_endpoint(&mut view, now, Some(4.0));
+    let load = load::Load { limit: reported, ..common::load(0) };
+    let changed = view.on_load_report(now, "10.0.0.1".parse().unwrap(), &load);
+    let found = view.notices.limit(&view.endpoints[&common::endpoint_id(1)].endpoint);
+    assert_eq!(found, limit.map(|limit| limit.parse().unwrap()));
+    assert_eq!(changed.len(), usize::from(reported != load::Limit::Unknown));
+}
--- a/crates/chestnutpick_types/src/rate.rs
+++ b/crates/chestnutpick_types/src/rate.rs
@@ -75,33 +75,66 @@
     text: String,
 }
 
-/// A rate in requests per second, finite and not negative.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default, serde::Serialize)]
+/// A rate of requests, exact to a thousandth of a request per second.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Default,
+    serde::Serialize,
+    serde::Deserialize,
+)]
 #[serde(transparent)]
-pub struct RequestsPerSec(pub f64);
+pub struct RequestsPerSec {
+    thousandths: u32,
+}
+
+impl RequestsPerSec {
+    /// Returns the rate of `thousandths` requests per 1,000 s.
+    ///
+    /// ```
+    /// use chestnutpick_types::rate;
+    /// assert_eq!(rate::RequestsPerSec::from_thousandths(2_600).as_f64(), 2.6);
+    /// ```
+    pub const fn from_thousandths(thousandths: u32) -> Self {
+        Self { thousandths }
+    }
+
+    /// Returns the number of requests per second.
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.thousandths) / 1_000.0
+    }
+}
 
 impl fmt::Display for RequestsPerSec {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/s", self.0)
+        write!(f, "{}/s", self.as_f64())
     }
 }
 
 impl str::FromStr for RequestsPerSec {
     type Err = ParseRequestsError;
 
-    /// Parses a number with or without the suffix `/s`.
+    /// Parses a number with or without the suffix `/s`. Rates above 4 million requests per second count as that.
     ///
     /// ```
     /// use chestnutpick_types::rate;
-    /// assert_eq!("2.6".parse(), Ok(rate::RequestsPerSec(2.6)));
-    /// assert_eq!(rate::RequestsPerSec(4.0).to_string().parse(), Ok(rate::RequestsPerSec(4.0)));
+    /// let rate = rate::RequestsPerSec::from_thousandths(2_600);
+    /// assert_eq!("2.6".parse(), Ok(rate));
+    /// assert_eq!(rate.to_string().parse(), Ok(rate));
     /// assert!("-1".parse::<rate::RequestsPerSec>().is_err());
     /// assert!("inf".parse::<rate::RequestsPerSec>().is_err());
     /// ```
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let number = text.strip_suffix("/s").unwrap_or(text).parse().ok();
         match number.filter(|number: &f64| number.is_finite() && *number >= 0.0) {
-            Some(number) => Ok(Self(number)),
+            // The conversion of a float that is too large gives the largest integer.
+            Some(number) => Ok(Self { thousandths: (number * 1_000.0).round() as u32 }),
             None => ParseRequestsSnafu { text }.fail(),
         }
     }
