--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -3,27 +3,23 @@
 use std::net;
 use std::rc;
 
-use actix_http as http;
-use bytes::Bytes;
 use chestnutpick_client::client;
 use chestnutpick_fleet::{codec, config, endpoint};
 use chestnutpick_http::respond;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{error, id, size, time};
 
+use crate::answer;
 use crate::choice;
 use crate::crash;
 use crate::handle;
-use crate::loads;
 use crate::node;
 use crate::outcome;
 use crate::silence;
+use crate::slot;
 use crate::stream;
 use crate::terms;
 
-/// Maximum size of a response that is not a stream.
-const RESPONSE_LIMIT: size::Bytes = size::Bytes::from_mib(8);
-
 /// Memory that the unfinished responses of one endpoint may take, a tenth of the smallest hosts' memory.
 pub(crate) const ENDPOINT_MEMORY: size::Bytes = size::Bytes::from_mib(16);
 
@@ -62,7 +58,7 @@
     /// Endpoint that sent the response.
     pub(crate) endpoint: id::EndpointId,
     /// Guard that counts the request at the endpoint.
-    pub(crate) slot: node::Slot<C>,
+    pub(crate) slot: slot::Slot<C>,
 }
 
 /// Decision to send a request to an endpoint.
@@ -278,7 +274,7 @@
     tries.sends += 1;
     tries.chosen = Some(placement.chosen.clone());
     tries.config = placement.terms.version;
-    let slot = node::Slot::new(node, &endpoint.id, &call.head.request_id, call.tokens());
+    let slot = slot::Slot::new(node, &endpoint.id, &call.head.request_id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
     let timeout = begin_timeout(node, placement, time_left);
     let outcome = tokio::select! {
@@ -291,8 +287,8 @@
         Ok(response) => {
             slot.on_heard();
             let head = node.codec.response_head(&response.headers);
-            on_head(node, endpoint, &response, &head);
-            match check(node, call, endpoint, &response, &head) {
+            answer::on_head(node, endpoint, &response, &head);
+            match answer::check(node, call, endpoint, &response, &head) {
                 Ok(()) => {
                     slot.on_response_started();
                     tries.weights = head.version;
@@ -370,68 +366,6 @@
     request
 }
 
-/// Records what the sender of a response states about itself in the headers.
-fn on_head<C>(
-    node: &node::Node<C>,
-    endpoint: &endpoint::Endpoint,
-    response: &client::Response,
-    head: &codec::ResponseHead,
-) where
-    C: codec::Codec,
-{
-    let (now, mut view) = (node.now(), node.view.borrow_mut());
-    let responder = node.codec.endpoint_id(&response.headers);
-    let sender = responder.as_ref().unwrap_or(&endpoint.id);
-    if head.draining && view.on_draining(now, endpoint, responder.as_ref()) {
-        event::Event::new("endpoint_draining").with("endpoint", sender).info();
-    }
-    // Only a response to a request that was served shows that the sender names no limit any more.
-    let names_limit = head.limit.is_some() || (200..300).contains(&response.status);
-    let sender_of_limit =
-        names_limit.then(|| view.on_limit(now, endpoint, responder.as_ref(), head.limit)).flatten();
-    if let (503, Some(pause)) = (response.status, head.retry_after) {
-        view.on_pause(now, endpoint, responder.as_ref(), pause);
-        event::Event::new("endpoint_paused").with("endpoint", sender).with("ms", pause.0).info();
-    }
-    drop(view);
-    if let Some(sender) = sender_of_limit {
-        loads::log_limit(&sender.id, head.limit, "response");
-        loads::send_limit(node, &sender, head.limit);
-    }
-}
-
-/// Checks that the response belongs to this request and that the endpoint ran it.
-fn check<C>(
-    node: &node::Node<C>,
-    call: &handle::Call,
-    endpoint: &endpoint::Endpoint,
-    response: &client::Response,
-    head: &codec::ResponseHead,
-) -> Result<(), Failed>
-where
-    C: codec::Codec,
-{
-    if head.not_run || response.status == 421 {
-        let responder = node.codec.endpoint_id(&response.headers);
-        let is_other_endpoint =
-            response.status == 421 && responder.is_some_and(|id| id != endpoint.id);
-        let rejection = if is_other_endpoint { Rejection::Replaced } else { Rejection::Refused };
-        let reason = format!("{rejection} with status {}", response.status);
-        return Err(Failed::NotRun(rejection, reason));
-    }
-    let is_other_request =
-        head.request_id.as_deref().is_some_and(|id| id != &*call.head.request_id);
-    if is_other_request || head.encoded {
-        let reason = "the response is not the endpoint's own to this request".to_owned();
-        return Err(Failed::Unknown(error::ErrorKind::AnswerMismatch, reason));
-    }
-    if (200..300).contains(&response.status) && !head.sealed {
-        let reason = "a success without the endpoint's seal".to_owned();
-        return Err(Failed::Unknown(error::ErrorKind::AnswerMismatch, reason));
-    }
-    Ok(())
-}
-
 fn on_failed<C>(
     node: &node::Node<C>,
     call: &handle::Call,
@@ -495,7 +429,7 @@
     let status = opened.response.status;
     let address = opened.response.address();
     let outcome = tokio::select! {
-        outcome = read(node, call, &mut opened.response) => outcome,
+        outcome = answer::read(node, call, &mut opened.response) => outcome,
         reason = silence::wait(node, call, tries, &opened.slot, None) => Err(silent(address, reason)),
     };
     opened.slot.end();
@@ -530,49 +464,6 @@
     if let (Some((running, waiting)), None) = (opened.head.load, &call.admitted.service.engine) {
         node.view.borrow_mut().on_response_load(node.now(), &opened.endpoint, running, waiting);
     }
-    let response = build_response(node, status, &opened.response.headers, body);
+    let response = answer::build(node, status, &opened.response.headers, body);
     Ok(Served::Whole(response, opened.endpoint))
 }
-
-async fn read<C>(
-    node: &node::Node<C>,
-    call: &handle::Call,
-    response: &mut client::Response,
-) -> Result<Bytes, client::CallError> {
-    let time_left = call.time_left(node.now()).unwrap_or(time::Millis(1));
-    let address = response.address();
-    match tokio::time::timeout(time_left.to_duration(), response.read(RESPONSE_LIMIT)).await {
-        Ok(outcome) => outcome,
-        Err(_) => Err(client::CallError::Timeout {
-            address,
-            reason: "the response was not complete in time".into(),
-        }),
-    }
-}
-
-fn build_response<C>(
-    node: &node::Node<C>,
-    status: u16,
-    headers: &[client::Header],
-    body: Bytes,
-) -> respond::Response
-where
-    C: codec::Codec,
-{
-    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
-    let mut response = http::Response::build(status).body(body).map_into_boxed_body();
-    copy_headers(&node.codec.response_headers(headers), &mut response);
-    response
-}
-
-/// Copies an endpoint's headers to the response to the caller.
-pub(crate) fn copy_headers(headers: &[client::Header], response: &mut respond::Response) {
-    for (name, value) in headers {
-        let name = http::header::HeaderName::from_bytes(name.as_bytes());
-        let value = http::header::HeaderValue::from_str(value);
-        // Names and values come from parsed headers, so neither can be invalid.
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
-}
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod view;
 pub mod window;
 
+mod answer;
 mod crash;
 mod forward;
 mod handle;
@@ -24,6 +25,7 @@
 mod read;
 mod relay;
 mod silence;
+mod slot;
 mod stream;
 mod terms;
 mod watch;
--- a/crates/chestnutpick_router/src/silence.rs
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -13,6 +13,7 @@
 use crate::handle;
 use crate::liveness;
 use crate::node;
+use crate::slot;
 
 /// Interval between two checks.
 const CHECK_INTERVAL: time::Millis = time::Millis(100);
@@ -72,7 +73,7 @@
     node: &node::Node<C>,
     call: &handle::Call,
     tries: &forward::Tries,
-    slot: &node::Slot<C>,
+    slot: &slot::Slot<C>,
     version: Option<u64>,
 ) -> String
 where
--- /dev/null
+++ b/crates/chestnutpick_router/src/slot.rs
@@ -0,0 +1,114 @@
+//! Requests that this router has sent to endpoints.
+
+use std::cell;
+use std::rc;
+use std::sync;
+
+use chestnutpick_telemetry::event;
+use chestnutpick_types::{id, time};
+
+use crate::loads;
+use crate::node;
+
+/// Guard that counts a request as sent to an endpoint until it is dropped. Logs that the caller has left if it is dropped
+/// before the request has ended.
+pub(crate) struct Slot<C> {
+    node: rc::Rc<node::Node<C>>,
+    endpoint: id::EndpointId,
+    request_id: sync::Arc<str>,
+    sent_at: time::Millis,
+    /// Time of the last part of the response, or of sending the request.
+    heard_at: cell::Cell<time::Millis>,
+    /// Prompt tokens that the endpoint has not processed.
+    pending_tokens: cell::Cell<u32>,
+    /// Whether the endpoint has started to respond.
+    started: cell::Cell<bool>,
+    /// Whether the request has ended at the endpoint, or this process has given it up there.
+    ended: cell::Cell<bool>,
+}
+
+impl<C> Slot<C> {
+    /// Returns a guard for a request with `tokens` prompt tokens, and reports the request to the engine's loader.
+    pub(crate) fn new(
+        node: &rc::Rc<node::Node<C>>,
+        endpoint: &id::EndpointId,
+        request_id: &sync::Arc<str>,
+        tokens: u32,
+    ) -> Self {
+        let sent_at = node.now();
+        node.view.borrow_mut().on_sent(sent_at, endpoint, tokens);
+        loads::send_usage(node, endpoint);
+        Self {
+            node: rc::Rc::clone(node),
+            endpoint: endpoint.clone(),
+            request_id: sync::Arc::clone(request_id),
+            sent_at,
+            heard_at: cell::Cell::new(sent_at),
+            pending_tokens: cell::Cell::new(tokens),
+            started: cell::Cell::new(false),
+            ended: cell::Cell::new(false),
+        }
+    }
+
+    /// Records that a part of the response has arrived.
+    pub(crate) fn on_heard(&self) {
+        let now = self.node.now();
+        self.heard_at.set(now);
+        self.node.view.borrow_mut().on_heard(now, &self.endpoint);
+    }
+
+    /// Returns the endpoint.
+    pub(crate) fn endpoint(&self) -> &id::EndpointId {
+        &self.endpoint
+    }
+
+    /// Returns the time of the last part of the response, or of sending the request.
+    pub(crate) fn heard_at(&self) -> time::Millis {
+        self.heard_at.get()
+    }
+
+    /// Records that the endpoint has started to respond.
+    pub(crate) fn on_response_started(&self) {
+        let tokens = self.pending_tokens.take();
+        self.started.set(true);
+        self.node.view.borrow_mut().on_response_started(&self.endpoint, tokens);
+        loads::send_usage(&self.node, &self.endpoint);
+    }
+
+    /// Records that the request has ended at the endpoint, or that this process has given it up there.
+    pub(crate) fn end(&self) {
+        self.ended.set(true);
+    }
+
+    /// Logs how long the caller waited, and how long ago the endpoint showed its last sign of life.
+    fn log_caller_left(&self) {
+        let (view, now) = (self.node.view.borrow(), self.node.now());
+        let endpoint_view = view.endpoints.get(&self.endpoint);
+        let load_received_at = endpoint_view.and_then(|found| found.load_received_at);
+        let load_age = load_received_at.map(|at| now.since(at));
+        let or_none = |age: Option<time::Millis>| {
+            age.map_or_else(|| "none".to_owned(), |age| age.0.to_string())
+        };
+        event::Event::new("caller_left")
+            .with("request", &self.request_id)
+            .with("endpoint", &self.endpoint)
+            .with("started", self.started.get())
+            .with("ms", now.since(self.sent_at).0)
+            .with("heard_ms", or_none(endpoint_view.and_then(|found| found.liveness.age(now))))
+            .with("load_age_ms", or_none(load_age))
+            .with("in_flight", endpoint_view.map_or(0, |found| found.in_flight))
+            .info();
+    }
+}
+
+impl<C> Drop for Slot<C> {
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            metrics::counter!("callers_left").increment(1);
+            self.log_caller_left();
+        }
+        let pending_tokens = self.pending_tokens.get();
+        self.node.view.borrow_mut().on_finished(&self.endpoint, pending_tokens);
+        loads::send_usage(&self.node, &self.endpoint);
+    }
+}
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -15,6 +15,7 @@
 use chestnutpick_types::{size, time};
 use futures::stream;
 
+use crate::answer;
 use crate::crash;
 use crate::events;
 use crate::forward;
@@ -71,7 +72,7 @@
     });
     let body = body::BodyStream::new(Box::pin(pieces));
     let mut response = http::Response::build(http::StatusCode::OK).body(body).map_into_boxed_body();
-    forward::copy_headers(&headers, &mut response);
+    answer::copy_headers(&headers, &mut response);
     response
 }
 
