Pin a resumed stream to the version on which it started

What callers saw: a stream whose first events came from version 1 of the weights and whose last ones from version 2.

Cause: a stream resumes only at an engine that holds its version according to the router's view, but the request named the version only if one was required of all requests. An engine that had loaded a newer one since its last report then continued the stream with other weights. Change: a resumed stream always names its version, and an engine with another one refuses it. Test: resumed_stream_is_not_pinned_to_its_version failed before ("left: None, right: Some(1)").

--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -212,9 +212,9 @@
     let endpoint_view = best.endpoint_view;
     Ok(Chosen {
         endpoint: endpoint_view.endpoint.clone(),
-        // The endpoint may restart with an older version before the request arrives. Because of the pin, it then
-        // refuses the request.
-        version: required.and(endpoint_view.weights(now)),
+        // The endpoint may restart with an older version, or load a newer one, before the request arrives. Because of
+        // the pin, it then refuses the request.
+        version: request.version.or_else(|| required.and(endpoint_view.weights(now))),
         expected: time::Millis(best.expected as u64),
         occupied: occupied(now, view, endpoint_view),
         load_age: endpoint_view.load_received_at.map(|at| now.since(at)),
--- a/crates/chestnutpick_router/tests/choice.rs
+++ b/crates/chestnutpick_router/tests/choice.rs
@@ -142,6 +142,16 @@
     assert_eq!(none.reason, choice::Reason::NoVersion);
 }
 
+/// Guards against a stream that continues on other weights (soak seed 208: events of version 1, then of version 2): the
+/// engine may have loaded a newer version since its last report, so the request must name the version.
+#[test]
+fn resumed_stream_is_not_pinned_to_its_version() {
+    let mut view = common::view(1);
+    set_load(&mut view, 1, common::load(0));
+    let chosen = common::choose_for_stream(&view, Millis(10), 1).unwrap();
+    assert_eq!(chosen.version, Some(1));
+}
+
 /// Guards against a request that waits at an engine beyond the bound of the first newer version, after a second one was
 /// declared.
 #[rstest]
