--- a/crates/chestnutpick_router/src/limit.rs
+++ b/crates/chestnutpick_router/src/limit.rs
@@ -20,7 +20,7 @@
 /// Window over which loaders and routers count requests.
 const WINDOW: time::Millis = time::Millis(1_000);
 
-/// Lowest rate that counts. Without any request, routers do not learn that a limit has ended.
+/// Lowest rate that counts, in requests per second. Without any request, routers do not learn that a limit has ended.
 const MIN_RATE: f64 = 0.25;
 
 /// Requests that the users tolerate above a named limit within [`TOLERANCE_SPAN`], beside half of the limit.
@@ -38,7 +38,7 @@
     window: time::Millis,
     /// Maximum number of routers that take equal shares.
     max_routers: f64,
-    /// Requests per second of all routers up to which one is sent if reports are relied on.
+    /// Requests per second of all routers from which on a router that relies on reports sends none.
     reported_rate: f64,
     /// Whether a router keeps to its share also if it relies on reports. They cover too short a time for rates below one
     /// request per second.
