--- a/crates/chestnutpick_router/src/answer.rs
+++ b/crates/chestnutpick_router/src/answer.rs
@@ -33,16 +33,19 @@
     }
     // Only a response to a request that was served shows that the sender names no limit any more.
     let names_limit = head.limit.is_some() || (200..300).contains(&response.status);
-    let sender_of_limit =
-        names_limit.then(|| view.on_limit(now, endpoint, responder.as_ref(), head.limit)).flatten();
+    let limited = if names_limit {
+        view.on_limit(now, endpoint, responder.as_ref(), head.limit)
+    } else {
+        None
+    };
     if let (503, Some(pause)) = (response.status, head.retry_after) {
         view.on_pause(now, endpoint, responder.as_ref(), pause);
         event::Event::new("endpoint_paused").with("endpoint", sender).with("ms", pause.0).info();
     }
     drop(view);
-    if let Some(sender) = sender_of_limit {
-        loads::log_limit(&sender.id, head.limit, "response");
-        loads::send_limit(node, &sender, head.limit);
+    if let Some(limited) = limited {
+        loads::log_limit(&limited.id, head.limit, "response");
+        loads::send_limit(node, &limited, head.limit);
     }
 }
 
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -12,6 +12,7 @@
 
 use crate::crash;
 use crate::node;
+use crate::outcome;
 use crate::view;
 
 /// Number of hosts that relay a message to all routers, so that the failure of one or two of them does no harm.
@@ -159,7 +160,7 @@
 ) {
     event::Event::new("endpoint_limited")
         .with("endpoint", endpoint)
-        .with("limit", limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string()))
+        .with("limit", outcome::or_none(limit))
         .with("source", source)
         .info();
 }
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -1,5 +1,7 @@
 //! Responses that the router itself produces, and the log of request outcomes.
 
+use std::fmt;
+
 use chestnutpick_http::respond;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{error, id, time};
@@ -109,6 +111,10 @@
     event.info();
 }
 
-fn or_none(number: Option<u64>) -> String {
-    number.map_or_else(|| "none".to_owned(), |number| number.to_string())
+/// Returns the text of a value for a log, or `none`.
+pub(crate) fn or_none<T>(value: Option<T>) -> String
+where
+    T: fmt::Display,
+{
+    value.map_or_else(|| "none".to_owned(), |value| value.to_string())
 }
--- a/crates/chestnutpick_router/src/silence.rs
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -13,6 +13,7 @@
 use crate::handle;
 use crate::liveness;
 use crate::node;
+use crate::outcome;
 use crate::slot;
 
 /// Interval between two checks.
@@ -53,7 +54,7 @@
         let in_flight = view.endpoints.get(id).map_or(0, |found| found.in_flight);
         event::Event::new("endpoint_silent")
             .with("endpoint", id)
-            .with("heard_ms", age.map_or_else(|| "none".to_owned(), |age| age.0.to_string()))
+            .with("heard_ms", outcome::or_none(age.map(|age| age.0)))
             .with("in_flight", in_flight)
             .warn();
     }
--- a/crates/chestnutpick_router/src/slot.rs
+++ b/crates/chestnutpick_router/src/slot.rs
@@ -9,6 +9,7 @@
 
 use crate::loads;
 use crate::node;
+use crate::outcome;
 
 /// Guard that counts a request as sent to an endpoint until it is dropped. Logs that the caller has left if it is dropped
 /// before the request has ended.
@@ -84,18 +85,16 @@
     fn log_caller_left(&self) {
         let (view, now) = (self.node.view.borrow(), self.node.now());
         let endpoint_view = view.endpoints.get(&self.endpoint);
+        let heard_age = endpoint_view.and_then(|found| found.liveness.age(now));
         let load_received_at = endpoint_view.and_then(|found| found.load_received_at);
         let load_age = load_received_at.map(|at| now.since(at));
-        let or_none = |age: Option<time::Millis>| {
-            age.map_or_else(|| "none".to_owned(), |age| age.0.to_string())
-        };
         event::Event::new("caller_left")
             .with("request", &self.request_id)
             .with("endpoint", &self.endpoint)
             .with("started", self.started.get())
             .with("ms", now.since(self.sent_at).0)
-            .with("heard_ms", or_none(endpoint_view.and_then(|found| found.liveness.age(now))))
-            .with("load_age_ms", or_none(load_age))
+            .with("heard_ms", outcome::or_none(heard_age.map(|age| age.0)))
+            .with("load_age_ms", outcome::or_none(load_age.map(|age| age.0)))
             .with("in_flight", endpoint_view.map_or(0, |found| found.in_flight))
             .info();
     }
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -21,6 +21,7 @@
 use crate::forward;
 use crate::handle;
 use crate::node;
+use crate::outcome;
 use crate::silence;
 
 /// Maximum pause between two reads from an endpoint. A batch that processes many prompts pauses for several hundred
@@ -269,10 +270,7 @@
             .with("request", &self.call.head.request_id)
             .with("endpoint", &self.opened.endpoint)
             .with("config", self.tries.config)
-            .with(
-                "last_event",
-                self.last_event_id.map_or_else(|| "none".to_owned(), |id| id.to_string()),
-            )
+            .with("last_event", outcome::or_none(self.last_event_id))
             .with("reason", reason)
             .with("ms", self.node.now().since(self.call.arrived).0)
             .info();
