Log the age of the configuration with each request

The logs of the users' HOME can tell an old version from a late one, but not whether the router knew that its version was old: request_answered and request_refused named the version only. config_age_ms is the time since the router last knew that its configuration was in force, which separates a router that hears nothing (old age) from one that hears old content (small age).

--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -40,6 +40,7 @@
         .with("reason", &refusal.message)
         .with("sends", tries.sends)
         .with("config", call.admitted.version)
+        .with("config_age_ms", node.view.borrow().age(now).0)
         .with("deadline_ms", call.head.deadline.map_or(0, |deadline| deadline.0))
         .with("ms", now.since(call.arrived).0)
         .info();
@@ -80,7 +81,8 @@
     status: u16,
     endpoint: &id::EndpointId,
 ) {
-    let took = node.now().since(call.arrived);
+    let now = node.now();
+    let took = now.since(call.arrived);
     metrics::histogram!("first_byte_ms").record(took.0 as f64);
     metrics::counter!("requests_answered").increment(1);
     let mut event = event::Event::new("request_answered")
@@ -94,12 +96,13 @@
     if let Some(chosen) = &tries.chosen {
         event = event
             .with("config", tries.config)
+            .with("config_age_ms", node.view.borrow().age(now).0)
             .with("zone", &chosen.endpoint.zone)
             .with("expected_ms", chosen.expected.0)
             .with("occupied", chosen.occupied)
             .with("load_age_ms", or_none(chosen.load_age.map(|age| age.0)));
         if let Some(weights) = chosen.weights {
-            let (declared, age) = node.view.borrow().newest_declared(node.now());
+            let (declared, age) = node.view.borrow().newest_declared(now);
             event = event
                 .with("weights", weights)
                 .with("served_by", or_none(tries.weights))
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -130,6 +130,11 @@
         self.confirmed_at = Some(self.confirmed_at.map_or(at, |latest| latest.max(at)));
     }
 
+    /// Returns how long ago the view is known to have matched the store.
+    pub fn age(&self, now: time::Millis) -> time::Millis {
+        now.since(self.confirmed_at.unwrap_or_default())
+    }
+
     /// Records that the store responds again after failures.
     pub fn on_store_recovered(&mut self, now: time::Millis) {
         self.recovered_at = Some(now);
