Bound the age of the configuration by which requests are served

Cause: a router that hears nothing from the store served requests without a key by its last configuration for as long as that lasted, and answered 404 and 401 by it. Change: the configuration has a lease, config_apply_ms less 100 ms for transit, that each confirmed read renews. Once it has expired, a request whose route or workspace has permitted regions is refused as not run, other requests stay in the router's region, and an unknown route or key is answered with 503 instead of 404 and 401. The lease counts from confirmed_at, which is never later than the time at which the store held what the router knows, so a change that was acknowledged longer ago than the lease is known or the lease has expired, whatever the cause. Keys keep their own bound. Not covered: a route without regions to which a configuration gives a home in another region than the router's while the router hears nothing.

--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -64,6 +64,8 @@
     pub drain: time::Millis,
     /// Maximum time for which a revoked API key may still be accepted.
     pub revocation: time::Millis,
+    /// Maximum time after a change of the configuration until every request follows it.
+    pub config: time::Millis,
     /// Maximum time after a declaration until every request starts on the declared version.
     pub version: time::Millis,
     /// Maximum ratio of requests sent to a cold endpoint in one second to its cold rate.
@@ -81,6 +83,9 @@
 /// transit time of a cancelled request's end.
 const VERSION_MARGIN: time::Millis = time::Millis(250);
 
+/// Part of the configuration bound that is reserved for the transit time of a request to its endpoint.
+const CONFIG_MARGIN: time::Millis = time::Millis(100);
+
 /// Percentage of the drain bound that passes between two calls to the store. The rest covers a slow response, readers
 /// that do not respond, and the transit time of the last request.
 const STORE_INTERVAL_PERCENT: u64 = 35;
@@ -92,15 +97,22 @@
         time::Millis(self.drain.0 * STORE_INTERVAL_PERCENT / 100)
     }
 
+    /// Returns for how long a router may rely on a configuration since it last knew that the configuration was in force. A
+    /// change that it has not learned of by then may already have to be followed.
+    pub fn config_lease(&self) -> time::Millis {
+        self.config.since(CONFIG_MARGIN)
+    }
+
     /// Returns the retries that each router may send to a service per [`retry::WINDOW`] regardless of its number of
     /// requests.
     ///
     /// ```
     /// # use chestnutpick_fleet::host;
     /// # use chestnutpick_types::time::Millis;
-    /// # let (grace, drain, revocation, version) = (Millis(1), Millis(1), Millis(1), Millis(1));
+    /// # let (grace, drain, revocation) = (Millis(1), Millis(1), Millis(1));
+    /// # let (config, version) = (Millis(1), Millis(1));
     /// # let bounds = host::Bounds {
-    /// #     grace, drain, revocation, version, cold_factor: 1.5, retry_slack: 104,
+    /// #     grace, drain, revocation, config, version, cold_factor: 1.5, retry_slack: 104,
     /// # };
     /// assert_eq!(bounds.retry_floor(40), 2);
     /// ```
@@ -126,9 +138,10 @@
     /// ```
     /// # use chestnutpick_fleet::host;
     /// # use chestnutpick_types::time::Millis;
-    /// # let (grace, drain, revocation, version) = (Millis(1), Millis(1), Millis(1), Millis(8_000));
+    /// # let (grace, drain, revocation) = (Millis(1), Millis(1), Millis(1));
+    /// # let (config, version) = (Millis(1), Millis(8_000));
     /// # let bounds = host::Bounds {
-    /// #     grace, drain, revocation, version, cold_factor: 1.5, retry_slack: 104,
+    /// #     grace, drain, revocation, config, version, cold_factor: 1.5, retry_slack: 104,
     /// # };
     /// assert!(bounds.version_cutoff() < bounds.version_limit());
     /// ```
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -192,9 +192,10 @@
     Ok(read_whole(node, call, tries, opened).await)
 }
 
-fn no_choice(tries: &Tries, none: &choice::NoChoice) -> error::Refusal {
+fn no_choice(tries: &Tries, terms: &terms::Terms, none: &choice::NoChoice) -> error::Refusal {
     let kind = match none.reason {
         _ if tries.runs > 0 => error::ErrorKind::EndpointLost,
+        choice::Reason::NoEndpoint if terms.is_confined() => error::ErrorKind::StoreUnavailable,
         choice::Reason::NoEndpoint => error::ErrorKind::NoEndpoint,
         choice::Reason::NoVersion => error::ErrorKind::VersionNotLoaded,
         choice::Reason::Full => error::ErrorKind::EndpointFull,
@@ -252,7 +253,7 @@
         tried: &tries.failed,
         version,
     });
-    let chosen = chosen.map_err(|none| no_choice(tries, &none))?;
+    let chosen = chosen.map_err(|none| no_choice(tries, &terms, &none))?;
     Ok(Placement { chosen, terms, version })
 }
 
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,10 +1,12 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`events`], [`limit`], [`liveness`], [`notices`], [`readers`], [`routers`], [`suspicion`], [`view`], [`window`]) take the
-//! current time as an argument and do no I/O; the other modules connect them to sockets and clocks.
+//! The policies ([`choice`], [`events`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`], [`routers`],
+//! [`suspicion`], [`view`], [`window`]) take the current time as an argument and do no I/O; the other modules connect them to
+//! sockets and clocks.
 
 pub mod choice;
 pub mod events;
+pub mod lease;
 pub mod limit;
 pub mod liveness;
 pub mod notices;
@@ -17,6 +19,7 @@
 
 mod answer;
 mod crash;
+mod expiry;
 mod forward;
 mod handle;
 mod loads;
--- a/crates/chestnutpick_router/src/limit.rs
+++ b/crates/chestnutpick_router/src/limit.rs
@@ -52,9 +52,10 @@
     /// ```
     /// # use chestnutpick_fleet::host;
     /// # use chestnutpick_types::time::Millis;
-    /// # let (grace, drain, revocation, version) = (Millis(1), Millis(1), Millis(1), Millis(1));
+    /// # let (grace, drain, revocation) = (Millis(1), Millis(1), Millis(1));
+    /// # let (config, version) = (Millis(1), Millis(1));
     /// # let bounds = host::Bounds {
-    /// #     grace, drain, revocation, version, cold_factor: 1.5, retry_slack: 104,
+    /// #     grace, drain, revocation, config, version, cold_factor: 1.5, retry_slack: 104,
     /// # };
     /// use chestnutpick_router::limit;
     /// assert_eq!(limit::Limit::cold(0.0, &bounds), None);
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::choice;
 use crate::forward;
+use crate::lease;
 use crate::relay;
 use crate::routers;
 use crate::suspicion;
@@ -115,6 +116,11 @@
         self.view.borrow().config.clone()
     }
 
+    /// Returns whether the configuration in force can be relied on.
+    pub(crate) fn lease(&self) -> lease::Lease {
+        lease::Lease::of_age(self.view.borrow().age(self.now()), &self.bounds.get())
+    }
+
     /// Chooses an endpoint for a request.
     pub(crate) fn choose(
         &self,
@@ -233,6 +239,7 @@
             "leaving": self.leaving.get(),
             "in_flight": self.in_flight(),
             "config_version": view.config.as_ref().map(|config| config.version),
+            "config_lease": lease::Lease::of_age(view.age(now), &self.bounds.get()).to_string(),
             "confirmed_age_ms": view.confirmed_at.map(|at| now.since(at)),
             "evacuated": view.evacuated,
             "suspects": self.suspicion.borrow().dump(),
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync;
 
 use crate::crash;
+use crate::expiry;
 use crate::handle;
 use crate::loads;
 use crate::node;
@@ -98,6 +99,7 @@
     actix_rt::spawn(loads::exchange(rc::Rc::clone(&node), stop.clone()));
     actix_rt::spawn(crash::probe(rc::Rc::clone(&node), stop.clone()));
     actix_rt::spawn(silence::watch(rc::Rc::clone(&node), stop.clone()));
+    actix_rt::spawn(expiry::watch(rc::Rc::clone(&node), stop.clone()));
     let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
     let closing = sync::CancellationToken::new();
     for listener in [ready, page] {
--- a/crates/chestnutpick_router/src/terms.rs
+++ b/crates/chestnutpick_router/src/terms.rs
@@ -9,6 +9,7 @@
 use chestnutpick_types::{error, id, time};
 use rand_core::Rng;
 
+use crate::lease;
 use crate::node;
 
 /// Part of the revocation bound that is reserved for the transit time of a request from its caller.
@@ -38,6 +39,8 @@
     pub(crate) service: sync::Arc<config::Service>,
     /// Workspace to which the caller's key belongs.
     pub(crate) workspace: Option<sync::Arc<config::Workspace>>,
+    /// Region to which the request is confined because the lease of the configuration has expired; empty otherwise.
+    confined: Vec<id::RegionId>,
 }
 
 impl Terms {
@@ -50,7 +53,8 @@
             let message = format!("route {} names no known service", route.name);
             error::Refusal::new(error::ErrorKind::NoEndpoint, message)
         })?;
-        Ok(Self { version: config.version, route, service, workspace })
+        let confined = confine(node, &route, workspace.as_deref())?;
+        Ok(Self { version: config.version, route, service, workspace, confined })
     }
 
     /// Returns the terms of the newest configuration for a request that is bound to its service. The request is refused
@@ -62,7 +66,8 @@
     ) -> Result<Self, error::Refusal> {
         let config = newest_config(node)?;
         if config.version == self.version {
-            return Ok(self.clone());
+            let confined = confine(node, &self.route, self.workspace.as_deref())?;
+            return Ok(Self { confined, ..self.clone() });
         }
         let (route, workspace) = authorize(node, &config, lookup)?;
         let name = &self.service.name;
@@ -71,7 +76,8 @@
             let message = format!("route {} no longer leads to service {name}", route.name);
             error::Refusal::new(error::ErrorKind::NoEndpoint, message)
         })?;
-        Ok(Self { version: config.version, route, service, workspace })
+        let confined = confine(node, &route, workspace.as_deref())?;
+        Ok(Self { version: config.version, route, service, workspace, confined })
     }
 
     /// Returns whether the configuration of these terms is the newest.
@@ -79,10 +85,15 @@
         newest_config(node).is_ok_and(|config| config.version == self.version)
     }
 
-    /// Returns the permitted regions of the route and of the workspace; an empty list permits all regions.
-    pub(crate) fn regions(&self) -> [&[id::RegionId]; 2] {
+    /// Returns the lists of permitted regions, all of which apply; an empty list permits all regions.
+    pub(crate) fn regions(&self) -> [&[id::RegionId]; 3] {
         let workspace = self.workspace.as_deref().map(|workspace| &*workspace.regions);
-        [&self.route.regions, workspace.unwrap_or_default()]
+        [&self.route.regions, workspace.unwrap_or_default(), &self.confined]
+    }
+
+    /// Returns whether the request is confined because the lease of the configuration has expired.
+    pub(crate) fn is_confined(&self) -> bool {
+        !self.confined.is_empty()
     }
 }
 
@@ -104,7 +115,7 @@
     lookup: &Lookup,
 ) -> Result<Access, error::Refusal> {
     let Some(route) = config.route(&lookup.host, &lookup.path).cloned() else {
-        return Err(error::Refusal::new(error::ErrorKind::NotFound, "no route matches"));
+        return Err(deny(node, error::ErrorKind::NotFound, "no route matches"));
     };
     if route.anonymous {
         return Ok((route, None));
@@ -120,8 +131,44 @@
     let workspace = lookup.key.as_deref().and_then(|key| config.workspace(key));
     match workspace {
         Some(workspace) => Ok((route, Some(sync::Arc::clone(workspace)))),
-        None => Err(error::Refusal::new(error::ErrorKind::Unauthorized, "the key is unknown")),
+        None => Err(deny(node, error::ErrorKind::Unauthorized, "the key is unknown")),
+    }
+}
+
+/// Returns the refusal of a request that the configuration does not allow. Once the lease of the configuration has expired,
+/// a newer one may allow it.
+fn deny<C>(node: &node::Node<C>, kind: error::ErrorKind, message: &str) -> error::Refusal {
+    match node.lease() {
+        lease::Lease::Valid => error::Refusal::new(kind, message),
+        lease::Lease::Expired => unconfirmed(node, message),
+    }
+}
+
+/// Returns the region to which a request is confined, or none while the lease of the configuration is valid. Once it has
+/// expired, other regions may be permitted than before, and a request for which regions matter is refused.
+fn confine<C>(
+    node: &node::Node<C>,
+    route: &config::Route,
+    workspace: Option<&config::Workspace>,
+) -> Result<Vec<id::RegionId>, error::Refusal> {
+    if node.lease() == lease::Lease::Valid {
+        return Ok(Vec::new());
     }
+    let is_restricted = !route.regions.is_empty()
+        || workspace.is_some_and(|workspace| !workspace.regions.is_empty());
+    if is_restricted {
+        return Err(unconfirmed(node, "the permitted regions are not known"));
+    }
+    let own = node.host.region_of(&node.host.zone).cloned();
+    own.map(|own| vec![own]).ok_or_else(|| unconfirmed(node, "the region of this host is unknown"))
+}
+
+/// Returns the refusal of a request for which an expired configuration does not suffice.
+pub(crate) fn unconfirmed<C>(node: &node::Node<C>, reason: &str) -> error::Refusal {
+    let age = node.view.borrow().age(node.now());
+    let message =
+        format!("the configuration is unconfirmed, the store was last heard {age} ago: {reason}");
+    error::Refusal::new(error::ErrorKind::StoreUnavailable, message)
 }
 
 fn pick_share(route: &config::Route, random: u32) -> Option<&id::ServiceId> {
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -135,6 +135,7 @@
         grace: Millis(8_000),
         drain: Millis(2_000),
         revocation: Millis(5_000),
+        config: Millis(2_000),
         version: Millis(7_143),
         cold_factor: 1.5,
         retry_slack: 104,
