Let loaders wait longer for the head of a slow store's response

What callers saw: nothing was reported. Change: the head of a response may take 3 s; the pieces of a body keep their time-out. Loaders' calls hold up no other process, so one call at a time with one time-out is enough. A call that hangs is repeated after 3 s instead of 1.5 s.

--- a/crates/chestnutpick_loader/src/run.rs
+++ b/crates/chestnutpick_loader/src/run.rs
@@ -21,9 +21,13 @@
 use crate::serve;
 use crate::watch;
 
-/// Time-out of a call to the store, in addition to the wait of a watch.
+/// Time-out for each piece of a response of the store, in addition to the wait of a watch.
 pub const STORE_TIMEOUT: instant::Millis = instant::Millis(1_500);
 
+/// Time-out for the head of a response of the store, in addition to the wait of a watch. No other process waits for a
+/// loader's call, so a slow store may take longer.
+pub const STORE_HEAD_TIMEOUT: instant::Millis = instant::Millis(3_000);
+
 /// Maximum time for which uploads in progress may continue after a stop signal.
 const DRAIN_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
