Ask routers for the origin instead of reading the configuration again

Cause: after three failed tries for a manifest a loader read the configuration from the store on each further try, every 0.2 s, because the address of the origin may have changed. All loaders of a region share one link with the routers that learn of configurations. Change: the loader asks two routers for the origin in their configuration, by datagram, and reads the configuration itself at most every 30 s, only if no router has answered.

--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -7,6 +7,9 @@
 //!
 //! Routers report the limits that engines name, and loaders report them to all routers with the load.
 //!
+//! A loader that cannot get a manifest asks routers for the origin of weights: reading the whole configuration from the
+//! store instead would fill the link between regions when many loaders do it.
+//!
 //! Loaders also forward messages from one router to all others: which requests were lost in a crash of an endpoint.
 
 use std::net;
@@ -36,6 +39,8 @@
     Versions(Vec<Version>),
     /// Reports the limit that a response of the engine with this start time names.
     Limit(Option<u64>, Limit),
+    /// Answers [`ToRouter::OriginQuery`].
+    Origin(Origin),
 }
 
 /// A datagram to a router.
@@ -53,6 +58,19 @@
     EngineDown(Option<u64>),
     /// Reports the versions before the newest declared one, while that is not required.
     Versions(Vec<Version>),
+    /// Asks for the origin of weights in the router's configuration.
+    OriginQuery,
+}
+
+/// Origin of weights according to a router's configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Version of the configuration.
+    pub config: u64,
+    /// Address of the origin.
+    pub address: net::SocketAddr,
+    /// Availability zone of the origin.
+    pub zone: id::ZoneId,
 }
 
 /// A declared version of the weights.
--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -27,8 +27,12 @@
 /// Pause after a failed step.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Failed tries after which the configuration is reloaded, which transfers about 100 kB.
-const CONFIG_TRIES: usize = 3;
+/// Failed tries after which the address of the origin is in doubt.
+const ORIGIN_TRIES: usize = 3;
+
+/// Minimum time between two reads of the configuration, and the time for which the address of the origin that a router has
+/// named makes them needless. The configuration takes up to a megabyte, and all loaders of a region share one link.
+const CONFIG_INTERVAL: time::Millis = time::Millis::from_secs(30);
 
 /// Time between the notice to routers and the load order, so that few requests reach an engine that refuses them.
 const NOTICE_PERIOD: Duration = Duration::from_millis(10);
@@ -169,16 +173,16 @@
 
     /// Collects all chunks in memory: first those staged at the local engine, then those of peers and the origin.
     async fn collect(&self, version: &chunks::Version, tries: usize) -> Result<(), String> {
-        let location = self.node.config.borrow().as_ref().and_then(|c| c.origin().cloned());
-        let location = location.ok_or_else(|| "the configuration names no origin".to_owned())?;
+        let location =
+            self.node.origin().ok_or_else(|| "the configuration names no origin".to_owned())?;
         let sources = sources::Sources { node: &self.node, origin: &self.origin, location };
         let manifest = match sources.manifest(version, tries).await {
             Ok(manifest) => manifest,
-            Err(reason) if tries < CONFIG_TRIES => return Err(format!("no manifest: {reason}")),
             Err(reason) => {
-                // The address of the origin may have changed since the configuration was read.
-                let read = watch::read_config(&self.node, &self.store).await;
-                return Err(format!("no manifest: {reason}; config reread: {}", read.is_ok()));
+                if tries >= ORIGIN_TRIES {
+                    self.check_origin().await;
+                }
+                return Err(format!("no manifest: {reason}"));
             }
         };
         let manifest = rc::Rc::new(manifest);
@@ -189,6 +193,19 @@
         fetch::run(&sources, version).await
     }
 
+    /// Asks routers for the address of the origin, which may have changed since the configuration was read, and reads the
+    /// configuration again if no router answers.
+    async fn check_origin(&self) {
+        self.node.origin_doubted.notify_one();
+        let is_due = self.node.now().since(self.node.config_read_at.get()) >= CONFIG_INTERVAL;
+        if !is_due || self.node.has_named_origin(CONFIG_INTERVAL) {
+            return;
+        }
+        if let Err(reason) = watch::read_config(&self.node, &self.store).await {
+            event::Event::new("config_stale").with("reason", reason).warn();
+        }
+    }
+
     /// Keeps the list of peers up to date, from `delay` on.
     async fn follow_peers(&self, delay: Duration) {
         actix_rt::time::sleep(delay).await;
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -6,7 +6,7 @@
 use std::rc;
 
 use chestnutpick_client::client;
-use chestnutpick_fleet::{config, declared, engine, host};
+use chestnutpick_fleet::{config, declared, engine, host, load};
 use chestnutpick_process::page;
 use chestnutpick_types::{id, time};
 use chestnutpick_weights::assignment;
@@ -44,6 +44,10 @@
     pub(crate) engine: E,
     /// Configuration, once it has been read.
     pub(crate) config: cell::RefCell<Option<rc::Rc<config::Config>>>,
+    /// Time at which the configuration was last requested.
+    pub(crate) config_read_at: cell::Cell<time::Millis>,
+    /// Origin of weights that a router named last, and the time at which it did.
+    pub(crate) named_origin: cell::RefCell<Option<(load::Origin, time::Millis)>>,
     /// Declared versions of each model.
     pub(crate) declared: cell::RefCell<collections::BTreeMap<id::ModelId, declared::Declarations>>,
     /// Whether the declared versions have been listed completely.
@@ -62,6 +66,8 @@
     pub(crate) unresponsive: cell::RefCell<collections::BTreeMap<net::IpAddr, time::Millis>>,
     /// Notified when a new version is declared.
     pub(crate) version_declared: Notify,
+    /// Notified when routers must be asked for the origin of weights.
+    pub(crate) origin_doubted: Notify,
     /// Notified when routers must learn of a changed load immediately.
     pub(crate) load_changed: Notify,
 }
@@ -83,6 +89,8 @@
             client,
             engine,
             config: cell::RefCell::default(),
+            config_read_at: cell::Cell::default(),
+            named_origin: cell::RefCell::default(),
             declared: cell::RefCell::default(),
             listed: cell::Cell::default(),
             report: cell::RefCell::default(),
@@ -92,6 +100,7 @@
             peers: cell::RefCell::default(),
             unresponsive: cell::RefCell::default(),
             version_declared: Notify::new(),
+            origin_doubted: Notify::new(),
             load_changed: Notify::new(),
         }
     }
@@ -111,6 +120,24 @@
         Some((model, version))
     }
 
+    /// Returns the origin of weights according to the newest configuration that this loader or a router knows.
+    pub(crate) fn origin(&self) -> Option<config::Origin> {
+        let (config, named) = (self.config.borrow(), self.named_origin.borrow());
+        let config = config.as_ref()?;
+        let newer = named.as_ref().filter(|(origin, _)| origin.config > config.version);
+        let newer = newer.map(|(origin, _)| config::Origin {
+            address: origin.address,
+            zone: origin.zone.clone(),
+        });
+        newer.or_else(|| config.origin().cloned())
+    }
+
+    /// Returns whether a router has named the origin of weights within the time `span`.
+    pub(crate) fn has_named_origin(&self, span: time::Millis) -> bool {
+        let named = self.named_origin.borrow();
+        named.as_ref().is_some_and(|(_, at)| self.now().since(*at) < span)
+    }
+
     /// Adds a declared version. Returns whether it is the newest.
     pub(crate) fn declare(
         &self,
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -24,6 +24,9 @@
 /// Maximum time between two load reports to a subscriber; shorter than the age at which routers ignore a load report.
 const MAX_INTERVAL: time::Millis = time::Millis(500);
 
+/// Number of routers that are asked at the same time for the origin of weights.
+const ORIGIN_ROUTERS: usize = 2;
+
 struct Publisher<E> {
     node: rc::Rc<node::Node<E>>,
     socket: UdpSocket,
@@ -37,6 +40,8 @@
     limit: load::Limit,
     /// Time at which the versions before the newest one were last sent.
     versions_sent_at: time::Millis,
+    /// Number of routers that have been asked for the origin of weights, modulo their number.
+    origin_queries: usize,
 }
 
 /// Reads the engine's reports and publishes load reports until `stop` is cancelled.
@@ -57,6 +62,7 @@
         down_sent_at: None,
         limit: load::Limit::Unknown,
         versions_sent_at: time::Millis::ZERO,
+        origin_queries: 0,
     };
     let mut buffer = [0; load::MAX_LEN];
     let mut poll = tokio::time::interval(POLL_INTERVAL.to_duration());
@@ -70,6 +76,7 @@
                 publisher.poll().await;
             }
             () = node.load_changed.notified() => publisher.publish(),
+            () = node.origin_doubted.notified() => publisher.ask_for_origin(),
             received = publisher.socket.recv_from(&mut buffer) => {
                 publisher.on_received(&buffer, received);
             }
@@ -156,6 +163,32 @@
         self.broadcast(&load::ToRouter::Load(load), None);
     }
 
+    /// Asks a few routers for the origin of weights, others each time.
+    fn ask_for_origin(&mut self) {
+        let routers: Vec<_> = self.subscribers.addresses().collect();
+        let datagram = load::encode(&load::ToRouter::OriginQuery);
+        for router in
+            routers.iter().cycle().skip(self.origin_queries).take(ORIGIN_ROUTERS.min(routers.len()))
+        {
+            // The next failed try asks again.
+            let _ = self.socket.try_send_to(&datagram, *router);
+        }
+        self.origin_queries =
+            self.origin_queries.wrapping_add(ORIGIN_ROUTERS) % routers.len().max(1);
+    }
+
+    fn on_origin(&self, from: net::SocketAddr, origin: load::Origin) {
+        let is_news = self.node.origin().is_none_or(|known| known.address != origin.address);
+        if is_news {
+            event::Event::new("origin_named")
+                .with("address", origin.address)
+                .with("config", origin.config)
+                .with("from", from.ip())
+                .info();
+        }
+        *self.node.named_origin.borrow_mut() = Some((origin, self.node.now()));
+    }
+
     /// Sends a datagram to all subscribers except one.
     fn broadcast(&self, message: &load::ToRouter, except: Option<net::SocketAddr>) {
         let datagram = load::encode(message);
@@ -202,6 +235,7 @@
             }
             Some(load::FromRouter::Versions(versions)) => self.on_versions(from, &versions),
             Some(load::FromRouter::Limit(started_at, limit)) => self.on_limit(started_at, limit),
+            Some(load::FromRouter::Origin(origin)) => self.on_origin(from, origin),
             Some(load::FromRouter::PeerQuery(zone)) => self.on_peer_query(from, zone),
             None => {}
         }
--- a/crates/chestnutpick_loader/src/watch.rs
+++ b/crates/chestnutpick_loader/src/watch.rs
@@ -98,6 +98,7 @@
 where
     D: directory::Directory,
 {
+    node.config_read_at.set(node.now());
     for change in store.list(directory::Scope::Config).await?.changes {
         if let directory::Change::Config(config) = change {
             *node.config.borrow_mut() = Some(rc::Rc::new(config.as_ref().clone()));
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::rc;
 
-use chestnutpick_fleet::{endpoint, load};
+use chestnutpick_fleet::{config, endpoint, load};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, rate, time};
 use rand_core::Rng;
@@ -128,6 +128,7 @@
             Some(load::ToRouter::Cleared(fingerprint)) => {
                 crash::on_cleared(node, &fingerprint);
             }
+            Some(load::ToRouter::OriginQuery) => name_origin(node, from),
             Some(load::ToRouter::EngineDown(started_at)) => {
                 node.view.borrow_mut().on_engine_down(node.now(), from.ip(), started_at);
                 crash::confirm(node);
@@ -138,6 +139,17 @@
     }
 }
 
+/// Names the origin of weights to a loader.
+fn name_origin<C>(node: &node::Node<C>, loader: net::SocketAddr) {
+    let Some(config) = node.config() else { return };
+    let Some(config::Origin { address, zone }) = config.origin().cloned() else { return };
+    let origin = load::Origin { config: config.version, address, zone };
+    if let Some(socket) = node.socket.get() {
+        // The loader repeats its query.
+        let _ = socket.try_send_to(&load::encode(&load::FromRouter::Origin(origin)), loader);
+    }
+}
+
 fn on_load<C>(node: &node::Node<C>, ip: net::IpAddr, load: &load::Load) {
     let (mut view, now) = (node.view.borrow_mut(), node.now());
     let before = view.newest_declared(now);
