Compress large responses that routers relay to each other

Cause: two readers send each version of the configuration in full to each of the zone's 14 routers, over links of 40 Mbit/s and with 0.24 of a core, also when one item of it has changed. Change: a router asks with accept-encoding gzip, and a reader compresses a response of 16 KiB or more once, when the first router asks for it, and keeps the compressed body beside the response. A router of an earlier version sends no such header and gets the plain body, and an earlier reader ignores the header.

--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -5,6 +5,7 @@
 //! connect them to sockets and clocks.
 
 pub mod choice;
+pub mod compression;
 pub mod events;
 pub mod lease;
 pub mod limit;
--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -3,6 +3,7 @@
 //! The readers of a zone ([`readers`]) read the store. The other routers ask a reader for the store's responses, so that
 //! neither the calls to the store nor the traffic between regions grows with the number of routers.
 
+use std::cell;
 use std::collections;
 use std::net;
 use std::rc;
@@ -14,6 +15,7 @@
 use chestnutpick_http::{request, respond};
 use chestnutpick_types::{error, size, time};
 
+use crate::compression;
 use crate::node;
 use crate::readers;
 use crate::watch;
@@ -47,6 +49,10 @@
 /// Header with the [`Content`] of the response.
 const CONTENT_HEADER: &str = "x-content";
 
+/// Headers that agree on the compression of the body.
+const ACCEPT_HEADER: &str = "accept-encoding";
+const ENCODING_HEADER: &str = "content-encoding";
+
 /// Header of [`Content::RecoveryChanges`], which have the name of other changes for routers of an earlier version.
 const RECOVERY_HEADER: &str = "x-after-outage";
 
@@ -91,6 +97,30 @@
     pub(crate) body: Bytes,
     /// Latest time at which the response is known to have matched the store.
     pub(crate) confirmed_at: time::Millis,
+    /// Compressed body, once a router has asked for it.
+    compressed: rc::Rc<cell::OnceCell<Bytes>>,
+}
+
+impl Response {
+    pub(crate) fn new(content: Content, body: Bytes, confirmed_at: time::Millis) -> Self {
+        Self { content, body, confirmed_at, compressed: rc::Rc::default() }
+    }
+
+    /// Returns the response with another body.
+    pub(crate) fn with_body(self, body: Bytes) -> Self {
+        Self::new(self.content, body, self.confirmed_at)
+    }
+
+    /// Returns the compressed body, or `None` if the body is small.
+    fn compressed(&self) -> Option<&Bytes> {
+        let is_large = size::Bytes::of_len(self.body.len()) >= compression::MIN_SIZE;
+        is_large.then(|| self.compressed.get_or_init(|| compress(&self.body)))
+    }
+}
+
+fn compress(body: &[u8]) -> Bytes {
+    metrics::counter!("relay_compressions").increment(1);
+    compression::compress(body)
 }
 
 /// A response and the revisions that it spans.
@@ -174,7 +204,9 @@
             Next::Response(response) if wait.is_none() && response.content.is_listing() => {
                 (error::ErrorKind::NotFound, "the changes are no longer kept")
             }
-            Next::Response(response) => return respond_with(&response, arrived),
+            Next::Response(response) => {
+                return respond_with(&response, arrived, accepts_compressed(&http_request));
+            }
             Next::Gap => (error::ErrorKind::NotFound, "the changes are no longer kept"),
             Next::Failing => (error::ErrorKind::StoreUnavailable, "the store does not respond"),
             Next::Pending if node.now() < deadline => {
@@ -188,8 +220,23 @@
     }
 }
 
-fn respond_with(cached: &Response, arrived: time::Millis) -> respond::Response {
-    let mut response = respond::bytes(200, "application/json", cached.body.clone());
+/// Returns whether a router accepts a compressed body. Routers of an earlier version do not.
+fn accepts_compressed(http_request: &http::Request) -> bool {
+    let accepted = http_request.head().headers().get(ACCEPT_HEADER);
+    accepted.is_some_and(|value| value == compression::ENCODING)
+}
+
+fn respond_with(
+    cached: &Response,
+    arrived: time::Millis,
+    accepts_compressed: bool,
+) -> respond::Response {
+    let compressed = if accepts_compressed { cached.compressed() } else { None };
+    let body = compressed.unwrap_or(&cached.body).clone();
+    let mut response = respond::bytes(200, "application/json", body);
+    if compressed.is_some() {
+        respond::set_header(&mut response, ENCODING_HEADER, compression::ENCODING);
+    }
     let offset = cached.confirmed_at.0.cast_signed() - arrived.0.cast_signed();
     respond::set_header(&mut response, CONFIRMED_HEADER, &offset.to_string());
     let content = match cached.content {
@@ -260,7 +307,8 @@
     let Query { after, recent, timeout } = query;
     let wait = timeout.since(TRANSIT_TIME);
     let path = format!("{PATH}?after={after}&recent_ms={}&wait_ms={}", recent.0, wait.0);
-    let request = client::Request::new("GET", path);
+    let mut request = client::Request::new("GET", path);
+    request.headers.push((ACCEPT_HEADER.into(), compression::ENCODING.into()));
     let address = node.host.relay_address(reader);
     let mut response = node.relay_client.call(address, request, timeout).await?;
     if response.status != 200 {
@@ -277,9 +325,15 @@
         content => content,
     };
     let body = response.read(RESPONSE_LIMIT).await?;
+    let body = match response.header(ENCODING_HEADER) {
+        Some(compression::ENCODING) => compression::decompress(&body, RESPONSE_LIMIT)
+            .map_err(|reason| malformed(&reason.to_string()))?,
+        Some(_) => return Err(malformed("the encoding of the response is unknown")),
+        None => body,
+    };
     // The offset counts from the time at which the query was sent, which precedes its arrival. A response that waits in
     // the buffers of a suspended process therefore never appears newer than it is.
     let confirmed_at = sent_at.0.cast_signed() + offset;
     let confirmed_at = time::Millis(u64::try_from(confirmed_at).unwrap_or(0));
-    Ok(Response { content, body, confirmed_at })
+    Ok(Response::new(content, body, confirmed_at))
 }
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -273,7 +273,7 @@
         if was_failing {
             event::Event::new("store_regained").with("revision", batch.revision).info();
         }
-        let response = relay::Response { content, body, confirmed_at };
+        let response = relay::Response::new(content, body, confirmed_at);
         self.apply(
             read::Read { reader: None, start: call.start, response },
             call.ask.after(),
@@ -296,7 +296,8 @@
             return Ok(());
         }
         if after < known && !read.response.content.is_listing() {
-            read.response.body = self.store.skip_changes(read.response.body, known)?;
+            let body = self.store.skip_changes(read.response.body.clone(), known)?;
+            read.response = read.response.with_body(body);
             batch = self.store.parse_batch(&read.response.body)?;
             after = known;
         }
