--- a/crates/chestnutpick_router/tests/view.rs
+++ b/crates/chestnutpick_router/tests/view.rs
@@ -6,6 +6,8 @@
 
 use chestnutpick_fleet::{directory, endpoint, load};
 use chestnutpick_router::choice;
+use chestnutpick_router::view::View;
+use chestnutpick_types::id;
 use chestnutpick_types::time::Millis;
 use rstest::rstest;
 
@@ -32,7 +34,7 @@
 #[case::loader_restarted_too(Some(common::load(0)))]
 #[case::loader_does_not_know_the_age(Some(load::Load { declared: 3, age: None, ..common::load(0) }))]
 fn version_from_before_the_start_is_required(#[case] load: Option<load::Load>) {
-    let mut view = chestnutpick_router::view::View::default();
+    let mut view = View::default();
     let changes = vec![
         directory::Change::Config(common::config(1)),
         common::announced(common::endpoint(1, "llm", "lima")),
@@ -93,6 +95,31 @@
     assert_eq!(view.endpoints.keys().collect::<Vec<_>>(), [&common::endpoint_id(2)]);
 }
 
+/// Guards against requests to an evacuated zone when the store comes back from a copy without the evacuation.
+#[test]
+fn evacuation_missing_after_an_outage_is_kept_during_the_grace_period() {
+    let lima: id::ZoneId = "lima".parse().unwrap();
+    let listing = || vec![common::announced(common::endpoint(1, "llm", "lima"))];
+    let is_available = |view: &View| view.is_available(&view.endpoints[&common::endpoint_id(1)]);
+    let mut view = common::view(1);
+    view.apply(Millis(5_000), directory::Change::Evacuated(lima.clone()));
+    view.on_store_recovered(Millis(9_000));
+    view.replace(Millis(9_000), listing());
+    view.expire(Millis(10_999));
+    assert!(!is_available(&view));
+    view.expire(Millis(11_000));
+    assert!(is_available(&view));
+    view.apply(Millis(20_000), directory::Change::Evacuated(lima.clone()));
+    view.on_store_recovered(Millis(21_000));
+    view.replace(Millis(21_000), listing());
+    // The operators have removed the evacuation, or have requested it again.
+    view.apply(Millis(21_500), directory::Change::Restored(lima.clone()));
+    assert!(is_available(&view));
+    view.apply(Millis(21_600), directory::Change::Evacuated(lima));
+    view.expire(Millis(30_000));
+    assert!(!is_available(&view));
+}
+
 /// Guards against sending to an endpoint that has left: without an outage, a removed announcement takes effect
 /// immediately.
 #[test]
