--- a/crates/chestnutpick_fleet/src/directory.rs
+++ b/crates/chestnutpick_fleet/src/directory.rs
@@ -9,6 +9,7 @@
 
 use crate::config;
 use crate::endpoint;
+use crate::position;
 
 /// Part of the store that a call reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -55,8 +56,17 @@
 pub struct Batch {
     /// Items or changes, ordered by revision.
     pub changes: Vec<Change>,
-    /// Revision of the store, from which a watch continues.
-    pub revision: u64,
+    /// Position of the store, from which a watch continues.
+    pub position: position::Position,
+}
+
+/// Response of the store as encoded by it, which other processes can parse.
+#[derive(Debug, Clone)]
+pub struct Encoded {
+    /// History from which the response was read.
+    pub era: position::Era,
+    /// Items or changes.
+    pub body: Bytes,
 }
 
 /// Reason why a call to the store failed.
@@ -65,6 +75,12 @@
     /// The store no longer has the history after the given revision; everything must be listed again.
     #[snafu(display("the store has compacted the history after this revision"))]
     HistoryLost,
+    /// The response is not from the history that the call continues; everything must be listed again.
+    #[snafu(display("the response is from another history of the store, era {era}"))]
+    HistoryReplaced {
+        /// History of the response.
+        era: position::Era,
+    },
     /// The store rejects calls for now.
     #[snafu(display("the store rejected the call with status {status}"))]
     Refused {
@@ -98,31 +114,32 @@
         async move { self.parse_batch(&self.list_raw(scope).await?) }
     }
 
-    /// Does the same as [`Directory::list`], but returns the encoded items, which other processes can parse.
-    fn list_raw(&self, scope: Scope) -> impl Future<Output = Result<Bytes, Error>>;
+    /// Does the same as [`Directory::list`], but returns the encoded items.
+    fn list_raw(&self, scope: Scope) -> impl Future<Output = Result<Encoded, Error>>;
 
-    /// Waits until something changes after a revision, or for `wait` at most, and returns the changes.
+    /// Waits until something changes after a position, or for `wait` at most, and returns the changes. Fails if the store
+    /// has another history by then.
     fn watch(
         &self,
         scope: Scope,
-        after: u64,
+        after: position::Position,
         wait: time::Millis,
     ) -> impl Future<Output = Result<Batch, Error>> {
         async move { self.parse_batch(&self.watch_raw(scope, after, wait).await?) }
     }
 
-    /// Does the same as [`Directory::watch`], but returns the encoded response, which other processes can parse.
+    /// Does the same as [`Directory::watch`], but returns the encoded response.
     fn watch_raw(
         &self,
         scope: Scope,
-        after: u64,
+        after: position::Position,
         wait: time::Millis,
-    ) -> impl Future<Output = Result<Bytes, Error>>;
+    ) -> impl Future<Output = Result<Encoded, Error>>;
 
     /// Parses an encoded response.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Malformed`] if `raw` is not a response of the store.
-    fn parse_batch(&self, raw: &[u8]) -> Result<Batch, Error>;
+    fn parse_batch(&self, raw: &Encoded) -> Result<Batch, Error>;
 }
--- a/crates/chestnutpick_fleet/src/lib.rs
+++ b/crates/chestnutpick_fleet/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod engine;
 pub mod host;
 pub mod load;
+pub mod position;
--- a/crates/chestnutpick_loader/src/watch.rs
+++ b/crates/chestnutpick_loader/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::rc;
 
-use chestnutpick_fleet::directory;
+use chestnutpick_fleet::{directory, position};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::time;
 use chestnutpick_weights::assignment;
@@ -27,12 +27,12 @@
 ) where
     D: directory::Directory,
 {
-    let mut revision = None;
+    let mut position = None;
     let mut failing = false;
     while !stop.is_cancelled() {
         let outcome = tokio::select! {
             () = stop.cancelled() => return,
-            outcome = step(&node, &store, &mut revision) => outcome,
+            outcome = step(&node, &store, &mut position) => outcome,
         };
         match outcome {
             Ok(()) if failing => {
@@ -44,8 +44,8 @@
                 if !std::mem::replace(&mut failing, true) {
                     event::Event::new("store_call_failed").with("reason", &reason).warn();
                 }
-                if reason == directory::Error::HistoryLost {
-                    revision = None;
+                if is_history_over(&reason) {
+                    position = None;
                 }
                 actix_rt::time::sleep(RETRY_PAUSE.to_duration()).await;
             }
@@ -53,10 +53,20 @@
     }
 }
 
+/// Returns whether the declared versions must be listed again.
+fn is_history_over(reason: &directory::Error) -> bool {
+    match reason {
+        directory::Error::HistoryLost | directory::Error::HistoryReplaced { .. } => true,
+        directory::Error::Refused { .. }
+        | directory::Error::Unreachable { .. }
+        | directory::Error::Malformed { .. } => false,
+    }
+}
+
 async fn step<E, D>(
     node: &node::Node<E>,
     store: &D,
-    revision: &mut Option<u64>,
+    position: &mut Option<position::Position>,
 ) -> Result<(), directory::Error>
 where
     D: directory::Directory,
@@ -69,12 +79,12 @@
         actix_rt::time::sleep(CONFIG_INTERVAL.to_duration()).await;
         return Ok(());
     }
-    let listed = revision.is_none();
-    let batch = match *revision {
+    let listed = position.is_none();
+    let batch = match *position {
         None => store.list(directory::Scope::Versions).await?,
         Some(after) => store.watch(directory::Scope::Versions, after, WATCH_WAIT).await?,
     };
-    *revision = Some(batch.revision);
+    *position = Some(batch.position);
     // The age of a version declared before this process started is unknown.
     let learned_at = (!listed).then(|| node.now());
     for change in batch.changes {
--- a/crates/chestnutpick_router/src/read.rs
+++ b/crates/chestnutpick_router/src/read.rs
@@ -28,7 +28,7 @@
     /// Records the size and duration of the call, and logs a call that took longer than usual.
     pub(crate) fn record<C>(&self, node: &node::Node<C>) {
         let took = node.now().since(self.start);
-        let len = self.response.body.len();
+        let len = self.response.raw.body.len();
         let relayed = self.reader.is_some().to_string();
         metrics::histogram!("store_read_bytes", "relayed" => relayed.clone()).record(len as f64);
         metrics::histogram!("store_read_ms", "relayed" => relayed).record(took.0 as f64);
--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -8,9 +8,8 @@
 use std::rc;
 
 use actix_http as http;
-use bytes::Bytes;
 use chestnutpick_client::client;
-use chestnutpick_fleet::directory;
+use chestnutpick_fleet::{directory, position};
 use chestnutpick_http::{request, respond};
 use chestnutpick_types::{error, size, time};
 
@@ -47,6 +46,9 @@
 /// Header with the [`Content`] of the response.
 const CONTENT_HEADER: &str = "x-content";
 
+/// Header with the history of the store from which the response was read.
+const ERA_HEADER: &str = "x-era";
+
 /// What a response of the store contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -67,24 +69,35 @@
             Self::Listing | Self::RecoveryListing => true,
         }
     }
+
+    /// Checks that a response at `position` applies to a router that has reached the position `after`: changes must
+    /// continue its history, and a listing must not be of an earlier one.
+    pub(crate) fn check_history(
+        self,
+        after: position::Position,
+        position: position::Position,
+    ) -> Result<(), directory::Error> {
+        let era = position.era;
+        let applies = if self.is_listing() { era >= after.era } else { era == after.era };
+        if applies { Ok(()) } else { Err(directory::Error::HistoryReplaced { era }) }
+    }
 }
 
 /// A response of the store that can be relayed.
 #[derive(Debug, Clone)]
 pub(crate) struct Response {
     pub(crate) content: Content,
-    /// Encoded items or changes.
-    pub(crate) body: Bytes,
+    pub(crate) raw: directory::Encoded,
     /// Latest time at which the response is known to have matched the store.
     pub(crate) confirmed_at: time::Millis,
 }
 
-/// A response and the revisions that it spans.
+/// A response and the positions that it spans.
 #[derive(Debug, Clone)]
 struct CachedResponse {
-    /// Revision that precedes the changes.
-    after: u64,
-    revision: u64,
+    /// Position that precedes the changes.
+    after: position::Position,
+    position: position::Position,
     response: Response,
 }
 
@@ -99,26 +112,36 @@
 }
 
 impl Relay {
-    /// Adds a response of the store. A listing, or a gap in the revisions, discards all earlier responses.
-    pub(crate) fn on_response(&mut self, after: u64, revision: u64, response: Response) {
-        let is_contiguous = self.responses.back().is_some_and(|last| last.revision == after);
+    /// Adds a response of the store. A listing, or a gap between the positions, discards all earlier responses.
+    pub(crate) fn on_response(
+        &mut self,
+        after: position::Position,
+        position: position::Position,
+        response: Response,
+    ) {
+        let is_contiguous = self.responses.back().is_some_and(|last| last.position == after);
         if response.content.is_listing() || !is_contiguous {
             self.responses.clear();
         }
-        self.responses.push_back(CachedResponse { after, revision, response });
+        self.responses.push_back(CachedResponse { after, position, response });
         while self.responses.len() > MAX_RESPONSES {
             self.responses.pop_front();
         }
     }
 
-    /// Returns the first response that is new to a router that knows the store up to revision `after`: one with later
+    /// Returns the history of the last response.
+    fn era(&self) -> position::Era {
+        self.responses.back().map(|last| last.position.era).unwrap_or_default()
+    }
+
+    /// Returns the first response that is new to a router that knows the store up to the position `after`: one with later
     /// changes, or one that was confirmed after `known_until` and contains none.
-    fn next(&self, after: u64, known_until: time::Millis) -> Next {
-        if let Some(cached) = self.responses.iter().find(|cached| cached.revision > after) {
+    fn next(&self, after: position::Position, known_until: time::Millis) -> Next {
+        if let Some(cached) = self.responses.iter().find(|cached| cached.position > after) {
             let includes_next = cached.response.content.is_listing() || cached.after <= after;
             return if includes_next { Next::Response(cached.response.clone()) } else { Next::Gap };
         }
-        let last = self.responses.back().filter(|last| last.revision == after);
+        let last = self.responses.back().filter(|last| last.position == after);
         match last.filter(|last| last.response.confirmed_at > known_until) {
             Some(last) => Next::Response(last.response.clone()),
             None if self.failing => Next::Failing,
@@ -130,7 +153,7 @@
 /// Next response for another router.
 enum Next {
     Response(Response),
-    /// Changes directly after the known revision are no longer kept.
+    /// Changes directly after the known position are no longer kept.
     Gap,
     /// This router cannot read the store.
     Failing,
@@ -145,9 +168,12 @@
 ) -> respond::Response {
     let query = http_request.uri().query().unwrap_or_default();
     let value = |name| request::query_value(query, name).and_then(|text| text.parse().ok());
-    let (PATH, Some(after)) = (http_request.path(), value("after")) else {
+    let (PATH, Some(revision)) = (http_request.path(), value("after")) else {
         return respond::refusal(&request::not_found(&http_request));
     };
+    // A router of an earlier version sends no era.
+    let era = value("era").map_or_else(|| node.relay.borrow().era(), position::Era);
+    let after = position::Position { era, revision: position::Revision(revision) };
     let arrived = node.now();
     let known_until = arrived.since(time::Millis(value("recent_ms").unwrap_or(0)));
     let wait = value("wait_ms").map(time::Millis);
@@ -175,10 +201,11 @@
 }
 
 fn respond_with(cached: &Response, arrived: time::Millis) -> respond::Response {
-    let mut response = respond::bytes(200, "application/json", cached.body.clone());
+    let mut response = respond::bytes(200, "application/json", cached.raw.body.clone());
     let offset = cached.confirmed_at.0.cast_signed() - arrived.0.cast_signed();
     respond::set_header(&mut response, CONFIRMED_HEADER, &offset.to_string());
     respond::set_header(&mut response, CONTENT_HEADER, &cached.content.to_string());
+    respond::set_header(&mut response, ERA_HEADER, &cached.raw.era.to_string());
     response
 }
 
@@ -190,8 +217,8 @@
 /// A query to a reader.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Query {
-    /// Revision after which changes are queried; 0 if nothing is known.
-    pub(crate) after: u64,
+    /// Position after which changes are queried.
+    pub(crate) after: position::Position,
     /// Time before the query in which the store may have been read without a change. Above zero if an earlier query has
     /// taken that long and failed.
     pub(crate) recent: time::Millis,
@@ -204,7 +231,7 @@
 pub(crate) enum State {
     /// It waits for the store.
     Waiting,
-    /// It cannot read the store, or no longer keeps the changes.
+    /// It cannot read the store, no longer keeps the changes, or has another history of the store.
     Declined,
     /// It does not respond as a reader does.
     Unresponsive,
@@ -215,13 +242,14 @@
     pub(crate) fn of(error: &directory::Error) -> Self {
         match error {
             directory::Error::Refused { status: 504 } => Self::Waiting,
-            directory::Error::Refused { status: 404 | 503 } => Self::Declined,
+            directory::Error::Refused { status: 404 | 503 }
+            | directory::Error::HistoryReplaced { .. } => Self::Declined,
             _ => Self::Unresponsive,
         }
     }
 }
 
-/// Queries a reader for the changes after a revision.
+/// Queries a reader for the changes after a position.
 pub(crate) async fn query_reader<C>(
     node: &node::Node<C>,
     reader: net::IpAddr,
@@ -230,7 +258,9 @@
     let sent_at = node.now();
     let Query { after, recent, timeout } = query;
     let wait = timeout.since(TRANSIT_TIME);
-    let path = format!("{PATH}?after={after}&recent_ms={}&wait_ms={}", recent.0, wait.0);
+    let position::Position { era, revision } = after;
+    let path =
+        format!("{PATH}?after={revision}&era={era}&recent_ms={}&wait_ms={}", recent.0, wait.0);
     let request = client::Request::new("GET", path);
     let address = node.host.relay_address(reader);
     let mut response = node.relay_client.call(address, request, timeout).await?;
@@ -243,10 +273,13 @@
     // Routers of an earlier version relay only changes and do not name them.
     let content = response.header(CONTENT_HEADER).map_or(Ok(Content::Changes), str::parse);
     let content = content.map_err(|_| malformed("the content of the response is unknown"))?;
+    // Routers of an earlier version send no era.
+    let era = response.header(ERA_HEADER).map_or(Ok(era), str::parse);
+    let era = era.map_err(|_| malformed("the era of the response is not a number"))?;
     let body = response.read(RESPONSE_LIMIT).await?;
     // The offset counts from the time at which the query was sent, which precedes its arrival. A response that waits in
     // the buffers of a suspended process therefore never appears newer than it is.
     let confirmed_at = sent_at.0.cast_signed() + offset;
     let confirmed_at = time::Millis(u64::try_from(confirmed_at).unwrap_or(0));
-    Ok(Response { content, body, confirmed_at })
+    Ok(Response { content, raw: directory::Encoded { era, body }, confirmed_at })
 }
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -4,7 +4,7 @@
 use std::rc;
 use std::time::Duration;
 
-use chestnutpick_fleet::directory;
+use chestnutpick_fleet::{directory, position};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::time;
 use tokio_util::sync;
@@ -41,12 +41,12 @@
     D: directory::Directory,
 {
     let mut follower = Follower { node, store, must_list: true, call_at: time::Millis::ZERO };
-    let mut revision = 0;
+    let mut position = position::Position::START;
     while !stop.is_cancelled() {
         let start = follower.node.now();
         let pause = tokio::select! {
             () = stop.cancelled() => return,
-            pause = follower.step(&mut revision) => pause,
+            pause = follower.step(&mut position) => pause,
         };
         follower.pause_since(start, pause).await;
     }
@@ -55,7 +55,7 @@
 struct Follower<C, D> {
     node: rc::Rc<node::Node<C>>,
     store: D,
-    /// Whether the next call must list everything: the changes since the last revision may be larger, since they contain
+    /// Whether the next call must list everything: the changes since the last position may be larger, since they contain
     /// each version of the configuration in full.
     must_list: bool,
     /// Earliest time of the next call to the store after a failure.
@@ -81,18 +81,18 @@
 
     /// Reads the store once, from another router or by a call, and returns the minimum time from the start to the next
     /// read.
-    async fn step(&mut self, revision: &mut u64) -> time::Millis {
+    async fn step(&mut self, position: &mut position::Position) -> time::Millis {
         let now = self.node.now();
-        self.probe(*revision);
+        self.probe(*position);
         let is_reader = self.node.relay.borrow().readers.is_reader(self.node.host.ip);
         let calls_first = is_reader && (!self.is_failing() || now >= self.call_at);
-        if !calls_first && self.ask_any(revision).await {
+        if !calls_first && self.ask_any(position).await {
             return time::Millis::ZERO;
         }
         if self.is_failing() && self.node.now() < self.call_at {
             return RETRY_PAUSE;
         }
-        if self.must_list { self.list(revision).await } else { self.watch(revision).await }
+        if self.must_list { self.list(position).await } else { self.watch(position).await }
     }
 
     /// Returns whether this router's last call to the store failed.
@@ -101,7 +101,7 @@
     }
 
     /// Probes the routers that have failed, without waiting for the results.
-    fn probe(&self, after: u64) {
+    fn probe(&self, after: position::Position) {
         let due = self.node.relay.borrow_mut().readers.due_probes(self.node.now());
         for reader in due {
             actix_rt::spawn(probe(rc::Rc::clone(&self.node), reader, after));
@@ -110,7 +110,7 @@
 
     /// Asks the readers of the zone in turn. Returns whether this router may go on to rely on them: one has answered, or
     /// waits for the store. In the latter case a call by this router would only slow down the others.
-    async fn ask_any(&mut self, revision: &mut u64) -> bool {
+    async fn ask_any(&mut self, position: &mut position::Position) -> bool {
         let (start, own) = (self.node.now(), self.node.host.ip);
         let budget = relay::reader_timeout(&self.node);
         let access =
@@ -120,8 +120,8 @@
         for reader in sources {
             let elapsed = self.node.now().since(start);
             let timeout = budget.since(elapsed).max(relay::NEXT_READER_TIMEOUT);
-            let query = relay::Query { after: *revision, recent: elapsed, timeout };
-            let Err(reason) = self.ask(reader, query, revision).await else { return true };
+            let query = relay::Query { after: *position, recent: elapsed, timeout };
+            let Err(reason) = self.ask(reader, query, position).await else { return true };
             match relay::State::of(&reason) {
                 relay::State::Waiting => waiting = true,
                 relay::State::Declined => {}
@@ -147,57 +147,74 @@
         &mut self,
         reader: net::IpAddr,
         query: relay::Query,
-        revision: &mut u64,
+        position: &mut position::Position,
     ) -> Result<(), directory::Error> {
         let start = self.node.now();
         let response = relay::query_reader(&self.node, reader, query).await?;
-        let batch = self.store.parse_batch(&response.body)?;
-        *revision = batch.revision.max(query.after);
+        let batch = self.store.parse_batch(&response.raw)?;
+        response.content.check_history(query.after, batch.position)?;
+        *position = batch.position.max(query.after);
         self.apply(read::Read { reader: Some(reader), start, response }, query.after, batch);
         Ok(())
     }
 
     /// Lists the whole content of the store.
-    async fn list(&mut self, revision: &mut u64) -> time::Millis {
-        let start = self.node.now();
+    async fn list(&mut self, position: &mut position::Position) -> time::Millis {
+        let (start, after) = (self.node.now(), *position);
         let outcome = self.store.list_raw(directory::Scope::All).await;
-        let outcome = outcome.and_then(|body| Ok((self.store.parse_batch(&body)?, body)));
+        let outcome = outcome.and_then(|raw| self.parse(relay::Content::Listing, after, raw));
         count_call("list", outcome.is_ok());
         match outcome {
-            Ok((batch, body)) => {
+            Ok((batch, raw)) => {
                 let content = if self.is_failing() {
                     relay::Content::RecoveryListing
                 } else {
                     relay::Content::Listing
                 };
-                *revision = batch.revision;
-                let response = relay::Response { content, body, confirmed_at: start };
-                self.on_called(read::Read { reader: None, start, response }, 0, batch);
+                *position = batch.position;
+                let response = relay::Response { content, raw, confirmed_at: start };
+                self.on_called(read::Read { reader: None, start, response }, after, batch);
                 time::Millis::ZERO
             }
             Err(reason) => self.on_error(start, &reason),
         }
     }
 
+    /// Parses a response of the store and checks that it applies after the given position.
+    fn parse(
+        &self,
+        content: relay::Content,
+        after: position::Position,
+        raw: directory::Encoded,
+    ) -> Result<(directory::Batch, directory::Encoded), directory::Error> {
+        let batch = self.store.parse_batch(&raw)?;
+        content.check_history(after, batch.position)?;
+        Ok((batch, raw))
+    }
+
     /// Watches the store for changes.
-    async fn watch(&mut self, revision: &mut u64) -> time::Millis {
-        let (start, after) = (self.node.now(), *revision);
+    async fn watch(&mut self, position: &mut position::Position) -> time::Millis {
+        let (start, after) = (self.node.now(), *position);
         let outcome = self.store.watch_raw(directory::Scope::All, after, WATCH_WAIT).await;
-        let outcome = outcome.and_then(|body| Ok((self.store.parse_batch(&body)?, body)));
+        let outcome = outcome.and_then(|raw| self.parse(relay::Content::Changes, after, raw));
         count_call("watch", outcome.is_ok());
         match outcome {
-            Ok((batch, body)) => {
-                *revision = batch.revision;
+            Ok((batch, raw)) => {
+                *position = batch.position;
                 // A watch that ends without a change has waited at the store, which received the call no earlier than
                 // its start.
                 let waited = batch.changes.is_empty();
                 let confirmed_at =
                     if waited { (start + WATCH_WAIT).min(self.node.now()) } else { start };
                 let content = relay::Content::Changes;
-                let response = relay::Response { content, body, confirmed_at };
+                let response = relay::Response { content, raw, confirmed_at };
                 self.on_called(read::Read { reader: None, start, response }, after, batch);
                 self.node.bounds.get().store_interval()
             }
+            Err(directory::Error::HistoryReplaced { era }) if era > after.era => {
+                self.must_list = true;
+                time::Millis::ZERO
+            }
             Err(reason) => {
                 self.must_list = true;
                 self.on_error(start, &reason)
@@ -206,24 +223,27 @@
     }
 
     /// Applies the response to a call to the store.
-    fn on_called(&mut self, read: read::Read, after: u64, batch: directory::Batch) {
+    fn on_called(&mut self, read: read::Read, after: position::Position, batch: directory::Batch) {
         if std::mem::take(&mut self.node.relay.borrow_mut().failing) {
-            event::Event::new("store_regained").with("revision", batch.revision).info();
+            event::Event::new("store_regained").with("position", batch.position).info();
         }
         self.apply(read, after, batch);
     }
 
     /// Applies a response and relays it to the routers that ask this one.
-    fn apply(&mut self, read: read::Read, after: u64, batch: directory::Batch) {
+    fn apply(&mut self, read: read::Read, after: position::Position, batch: directory::Batch) {
         read.record(&self.node);
         self.must_list = false;
-        let revision = batch.revision;
+        let position = batch.position;
+        if position.replaces_history_of(after) {
+            event::Event::new("store_restored").with("from", after).with("to", position).warn();
+        }
         if self.ends_outage(&read) {
             self.node.view.borrow_mut().on_store_recovered(self.node.now());
         }
         self.apply_changes(&read, batch.changes);
         self.node.view.borrow_mut().on_confirmed(read.response.confirmed_at);
-        self.node.relay.borrow_mut().on_response(after, revision, read.response);
+        self.node.relay.borrow_mut().on_response(after, position, read.response);
         self.node.relay_changed.notify_waiters();
     }
 
@@ -289,7 +309,7 @@
 }
 
 /// Queries a router that has failed, and trusts it again if it responds.
-async fn probe<C>(node: rc::Rc<node::Node<C>>, reader: net::IpAddr, after: u64) {
+async fn probe<C>(node: rc::Rc<node::Node<C>>, reader: net::IpAddr, after: position::Position) {
     let timeout = relay::reader_timeout(&node);
     let query = relay::Query { after, recent: timeout, timeout };
     let outcome = relay::query_reader(&node, reader, query).await;
