--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -57,7 +57,8 @@
     Changes,
     /// All items.
     Listing,
-    /// All items, listed after an outage of the store in which announcements of live endpoints may have expired.
+    /// All items, listed after an outage or a restore of the store in which announcements of live endpoints may have been
+    /// lost.
     RecoveryListing,
 }
 
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -15,7 +15,7 @@
 
 pub use self::state::EndpointView;
 
-/// Time after the store's recovery for which endpoints are kept although their announcements expired during the outage.
+/// Time after the store's recovery for which endpoints are kept although their announcements were lost in the outage.
 /// A live endpoint renews its announcement within this time.
 pub const RECOVERY_GRACE: time::Millis = time::Millis(2_000);
 
@@ -34,7 +34,7 @@
     pub declared: collections::BTreeMap<id::ModelId, declared::Declarations>,
     /// Latest time at which the view is known to have matched the store.
     pub confirmed_at: Option<time::Millis>,
-    /// Time at which the store last recovered from an outage.
+    /// Time at which the store last recovered from an outage or was restored from a copy.
     recovered_at: Option<time::Millis>,
     /// Time until which this process could not receive anything, because it was suspended or overloaded.
     stalled_until: time::Millis,
@@ -130,7 +130,7 @@
         self.confirmed_at = Some(self.confirmed_at.map_or(at, |latest| latest.max(at)));
     }
 
-    /// Records that the store responds again after failures.
+    /// Records that the store responds again after failures, or after it was restored from a copy.
     pub fn on_store_recovered(&mut self, now: time::Millis) {
         self.recovered_at = Some(now);
     }
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -166,7 +166,8 @@
         count_call("list", outcome.is_ok());
         match outcome {
             Ok((batch, raw)) => {
-                let content = if self.is_failing() {
+                let is_restored = batch.position.replaces_history_of(after);
+                let content = if self.is_failing() || is_restored {
                     relay::Content::RecoveryListing
                 } else {
                     relay::Content::Listing
@@ -235,10 +236,11 @@
         read.record(&self.node);
         self.must_list = false;
         let position = batch.position;
-        if position.replaces_history_of(after) {
+        let is_restored = position.replaces_history_of(after);
+        if is_restored {
             event::Event::new("store_restored").with("from", after).with("to", position).warn();
         }
-        if self.ends_outage(&read) {
+        if is_restored || self.ends_outage(&read) {
             self.node.view.borrow_mut().on_store_recovered(self.node.now());
         }
         self.apply_changes(&read, batch.changes);
