--- a/crates/chestnutpick_fleet/src/endpoint.rs
+++ b/crates/chestnutpick_fleet/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! Endpoint announcements.
 
+use std::cmp;
+use std::fmt;
 use std::net;
 
 use chestnutpick_types::{id, time};
@@ -14,6 +16,16 @@
     Draining,
 }
 
+/// Number of an announcement. It rises with each that an endpoint makes, and starts anew when the endpoint restarts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Sequence(pub u64);
+
+impl fmt::Display for Sequence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// An endpoint's announcement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
@@ -35,4 +47,18 @@
     pub weights: Option<u64>,
     /// Unix time of the endpoint's start in milliseconds, if announced. Distinguishes restarts under the same id.
     pub started_at: Option<u64>,
+    /// Number of the announcement, if it has one.
+    pub sequence: Option<Sequence>,
+}
+
+impl Endpoint {
+    /// Returns how this announcement compares in time with another of the same endpoint, by the start of the endpoint and
+    /// then by the number of the announcement. Returns `None` if one of them does not state these.
+    pub fn order(&self, other: &Self) -> Option<cmp::Ordering> {
+        let by_start = self.started_at?.cmp(&other.started_at?);
+        if by_start.is_ne() {
+            return Some(by_start);
+        }
+        Some(self.sequence?.cmp(&other.sequence?))
+    }
 }
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,9 +1,11 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`events`], [`limit`], [`liveness`], [`notices`], [`readers`], [`routers`], [`suspicion`], [`view`], [`window`]) take the
-//! current time as an argument and do no I/O; the other modules connect them to sockets and clocks.
+//! The policies ([`choice`], [`departed`], [`events`], [`limit`], [`liveness`], [`notices`], [`readers`], [`routers`],
+//! [`suspicion`], [`view`], [`window`]) take the current time as an argument and do no I/O; the other modules connect them
+//! to sockets and clocks.
 
 pub mod choice;
+pub mod departed;
 pub mod events;
 pub mod limit;
 pub mod liveness;
--- a/crates/chestnutpick_router/src/read.rs
+++ b/crates/chestnutpick_router/src/read.rs
@@ -52,10 +52,11 @@
                 .with("age", node.now().since(self.response.confirmed_at))
                 .info(),
             directory::Change::Announced(endpoint) => {
-                let endpoint_view = view.endpoints.get(&endpoint.id);
-                if endpoint_view
-                    .is_none_or(|endpoint_view| endpoint_view.endpoint.state != endpoint.state)
-                {
+                let now = node.now();
+                let known = view.endpoints.get(&endpoint.id).map(|known| known.endpoint.state);
+                let is_ignored = view.is_outdated(now, endpoint)
+                    || self.response.content.is_listing() && view.has_departed(now, endpoint);
+                if known != Some(endpoint.state) && !is_ignored {
                     event::Event::new("endpoint_announced")
                         .with("endpoint", &endpoint.id)
                         .with("service", &endpoint.service)
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -4,12 +4,14 @@
 mod response;
 mod state;
 
+use std::cmp;
 use std::collections;
 use std::sync;
 
 use chestnutpick_fleet::{config, declared, directory, endpoint, load};
 use chestnutpick_types::{digest, id, time};
 
+use crate::departed;
 use crate::notices;
 use crate::routers;
 
@@ -26,6 +28,8 @@
     pub config: Option<sync::Arc<config::Config>>,
     /// Endpoints by id.
     pub endpoints: collections::BTreeMap<id::EndpointId, EndpointView>,
+    /// Endpoints that have left.
+    departed: departed::Departed,
     /// What endpoints state about themselves in responses.
     pub notices: notices::Notices,
     /// Zones that get no new requests.
@@ -56,7 +60,10 @@
             self.on_removed(now, &id);
         }
         for change in changes {
-            self.apply(now, change);
+            match &change {
+                directory::Change::Announced(listed) if self.has_departed(now, listed) => {}
+                _ => self.apply(now, change),
+            }
         }
     }
 
@@ -64,7 +71,7 @@
     pub fn apply(&mut self, now: time::Millis, change: directory::Change) {
         match change {
             directory::Change::Config(config) => self.on_config(config),
-            directory::Change::Announced(endpoint) => self.on_announced(endpoint),
+            directory::Change::Announced(endpoint) => self.on_announced(now, endpoint),
             directory::Change::Removed(id) => self.on_removed(now, &id),
             directory::Change::Evacuated(zone) => {
                 self.evacuated.insert(zone);
@@ -95,7 +102,27 @@
         self.declared.entry(model).or_default().declare(version, learned_at);
     }
 
-    fn on_announced(&mut self, endpoint: endpoint::Endpoint) {
+    /// Returns whether an announcement is older than what is known of the endpoint, for example because the store was
+    /// restored from a copy.
+    pub fn is_outdated(&self, now: time::Millis, announced: &endpoint::Endpoint) -> bool {
+        let order = match self.endpoints.get(&announced.id) {
+            Some(endpoint_view) => announced.order(&endpoint_view.endpoint),
+            None => self.departed.order(now, announced),
+        };
+        order.is_some_and(cmp::Ordering::is_lt)
+    }
+
+    /// Returns whether a listed announcement is not newer than the last one of an endpoint that has left. A change with the
+    /// same announcement is newer, since the store has it from the endpoint.
+    pub fn has_departed(&self, now: time::Millis, listed: &endpoint::Endpoint) -> bool {
+        let is_unknown = !self.endpoints.contains_key(&listed.id);
+        is_unknown && self.departed.order(now, listed).is_some_and(cmp::Ordering::is_le)
+    }
+
+    fn on_announced(&mut self, now: time::Millis, endpoint: endpoint::Endpoint) {
+        if self.is_outdated(now, &endpoint) {
+            return;
+        }
         match self.endpoints.get_mut(&endpoint.id) {
             Some(endpoint_view) if endpoint_view.endpoint.started_at == endpoint.started_at => {
                 endpoint_view.expires_at = None;
@@ -120,8 +147,12 @@
 
     /// Removes expired endpoints.
     pub fn expire(&mut self, now: time::Millis) {
-        self.endpoints
-            .retain(|_, endpoint_view| endpoint_view.expires_at.is_none_or(|at| at > now));
+        let is_expired = |_: &id::EndpointId, endpoint_view: &mut EndpointView| {
+            endpoint_view.expires_at.is_some_and(|at| at <= now)
+        };
+        for (_, endpoint_view) in self.endpoints.extract_if(.., is_expired) {
+            self.departed.on_left(now, endpoint_view.endpoint);
+        }
         self.notices.retain(now, |id| self.endpoints.contains_key(id));
     }
 
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -72,6 +72,7 @@
         cold: Millis::ZERO,
         weights: Some(1),
         started_at: Some(1),
+        sequence: Some(endpoint::Sequence(1)),
     }
 }
 
--- a/crates/chestnutpick_router/tests/view.rs
+++ b/crates/chestnutpick_router/tests/view.rs
@@ -6,6 +6,7 @@
 
 use chestnutpick_fleet::{directory, endpoint, load};
 use chestnutpick_router::choice;
+use chestnutpick_router::departed;
 use chestnutpick_router::view::View;
 use chestnutpick_types::id;
 use chestnutpick_types::time::Millis;
@@ -120,6 +121,61 @@
     assert!(!is_available(&view));
 }
 
+/// Returns announcement `sequence` of endpoint 1, in a state.
+fn announcement(sequence: u64, state: endpoint::State) -> directory::Change {
+    let sequence = Some(endpoint::Sequence(sequence));
+    common::announced(endpoint::Endpoint { sequence, state, ..common::endpoint(1, "llm", "lima") })
+}
+
+/// Guards against new requests to a draining endpoint after the store has announced it as ready from an older copy.
+#[test]
+fn outdated_announcement_of_a_draining_endpoint_is_ignored() {
+    let mut view = common::view(1);
+    view.apply(Millis(1_000), announcement(7, endpoint::State::Draining));
+    view.replace(Millis(2_000), vec![announcement(6, endpoint::State::Ready)]);
+    assert_eq!(view.endpoints[&common::endpoint_id(1)].endpoint.state, endpoint::State::Draining);
+    view.apply(Millis(3_000), announcement(8, endpoint::State::Ready));
+    assert_eq!(view.endpoints[&common::endpoint_id(1)].endpoint.state, endpoint::State::Ready);
+}
+
+/// Guards against an earlier run of an endpoint that comes back with an older copy under the id of the current run.
+#[test]
+fn announcement_of_an_earlier_start_is_ignored() {
+    let mut view = common::view(1);
+    let restarted = endpoint::Endpoint {
+        started_at: Some(2),
+        sequence: Some(endpoint::Sequence(1)),
+        ..common::endpoint(1, "llm", "lima")
+    };
+    view.apply(Millis(1_000), common::announced(restarted));
+    view.replace(Millis(2_000), vec![announcement(90, endpoint::State::Ready)]);
+    assert_eq!(view.endpoints[&common::endpoint_id(1)].endpoint.started_at, Some(2));
+}
+
+/// Guards against requests to an endpoint that has left and is announced in an older copy, and against never using one
+/// again that lives.
+#[test]
+fn endpoint_that_left_returns_only_with_a_newer_announcement() {
+    let mut view = common::view(1);
+    view.apply(Millis(1_000), announcement(7, endpoint::State::Ready));
+    view.apply(Millis(2_000), directory::Change::Removed(common::endpoint_id(1)));
+    view.replace(Millis(5_000), vec![announcement(7, endpoint::State::Ready)]);
+    view.apply(Millis(5_000), announcement(6, endpoint::State::Ready));
+    assert!(view.endpoints.is_empty());
+    view.apply(Millis(6_000), announcement(8, endpoint::State::Ready));
+    assert_eq!(view.endpoints.len(), 1);
+}
+
+/// Guards against remembering each endpoint that ever left.
+#[test]
+fn endpoint_that_left_is_forgotten() {
+    let mut view = common::view(1);
+    view.apply(Millis(2_000), directory::Change::Removed(common::endpoint_id(1)));
+    let forgotten_at = Millis(2_000) + departed::RETENTION;
+    view.replace(forgotten_at, vec![announcement(1, endpoint::State::Ready)]);
+    assert_eq!(view.endpoints.len(), 1);
+}
+
 /// Guards against sending to an endpoint that has left: without an outage, a removed announcement takes effect
 /// immediately.
 #[test]
