--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -234,7 +234,7 @@
             "in_flight": self.in_flight(),
             "config_version": view.config.as_ref().map(|config| config.version),
             "confirmed_age_ms": view.confirmed_at.map(|at| now.since(at)),
-            "evacuated": view.evacuated,
+            "evacuated": view.evacuated().collect::<Vec<_>>(),
             "suspects": self.suspicion.borrow().dump(),
             "endpoints": endpoints.collect::<Vec<_>>(),
         })
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -17,8 +17,8 @@
 
 pub use self::state::EndpointView;
 
-/// Time after the store's recovery for which endpoints are kept although their announcements were lost in the outage.
-/// A live endpoint renews its announcement within this time.
+/// Time after the store's recovery for which endpoints and evacuations are kept although the store lost them in the outage.
+/// A live endpoint renews its announcement within this time, and operators write again what was lost.
 pub const RECOVERY_GRACE: time::Millis = time::Millis(2_000);
 
 /// State of the deployment, as known to one router.
@@ -32,8 +32,8 @@
     departed: departed::Departed,
     /// What endpoints state about themselves in responses.
     pub notices: notices::Notices,
-    /// Zones that get no new requests.
-    pub evacuated: collections::BTreeSet<id::ZoneId>,
+    /// Zones that get no new requests, each with the time at which its evacuation ends; `None` while it is requested.
+    evacuated: collections::BTreeMap<id::ZoneId, Option<time::Millis>>,
     /// Declared versions of the weights of each model.
     pub declared: collections::BTreeMap<id::ModelId, declared::Declarations>,
     /// Latest time at which the view is known to have matched the store.
@@ -54,7 +54,12 @@
         let ids: collections::BTreeSet<_> = changes.iter().filter_map(announced).cloned().collect();
         let zones: collections::BTreeSet<_> =
             changes.iter().filter_map(evacuated).cloned().collect();
-        self.evacuated.retain(|zone| zones.contains(zone));
+        let missing_until = self.missing_until(now);
+        let missing = self.evacuated.iter_mut().filter(|(zone, _)| !zones.contains(*zone));
+        for (_, ends_at) in missing {
+            ends_at.get_or_insert(missing_until);
+        }
+        self.expire(now);
         let gone: Vec<_> = self.endpoints.keys().filter(|id| !ids.contains(*id)).cloned().collect();
         for id in gone {
             self.on_removed(now, &id);
@@ -74,7 +79,7 @@
             directory::Change::Announced(endpoint) => self.on_announced(now, endpoint),
             directory::Change::Removed(id) => self.on_removed(now, &id),
             directory::Change::Evacuated(zone) => {
-                self.evacuated.insert(zone);
+                self.evacuated.insert(zone, None);
             }
             directory::Change::Restored(zone) => {
                 self.evacuated.remove(&zone);
@@ -137,7 +142,7 @@
     }
 
     fn on_removed(&mut self, now: time::Millis, id: &id::EndpointId) {
-        let expires_at = self.recovered_at.map_or(now, |at| (at + RECOVERY_GRACE).max(now));
+        let expires_at = self.missing_until(now);
         if let Some(endpoint_view) = self.endpoints.get_mut(id) {
             endpoint_view.expires_at =
                 Some(endpoint_view.expires_at.unwrap_or(expires_at).min(expires_at));
@@ -145,8 +150,19 @@
         self.expire(now);
     }
 
-    /// Removes expired endpoints.
+    /// Returns how long an item is kept that is no longer in the store.
+    fn missing_until(&self, now: time::Millis) -> time::Millis {
+        self.recovered_at.map_or(now, |at| (at + RECOVERY_GRACE).max(now))
+    }
+
+    /// Returns the zones that get no new requests.
+    pub fn evacuated(&self) -> impl Iterator<Item = &id::ZoneId> {
+        self.evacuated.keys()
+    }
+
+    /// Removes expired endpoints and evacuations.
     pub fn expire(&mut self, now: time::Millis) {
+        self.evacuated.retain(|_, ends_at| ends_at.is_none_or(|at| at > now));
         let is_expired = |_: &id::EndpointId, endpoint_view: &mut EndpointView| {
             endpoint_view.expires_at.is_some_and(|at| at <= now)
         };
@@ -172,7 +188,7 @@
         endpoint.state == endpoint::State::Ready
             && !self.notices.is_draining(endpoint)
             && endpoint_view.superseded_at.is_none()
-            && !self.evacuated.contains(&endpoint.zone)
+            && !self.evacuated.contains_key(&endpoint.zone)
     }
 
     /// Returns the time until the first pause of a service's endpoints ends, or zero unless all of them are paused.
