--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -101,6 +101,14 @@
         self.clock.now()
     }
 
+    /// Applies a configuration unless it is older than the known one.
+    pub(crate) fn on_config(&self, config: &config::Config) {
+        let mut known = self.config.borrow_mut();
+        if known.as_ref().is_none_or(|known| known.version < config.version) {
+            *known = Some(rc::Rc::new(config.clone()));
+        }
+    }
+
     /// Returns the version that the engine must hold: the newest declared version, or the first if none is declared.
     pub(crate) fn target_version(&self) -> Option<chunks::Version> {
         let config = self.config.borrow();
--- a/crates/chestnutpick_loader/src/watch.rs
+++ b/crates/chestnutpick_loader/src/watch.rs
@@ -100,7 +100,8 @@
     Ok(())
 }
 
-/// Reads the configuration, which names the model and the origin of its weights.
+/// Reads the configuration, which names the model and the origin of its weights. An older one than the known is ignored:
+/// the store may have been restored from a copy.
 pub(crate) async fn read_config<E, D>(
     node: &node::Node<E>,
     store: &D,
@@ -110,7 +111,7 @@
 {
     for change in store.list(directory::Scope::Config).await?.changes {
         if let directory::Change::Config(config) = change {
-            *node.config.borrow_mut() = Some(rc::Rc::new(config.as_ref().clone()));
+            node.on_config(&config);
         }
     }
     Ok(())
