--- a/crates/chestnutpick_loader/src/watch.rs
+++ b/crates/chestnutpick_loader/src/watch.rs
@@ -79,14 +79,13 @@
         actix_rt::time::sleep(CONFIG_INTERVAL.to_duration()).await;
         return Ok(());
     }
-    let listed = position.is_none();
     let batch = match *position {
         None => store.list(directory::Scope::Versions).await?,
         Some(after) => store.watch(directory::Scope::Versions, after, WATCH_WAIT).await?,
     };
     *position = Some(batch.position);
     // The age of a version declared before this process started is unknown.
-    let learned_at = (!listed).then(|| node.now());
+    let learned_at = node.listed.get().then(|| node.now());
     for change in batch.changes {
         let directory::Change::Declared(model, version) = change else { continue };
         if node.declare(model.clone(), version, learned_at) {
