--- a/crates/chestnutpick_fleet/src/endpoint.rs
+++ b/crates/chestnutpick_fleet/src/endpoint.rs
@@ -54,6 +54,27 @@
 impl Endpoint {
     /// Returns how this announcement compares in time with another of the same endpoint, by the start of the endpoint and
     /// then by the number of the announcement. Returns `None` if one of them does not state these.
+    ///
+    /// ```
+    /// use chestnutpick_fleet::endpoint;
+    /// use chestnutpick_types::time;
+    /// let first = endpoint::Endpoint {
+    ///     id: "i-1".parse().unwrap(),
+    ///     service: "llm".parse().unwrap(),
+    ///     address: "10.0.0.1:80".parse().unwrap(),
+    ///     zone: "lima".parse().unwrap(),
+    ///     slots: 16,
+    ///     state: endpoint::State::Ready,
+    ///     cold: time::Millis::ZERO,
+    ///     weights: None,
+    ///     started_at: Some(1),
+    ///     sequence: Some(endpoint::Sequence(7)),
+    /// };
+    /// let next = endpoint::Endpoint { sequence: Some(endpoint::Sequence(8)), ..first.clone() };
+    /// let restarted = endpoint::Endpoint { started_at: Some(2), ..first.clone() };
+    /// assert!(first.order(&next).unwrap().is_lt());
+    /// assert!(restarted.order(&next).unwrap().is_gt());
+    /// ```
     pub fn order(&self, other: &Self) -> Option<cmp::Ordering> {
         let by_start = self.started_at?.cmp(&other.started_at?);
         if by_start.is_ne() {
