--- a/crates/chestnutpick_fleet/src/lib.rs
+++ b/crates/chestnutpick_fleet/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod engine;
 pub mod host;
 pub mod load;
+pub mod position;
 pub mod progress;
--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -32,7 +32,7 @@
 
 /// Minimum time between two reads of the configuration, and the time for which the address of the origin that a router has
 /// named makes them needless. The configuration takes up to a megabyte, and all loaders of a region share one link.
-const CONFIG_INTERVAL: time::Millis = time::Millis::from_secs(30);
+const CONFIG_INTERVAL: time::Millis = time::Millis::from_secs(10);
 
 /// Time between the notice to routers and the load order, so that few requests reach an engine that refuses them.
 const NOTICE_PERIOD: Duration = Duration::from_millis(10);
@@ -201,8 +201,11 @@
         if !is_due || self.node.has_named_origin(CONFIG_INTERVAL) {
             return;
         }
-        if let Err(reason) = watch::read_config(&self.node, &self.store).await {
-            event::Event::new("config_stale").with("reason", reason).warn();
+        let outcome = watch::read_config(&self.node, &self.store).await;
+        let event = event::Event::new("config_reread").with("ok", outcome.is_ok());
+        match outcome {
+            Ok(()) => event.info(),
+            Err(reason) => event.with("reason", reason).warn(),
         }
     }
 
--- a/crates/chestnutpick_router/src/calls.rs
+++ b/crates/chestnutpick_router/src/calls.rs
@@ -7,11 +7,12 @@
 use std::future;
 use std::rc;
 
-use chestnutpick_fleet::progress;
+use chestnutpick_fleet::{position, progress};
 use chestnutpick_types::time;
 use tokio::sync::Notify;
 use tokio_util::sync;
 
+use crate::relay;
 use crate::timeout;
 use crate::watch;
 
@@ -24,8 +25,8 @@
 pub(crate) enum Ask {
     /// All items.
     List,
-    /// Changes after a revision.
-    Watch(u64),
+    /// Changes after a position.
+    Watch(position::Position),
 }
 
 impl Ask {
@@ -34,14 +35,24 @@
         self == Self::List
     }
 
-    /// Returns the revision that precedes the content of the response.
-    pub(crate) fn after(self) -> u64 {
+    /// Returns the position that precedes the content of the response.
+    pub(crate) fn after(self) -> position::Position {
         match self {
-            Self::List => 0,
+            Self::List => position::Position::START,
             Self::Watch(after) => after,
         }
     }
 
+    /// Returns what the response contains; `ends_outage` says whether it is the first after an outage or a restore.
+    pub(crate) fn content(self, ends_outage: bool) -> relay::Content {
+        match (self, ends_outage) {
+            (Self::List, false) => relay::Content::Listing,
+            (Self::List, true) => relay::Content::RecoveryListing,
+            (Self::Watch(_), false) => relay::Content::Changes,
+            (Self::Watch(_), true) => relay::Content::RecoveryChanges,
+        }
+    }
+
     /// Returns the time for which the store may wait before it answers.
     pub(crate) fn wait(self) -> time::Millis {
         match self {
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,11 +1,12 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`events`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`], [`routers`],
-//! [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an argument and do no I/O; the other modules
-//! connect them to sockets and clocks.
+//! The policies ([`choice`], [`departed`], [`events`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`],
+//! [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an argument and do no I/O; the
+//! other modules connect them to sockets and clocks.
 
 pub mod choice;
 pub mod compression;
+pub mod departed;
 pub mod events;
 pub mod lease;
 pub mod limit;
--- a/crates/chestnutpick_router/src/relay.rs
+++ b/crates/chestnutpick_router/src/relay.rs
@@ -11,7 +11,7 @@
 use actix_http as http;
 use bytes::Bytes;
 use chestnutpick_client::client;
-use chestnutpick_fleet::directory;
+use chestnutpick_fleet::{directory, position};
 use chestnutpick_http::{request, respond};
 use chestnutpick_types::{error, size, time};
 
@@ -56,6 +56,9 @@
 /// Header of [`Content::RecoveryChanges`], which have the name of other changes for routers of an earlier version.
 const RECOVERY_HEADER: &str = "x-after-outage";
 
+/// Header with the history of the store from which the response was read.
+const ERA_HEADER: &str = "x-era";
+
 /// What a response of the store contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -67,7 +70,8 @@
     RecoveryChanges,
     /// All items.
     Listing,
-    /// All items, listed after an outage of the store in which announcements of live endpoints may have expired.
+    /// All items, listed after an outage or a restore of the store in which announcements of live endpoints may have been
+    /// lost.
     RecoveryListing,
 }
 
@@ -87,14 +91,25 @@
             Self::RecoveryChanges | Self::RecoveryListing => true,
         }
     }
+
+    /// Checks that a response at `position` applies to a router that has reached the position `after`: changes must
+    /// continue its history, and a listing must not be of an earlier one.
+    pub(crate) fn check_history(
+        self,
+        after: position::Position,
+        position: position::Position,
+    ) -> Result<(), directory::Error> {
+        let era = position.era;
+        let applies = if self.is_listing() { era >= after.era } else { era == after.era };
+        if applies { Ok(()) } else { Err(directory::Error::HistoryReplaced { era }) }
+    }
 }
 
 /// A response of the store that can be relayed.
 #[derive(Debug, Clone)]
 pub(crate) struct Response {
     pub(crate) content: Content,
-    /// Encoded items or changes.
-    pub(crate) body: Bytes,
+    pub(crate) raw: directory::Encoded,
     /// Latest time at which the response is known to have matched the store.
     pub(crate) confirmed_at: time::Millis,
     /// Compressed body, once a router has asked for it.
@@ -102,19 +117,23 @@
 }
 
 impl Response {
-    pub(crate) fn new(content: Content, body: Bytes, confirmed_at: time::Millis) -> Self {
-        Self { content, body, confirmed_at, compressed: rc::Rc::default() }
+    pub(crate) fn new(
+        content: Content,
+        raw: directory::Encoded,
+        confirmed_at: time::Millis,
+    ) -> Self {
+        Self { content, raw, confirmed_at, compressed: rc::Rc::default() }
     }
 
-    /// Returns the response with another body.
-    pub(crate) fn with_body(self, body: Bytes) -> Self {
-        Self::new(self.content, body, self.confirmed_at)
+    /// Returns the response with another encoded content.
+    pub(crate) fn with_raw(self, raw: directory::Encoded) -> Self {
+        Self::new(self.content, raw, self.confirmed_at)
     }
 
     /// Returns the compressed body, or `None` if the body is small.
     fn compressed(&self) -> Option<&Bytes> {
-        let is_large = size::Bytes::of_len(self.body.len()) >= compression::MIN_SIZE;
-        is_large.then(|| self.compressed.get_or_init(|| compress(&self.body)))
+        let is_large = size::Bytes::of_len(self.raw.body.len()) >= compression::MIN_SIZE;
+        is_large.then(|| self.compressed.get_or_init(|| compress(&self.raw.body)))
     }
 }
 
@@ -123,12 +142,12 @@
     compression::compress(body)
 }
 
-/// A response and the revisions that it spans.
+/// A response and the positions that it spans.
 #[derive(Debug, Clone)]
 struct CachedResponse {
-    /// Revision that precedes the changes.
-    after: u64,
-    revision: u64,
+    /// Position that precedes the changes.
+    after: position::Position,
+    position: position::Position,
     response: Response,
 }
 
@@ -143,26 +162,36 @@
 }
 
 impl Relay {
-    /// Adds a response of the store. A listing, or a gap in the revisions, discards all earlier responses.
-    pub(crate) fn on_response(&mut self, after: u64, revision: u64, response: Response) {
-        let is_contiguous = self.responses.back().is_some_and(|last| last.revision == after);
+    /// Adds a response of the store. A listing, or a gap between the positions, discards all earlier responses.
+    pub(crate) fn on_response(
+        &mut self,
+        after: position::Position,
+        position: position::Position,
+        response: Response,
+    ) {
+        let is_contiguous = self.responses.back().is_some_and(|last| last.position == after);
         if response.content.is_listing() || !is_contiguous {
             self.responses.clear();
         }
-        self.responses.push_back(CachedResponse { after, revision, response });
+        self.responses.push_back(CachedResponse { after, position, response });
         while self.responses.len() > MAX_RESPONSES {
             self.responses.pop_front();
         }
     }
 
-    /// Returns the first response that is new to a router that knows the store up to revision `after`: one with later
+    /// Returns the history of the last response.
+    fn era(&self) -> position::Era {
+        self.responses.back().map(|last| last.position.era).unwrap_or_default()
+    }
+
+    /// Returns the first response that is new to a router that knows the store up to the position `after`: one with later
     /// changes, or one that was confirmed after `known_until` and contains none.
-    fn next(&self, after: u64, known_until: time::Millis) -> Next {
-        if let Some(cached) = self.responses.iter().find(|cached| cached.revision > after) {
+    fn next(&self, after: position::Position, known_until: time::Millis) -> Next {
+        if let Some(cached) = self.responses.iter().find(|cached| cached.position > after) {
             let includes_next = cached.response.content.is_listing() || cached.after <= after;
             return if includes_next { Next::Response(cached.response.clone()) } else { Next::Gap };
         }
-        let last = self.responses.back().filter(|last| last.revision == after);
+        let last = self.responses.back().filter(|last| last.position == after);
         match last.filter(|last| last.response.confirmed_at > known_until) {
             Some(last) => Next::Response(last.response.clone()),
             None if self.failing => Next::Failing,
@@ -174,7 +203,7 @@
 /// Next response for another router.
 enum Next {
     Response(Response),
-    /// Changes directly after the known revision are no longer kept.
+    /// Changes directly after the known position are no longer kept.
     Gap,
     /// This router cannot read the store.
     Failing,
@@ -189,9 +218,12 @@
 ) -> respond::Response {
     let query = http_request.uri().query().unwrap_or_default();
     let value = |name| request::query_value(query, name).and_then(|text| text.parse().ok());
-    let (PATH, Some(after)) = (http_request.path(), value("after")) else {
+    let (PATH, Some(revision)) = (http_request.path(), value("after")) else {
         return respond::refusal(&request::not_found(&http_request));
     };
+    // A router of an earlier version sends no era.
+    let era = value("era").map_or_else(|| node.relay.borrow().era(), position::Era);
+    let after = position::Position { era, revision: position::Revision(revision) };
     let arrived = node.now();
     let known_until = arrived.since(time::Millis(value("recent_ms").unwrap_or(0)));
     let wait = value("wait_ms").map(time::Millis);
@@ -232,7 +264,7 @@
     accepts_compressed: bool,
 ) -> respond::Response {
     let compressed = if accepts_compressed { cached.compressed() } else { None };
-    let body = compressed.unwrap_or(&cached.body).clone();
+    let body = compressed.unwrap_or(&cached.raw.body).clone();
     let mut response = respond::bytes(200, "application/json", body);
     if compressed.is_some() {
         respond::set_header(&mut response, ENCODING_HEADER, compression::ENCODING);
@@ -247,6 +279,7 @@
         content => content,
     };
     respond::set_header(&mut response, CONTENT_HEADER, &content.to_string());
+    respond::set_header(&mut response, ERA_HEADER, &cached.raw.era.to_string());
     response
 }
 
@@ -258,8 +291,8 @@
 /// A query to a reader.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Query {
-    /// Revision after which changes are queried; 0 if nothing is known.
-    pub(crate) after: u64,
+    /// Position after which changes are queried.
+    pub(crate) after: position::Position,
     /// Time before the query in which the store may have been read without a change. Above zero if an earlier query has
     /// taken that long and failed, or if the store answers late.
     pub(crate) recent: time::Millis,
@@ -268,8 +301,8 @@
 }
 
 impl Query {
-    /// Returns a query for what is new to a router that knows the store up to revision `after`, as it was `age` before.
-    pub(crate) fn new(after: u64, age: time::Millis, timeout: time::Millis) -> Self {
+    /// Returns a query for what is new to a router that knows the store up to the position `after`, as it was `age` before.
+    pub(crate) fn new(after: position::Position, age: time::Millis, timeout: time::Millis) -> Self {
         // A response whose age was overstated by the transit time would otherwise be sent again at once.
         Self { after, recent: age.since(TRANSIT_TIME), timeout }
     }
@@ -280,7 +313,7 @@
 pub(crate) enum State {
     /// It waits for the store.
     Waiting,
-    /// It cannot read the store, or no longer keeps the changes.
+    /// It cannot read the store, no longer keeps the changes, or has another history of the store.
     Declined,
     /// It does not respond as a reader does.
     Unresponsive,
@@ -291,13 +324,14 @@
     pub(crate) fn of(error: &directory::Error) -> Self {
         match error {
             directory::Error::Refused { status: 504 } => Self::Waiting,
-            directory::Error::Refused { status: 404 | 503 } => Self::Declined,
+            directory::Error::Refused { status: 404 | 503 }
+            | directory::Error::HistoryReplaced { .. } => Self::Declined,
             _ => Self::Unresponsive,
         }
     }
 }
 
-/// Queries a reader for the changes after a revision.
+/// Queries a reader for the changes after a position.
 pub(crate) async fn query_reader<C>(
     node: &node::Node<C>,
     reader: net::IpAddr,
@@ -306,7 +340,9 @@
     let sent_at = node.now();
     let Query { after, recent, timeout } = query;
     let wait = timeout.since(TRANSIT_TIME);
-    let path = format!("{PATH}?after={after}&recent_ms={}&wait_ms={}", recent.0, wait.0);
+    let position::Position { era, revision } = after;
+    let path =
+        format!("{PATH}?after={revision}&era={era}&recent_ms={}&wait_ms={}", recent.0, wait.0);
     let mut request = client::Request::new("GET", path);
     request.headers.push((ACCEPT_HEADER.into(), compression::ENCODING.into()));
     let address = node.host.relay_address(reader);
@@ -324,6 +360,9 @@
         Content::Changes if response.header(RECOVERY_HEADER).is_some() => Content::RecoveryChanges,
         content => content,
     };
+    // Routers of an earlier version send no era.
+    let era = response.header(ERA_HEADER).map_or(Ok(era), str::parse);
+    let era = era.map_err(|_| malformed("the era of the response is not a number"))?;
     let body = response.read(RESPONSE_LIMIT).await?;
     let body = match response.header(ENCODING_HEADER) {
         Some(compression::ENCODING) => compression::decompress(&body, RESPONSE_LIMIT)
@@ -335,5 +374,5 @@
     // the buffers of a suspended process therefore never appears newer than it is.
     let confirmed_at = sent_at.0.cast_signed() + offset;
     let confirmed_at = time::Millis(u64::try_from(confirmed_at).unwrap_or(0));
-    Ok(Response::new(content, body, confirmed_at))
+    Ok(Response::new(content, directory::Encoded { era, body }, confirmed_at))
 }
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -4,19 +4,21 @@
 mod response;
 mod state;
 
+use std::cmp;
 use std::collections;
 use std::sync;
 
 use chestnutpick_fleet::{config, declared, directory, endpoint, load};
 use chestnutpick_types::{digest, id, time};
 
+use crate::departed;
 use crate::notices;
 use crate::routers;
 
 pub use self::state::EndpointView;
 
-/// Time after the store's recovery for which endpoints are kept although their announcements expired during the outage.
-/// A live endpoint renews its announcement within this time.
+/// Time after the store's recovery for which endpoints and evacuations are kept although the store lost them in the outage.
+/// A live endpoint renews its announcement within this time, and operators write again what was lost.
 pub const RECOVERY_GRACE: time::Millis = time::Millis(2_000);
 
 /// State of the deployment, as known to one router.
@@ -26,15 +28,17 @@
     pub config: Option<sync::Arc<config::Config>>,
     /// Endpoints by id.
     pub endpoints: collections::BTreeMap<id::EndpointId, EndpointView>,
+    /// Endpoints that have left.
+    departed: departed::Departed,
     /// What endpoints state about themselves in responses.
     pub notices: notices::Notices,
-    /// Zones that get no new requests.
-    pub evacuated: collections::BTreeSet<id::ZoneId>,
+    /// Zones that get no new requests, each with the time at which its evacuation ends; `None` while it is requested.
+    evacuated: collections::BTreeMap<id::ZoneId, Option<time::Millis>>,
     /// Declared versions of the weights of each model.
     pub declared: collections::BTreeMap<id::ModelId, declared::Declarations>,
     /// Latest time at which the view is known to have matched the store.
     pub confirmed_at: Option<time::Millis>,
-    /// Time at which the store last recovered from an outage.
+    /// Time at which the store last recovered from an outage or was restored from a copy.
     recovered_at: Option<time::Millis>,
     /// Time until which this process could not receive anything, because it was suspended or overloaded.
     stalled_until: time::Millis,
@@ -50,13 +54,21 @@
         let ids: collections::BTreeSet<_> = changes.iter().filter_map(announced).cloned().collect();
         let zones: collections::BTreeSet<_> =
             changes.iter().filter_map(evacuated).cloned().collect();
-        self.evacuated.retain(|zone| zones.contains(zone));
+        let missing_until = self.missing_until(now);
+        let missing = self.evacuated.iter_mut().filter(|(zone, _)| !zones.contains(*zone));
+        for (_, ends_at) in missing {
+            ends_at.get_or_insert(missing_until);
+        }
+        self.expire(now);
         let gone: Vec<_> = self.endpoints.keys().filter(|id| !ids.contains(*id)).cloned().collect();
         for id in gone {
             self.on_removed(now, &id);
         }
         for change in changes {
-            self.apply(now, change);
+            match &change {
+                directory::Change::Announced(listed) if self.has_departed(now, listed) => {}
+                _ => self.apply(now, change),
+            }
         }
     }
 
@@ -64,10 +76,10 @@
     pub fn apply(&mut self, now: time::Millis, change: directory::Change) {
         match change {
             directory::Change::Config(config) => self.on_config(config),
-            directory::Change::Announced(endpoint) => self.on_announced(endpoint),
+            directory::Change::Announced(endpoint) => self.on_announced(now, endpoint),
             directory::Change::Removed(id) => self.on_removed(now, &id),
             directory::Change::Evacuated(zone) => {
-                self.evacuated.insert(zone);
+                self.evacuated.insert(zone, None);
             }
             directory::Change::Restored(zone) => {
                 self.evacuated.remove(&zone);
@@ -95,7 +107,27 @@
         self.declared.entry(model).or_default().declare(version, learned_at);
     }
 
-    fn on_announced(&mut self, endpoint: endpoint::Endpoint) {
+    /// Returns whether an announcement is older than what is known of the endpoint, for example because the store was
+    /// restored from a copy.
+    pub fn is_outdated(&self, now: time::Millis, announced: &endpoint::Endpoint) -> bool {
+        let order = match self.endpoints.get(&announced.id) {
+            Some(endpoint_view) => announced.order(&endpoint_view.endpoint),
+            None => self.departed.order(now, announced),
+        };
+        order.is_some_and(cmp::Ordering::is_lt)
+    }
+
+    /// Returns whether a listed announcement is not newer than the last one of an endpoint that has left. A change with the
+    /// same announcement is newer, since the store has it from the endpoint.
+    pub fn has_departed(&self, now: time::Millis, listed: &endpoint::Endpoint) -> bool {
+        let is_unknown = !self.endpoints.contains_key(&listed.id);
+        is_unknown && self.departed.order(now, listed).is_some_and(cmp::Ordering::is_le)
+    }
+
+    fn on_announced(&mut self, now: time::Millis, endpoint: endpoint::Endpoint) {
+        if self.is_outdated(now, &endpoint) {
+            return;
+        }
         match self.endpoints.get_mut(&endpoint.id) {
             Some(endpoint_view) if endpoint_view.endpoint.started_at == endpoint.started_at => {
                 endpoint_view.expires_at = None;
@@ -110,7 +142,7 @@
     }
 
     fn on_removed(&mut self, now: time::Millis, id: &id::EndpointId) {
-        let expires_at = self.recovered_at.map_or(now, |at| (at + RECOVERY_GRACE).max(now));
+        let expires_at = self.missing_until(now);
         if let Some(endpoint_view) = self.endpoints.get_mut(id) {
             endpoint_view.expires_at =
                 Some(endpoint_view.expires_at.unwrap_or(expires_at).min(expires_at));
@@ -118,10 +150,25 @@
         self.expire(now);
     }
 
-    /// Removes expired endpoints.
+    /// Returns how long an item is kept that is no longer in the store.
+    fn missing_until(&self, now: time::Millis) -> time::Millis {
+        self.recovered_at.map_or(now, |at| (at + RECOVERY_GRACE).max(now))
+    }
+
+    /// Returns the zones that get no new requests.
+    pub fn evacuated(&self) -> impl Iterator<Item = &id::ZoneId> {
+        self.evacuated.keys()
+    }
+
+    /// Removes expired endpoints and evacuations.
     pub fn expire(&mut self, now: time::Millis) {
-        self.endpoints
-            .retain(|_, endpoint_view| endpoint_view.expires_at.is_none_or(|at| at > now));
+        self.evacuated.retain(|_, ends_at| ends_at.is_none_or(|at| at > now));
+        let is_expired = |_: &id::EndpointId, endpoint_view: &mut EndpointView| {
+            endpoint_view.expires_at.is_some_and(|at| at <= now)
+        };
+        for (_, endpoint_view) in self.endpoints.extract_if(.., is_expired) {
+            self.departed.on_left(now, endpoint_view.endpoint);
+        }
         self.notices.retain(now, |id| self.endpoints.contains_key(id));
     }
 
@@ -135,7 +182,7 @@
         now.since(self.confirmed_at.unwrap_or_default())
     }
 
-    /// Records that the store responds again after failures.
+    /// Records that the store responds again after failures, or after it was restored from a copy.
     pub fn on_store_recovered(&mut self, now: time::Millis) {
         self.recovered_at = Some(now);
     }
@@ -146,7 +193,7 @@
         endpoint.state == endpoint::State::Ready
             && !self.notices.is_draining(endpoint)
             && endpoint_view.superseded_at.is_none()
-            && !self.evacuated.contains(&endpoint.zone)
+            && !self.evacuated.contains_key(&endpoint.zone)
     }
 
     /// Returns the time until the first pause of a service's endpoints ends, or zero unless all of them are paused.
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -5,8 +5,7 @@
 use std::rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use chestnutpick_fleet::directory;
+use chestnutpick_fleet::{directory, position};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::time;
 use tokio_util::sync;
@@ -52,7 +51,7 @@
         store,
         calls: calls::Calls::default(),
         stop: stop.clone(),
-        revision: cell::Cell::new(0),
+        position: cell::Cell::new(position::Position::START),
         applied_at: cell::Cell::default(),
         must_list: cell::Cell::new(true),
         call_at: cell::Cell::default(),
@@ -73,8 +72,8 @@
     /// Calls to the store, which also end while this router asks others.
     calls: calls::Calls,
     stop: sync::CancellationToken,
-    /// Revision of the store up to which the view is known.
-    revision: cell::Cell<u64>,
+    /// Position of the store up to which the view is known.
+    position: cell::Cell<position::Position>,
     /// Time at which the last response was applied.
     applied_at: cell::Cell<time::Millis>,
     /// Whether the next call must list everything.
@@ -135,7 +134,7 @@
     fn probe(&self) {
         let due = self.node.relay.borrow_mut().readers.due_probes(self.node.now());
         for reader in due {
-            actix_rt::spawn(probe(rc::Rc::clone(&self.node), reader, self.revision.get()));
+            actix_rt::spawn(probe(rc::Rc::clone(&self.node), reader, self.position.get()));
         }
     }
 
@@ -151,7 +150,7 @@
         for reader in sources {
             let elapsed = self.node.now().since(start);
             let timeout = budget.since(elapsed).max(relay::NEXT_READER_TIMEOUT);
-            let query = relay::Query::new(self.revision.get(), self.age(), timeout);
+            let query = relay::Query::new(self.position.get(), self.age(), timeout);
             let Err(reason) = self.ask(reader, query).await else { return true };
             match relay::State::of(&reason) {
                 relay::State::Waiting => waiting = true,
@@ -177,7 +176,8 @@
     async fn ask(&self, reader: net::IpAddr, query: relay::Query) -> Result<(), directory::Error> {
         let start = self.node.now();
         let response = relay::query_reader(&self.node, reader, query).await?;
-        let batch = self.store.parse_batch(&response.body)?;
+        let batch = self.store.parse_batch(&response.raw)?;
+        response.content.check_history(query.after, batch.position)?;
         self.apply(read::Read { reader: Some(reader), start, response }, query.after, batch)
     }
 
@@ -220,7 +220,7 @@
         if self.must_list.get() || is_outdated {
             calls::Ask::List
         } else {
-            calls::Ask::Watch(self.revision.get())
+            calls::Ask::Watch(self.position.get())
         }
     }
 
@@ -228,7 +228,7 @@
     async fn run_call(self: rc::Rc<Self>, call: rc::Rc<calls::Call>) {
         let fetch = self.fetch(&call);
         let outcome = self.calls.run(&call, fetch, || self.on_overdue(&call)).await;
-        let outcome = outcome.map(|body| body.and_then(|body| self.on_body(&call, body)));
+        let outcome = outcome.map(|raw| raw.and_then(|raw| self.on_response(&call, raw)));
         count_call(call.ask, matches!(outcome, Some(Ok(()))));
         self.calls.remove(&call);
         match outcome {
@@ -238,7 +238,7 @@
         }
     }
 
-    async fn fetch(&self, call: &calls::Call) -> Result<Bytes, directory::Error> {
+    async fn fetch(&self, call: &calls::Call) -> Result<directory::Encoded, directory::Error> {
         let (scope, progress) = (directory::Scope::All, &call.progress);
         match call.ask {
             calls::Ask::List => self.store.list_raw(scope, progress).await,
@@ -257,23 +257,25 @@
     }
 
     /// Applies the response to a call to the store.
-    fn on_body(&self, call: &calls::Call, body: Bytes) -> Result<(), directory::Error> {
-        let batch = self.store.parse_batch(&body)?;
+    fn on_response(
+        &self,
+        call: &calls::Call,
+        raw: directory::Encoded,
+    ) -> Result<(), directory::Error> {
+        let batch = self.store.parse_batch(&raw)?;
+        let known = self.position.get();
+        let after = if call.ask.is_list() { known } else { call.ask.after() };
+        call.ask.content(false).check_history(after, batch.position)?;
         // A watch that ends without a change has waited at the store, which received the call no earlier than its start.
         let waited = if batch.changes.is_empty() { call.ask.wait() } else { time::Millis::ZERO };
         let confirmed_at = (call.start + waited).min(self.node.now());
         self.calls.on_answer(call.progress.answer_time().since(waited));
         let was_failing = std::mem::take(&mut self.node.relay.borrow_mut().failing);
-        let content = match (call.ask, was_failing) {
-            (calls::Ask::List, false) => relay::Content::Listing,
-            (calls::Ask::List, true) => relay::Content::RecoveryListing,
-            (calls::Ask::Watch(_), false) => relay::Content::Changes,
-            (calls::Ask::Watch(_), true) => relay::Content::RecoveryChanges,
-        };
+        let content = call.ask.content(was_failing || batch.position.replaces_history_of(known));
         if was_failing {
-            event::Event::new("store_regained").with("revision", batch.revision).info();
+            event::Event::new("store_regained").with("position", batch.position).info();
         }
-        let response = relay::Response::new(content, body, confirmed_at);
+        let response = relay::Response::new(content, raw, confirmed_at);
         self.apply(
             read::Read { reader: None, start: call.start, response },
             call.ask.after(),
@@ -281,38 +283,45 @@
         )
     }
 
-    /// Applies a response with the changes after revision `after`, and relays it to the routers that ask this one.
+    /// Applies a response with the changes after the position `after`, and relays it to the routers that ask this one.
     /// Discards it if a newer response has been applied since the call started.
     fn apply(
         &self,
         mut read: read::Read,
-        mut after: u64,
+        mut after: position::Position,
         mut batch: directory::Batch,
     ) -> Result<(), directory::Error> {
         read.record(&self.node);
-        let known = self.revision.get();
-        let is_outdated = batch.revision < known && self.applied_at.get() >= read.start;
-        if is_outdated || after > known {
+        let known = self.position.get();
+        let is_outdated = batch.position < known && self.applied_at.get() >= read.start;
+        if is_outdated || batch.position.era < known.era || after > known {
             return Ok(());
         }
         if after < known && !read.response.content.is_listing() {
-            let body = self.store.skip_changes(read.response.body.clone(), known)?;
-            read.response = read.response.with_body(body);
-            batch = self.store.parse_batch(&read.response.body)?;
+            let raw = self.store.skip_changes(read.response.raw.clone(), known.revision)?;
+            read.response = read.response.with_raw(raw);
+            batch = self.store.parse_batch(&read.response.raw)?;
             after = known;
         }
         self.applied_at.set(self.node.now());
         self.must_list.set(false);
         self.calls.cancel_listings(|_| true);
         // A reader that is behind does not take this router back.
-        let floor = if read.reader.is_some() { after } else { 0 };
-        self.revision.set(batch.revision.max(floor));
-        if self.ends_outage(&read) {
+        let floor = if read.reader.is_some() { after } else { position::Position::START };
+        self.position.set(batch.position.max(floor));
+        let is_restored = batch.position.replaces_history_of(known);
+        if is_restored {
+            event::Event::new("store_restored")
+                .with("from", known)
+                .with("to", batch.position)
+                .warn();
+        }
+        if is_restored || self.ends_outage(&read) {
             self.node.view.borrow_mut().on_store_recovered(self.node.now());
         }
         self.apply_changes(&read, batch.changes);
         self.node.view.borrow_mut().on_confirmed(read.response.confirmed_at);
-        self.node.relay.borrow_mut().on_response(after, batch.revision, read.response);
+        self.node.relay.borrow_mut().on_response(after, batch.position, read.response);
         self.node.relay_changed.notify_waiters();
         Ok(())
     }
@@ -361,7 +370,7 @@
 
     /// Handles a failed call.
     fn on_error(&self, call: &calls::Call, reason: &directory::Error) {
-        let forgotten = *reason == directory::Error::HistoryLost;
+        let forgotten = is_forgotten(reason);
         // An overdue call already counts as failed, and a later call may have succeeded.
         let is_outdated =
             if forgotten { self.applied_at.get() > call.start } else { !call.is_pending() };
@@ -372,12 +381,12 @@
         if !is_outdated && !forgotten {
             self.on_store_failed(self.node.now());
         }
-        self.calls.settle(call, RETRY_PAUSE);
+        let is_restored = matches!(reason, directory::Error::HistoryReplaced { .. });
+        self.calls.settle(call, if is_restored { time::Millis::ZERO } else { RETRY_PAUSE });
     }
 
     fn log_failure(&self, call: &calls::Call, reason: &directory::Error) {
-        let forgotten = *reason == directory::Error::HistoryLost;
-        if forgotten || !self.is_failing() {
+        if is_forgotten(reason) || !self.is_failing() {
             event::Event::new("store_call_failed")
                 .with("took", self.node.now().since(call.start))
                 .with("reason", reason)
@@ -395,8 +404,13 @@
     }
 }
 
+/// Returns whether the store no longer has the history that a call continues, and everything must be listed.
+fn is_forgotten(reason: &directory::Error) -> bool {
+    matches!(reason, directory::Error::HistoryLost | directory::Error::HistoryReplaced { .. })
+}
+
 /// Queries a router that has failed, and trusts it again if it responds.
-async fn probe<C>(node: rc::Rc<node::Node<C>>, reader: net::IpAddr, after: u64) {
+async fn probe<C>(node: rc::Rc<node::Node<C>>, reader: net::IpAddr, after: position::Position) {
     let timeout = relay::reader_timeout(&node);
     let query = relay::Query { after, recent: timeout, timeout };
     let outcome = relay::query_reader(&node, reader, query).await;
