Follow a restarted endpoint whose time of day has gone back

Only listings, which may be from a copy, are now compared across runs. endpoint_whose_time_has_gone_back_is_followed failed before (left: Ready, right: Draining).

--- a/crates/chestnutpick_router/src/departed.rs
+++ b/crates/chestnutpick_router/src/departed.rs
@@ -3,7 +3,6 @@
 //! The store may come back from a copy in which endpoints that have left are still announced. Their last announcements are
 //! remembered for a while so that a router does not use them again.
 
-use std::cmp;
 use std::collections;
 
 use chestnutpick_fleet::endpoint;
@@ -33,14 +32,10 @@
         self.departures.insert(endpoint.id.clone(), Departure { endpoint, left_at: now });
     }
 
-    /// Returns how an announcement compares in time with the last one of an endpoint that has left, if both are known.
-    pub fn order(
-        &self,
-        now: time::Millis,
-        announced: &endpoint::Endpoint,
-    ) -> Option<cmp::Ordering> {
-        let departure = self.departures.get(&announced.id)?;
-        if is_recent(now, departure) { announced.order(&departure.endpoint) } else { None }
+    /// Returns the last announcement of an endpoint that has left recently.
+    pub fn last(&self, now: time::Millis, id: &id::EndpointId) -> Option<&endpoint::Endpoint> {
+        let departure = self.departures.get(id).filter(|departure| is_recent(now, departure));
+        departure.map(|departure| &departure.endpoint)
     }
 }
 
--- a/crates/chestnutpick_router/src/read.rs
+++ b/crates/chestnutpick_router/src/read.rs
@@ -55,7 +55,7 @@
                 let now = node.now();
                 let known = view.endpoints.get(&endpoint.id).map(|known| known.endpoint.state);
                 let is_ignored = view.is_outdated(now, endpoint)
-                    || self.response.content.is_listing() && view.has_departed(now, endpoint);
+                    || self.response.content.is_listing() && view.is_superseded(now, endpoint);
                 if known != Some(endpoint.state) && !is_ignored {
                     event::Event::new("endpoint_announced")
                         .with("endpoint", &endpoint.id)
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -66,7 +66,7 @@
         }
         for change in changes {
             match &change {
-                directory::Change::Announced(listed) if self.has_departed(now, listed) => {}
+                directory::Change::Announced(listed) if self.is_superseded(now, listed) => {}
                 _ => self.apply(now, change),
             }
         }
@@ -107,21 +107,27 @@
         self.declared.entry(model).or_default().declare(version, learned_at);
     }
 
-    /// Returns whether an announcement is older than what is known of the endpoint, for example because the store was
-    /// restored from a copy.
+    /// Returns whether an announcement is older than another one of the same run that is known. That of another run is
+    /// not: the store has it from the endpoint, whose time of day may have gone back before its start.
     pub fn is_outdated(&self, now: time::Millis, announced: &endpoint::Endpoint) -> bool {
-        let order = match self.endpoints.get(&announced.id) {
-            Some(endpoint_view) => announced.order(&endpoint_view.endpoint),
-            None => self.departed.order(now, announced),
-        };
-        order.is_some_and(cmp::Ordering::is_lt)
+        let known = self.endpoints.get(&announced.id).map(|known| &known.endpoint);
+        let known = known.or_else(|| self.departed.last(now, &announced.id));
+        known.is_some_and(|known| {
+            known.started_at == announced.started_at
+                && announced.order(known).is_some_and(cmp::Ordering::is_lt)
+        })
     }
 
-    /// Returns whether a listed announcement is not newer than the last one of an endpoint that has left. A change with the
-    /// same announcement is newer, since the store has it from the endpoint.
-    pub fn has_departed(&self, now: time::Millis, listed: &endpoint::Endpoint) -> bool {
-        let is_unknown = !self.endpoints.contains_key(&listed.id);
-        is_unknown && self.departed.order(now, listed).is_some_and(cmp::Ordering::is_le)
+    /// Returns whether a listed announcement is older than a known one of any run, or not newer than the last one of an
+    /// endpoint that has left: the store may have been restored from a copy.
+    pub fn is_superseded(&self, now: time::Millis, listed: &endpoint::Endpoint) -> bool {
+        match self.endpoints.get(&listed.id) {
+            Some(known) => listed.order(&known.endpoint).is_some_and(cmp::Ordering::is_lt),
+            None => {
+                let last = self.departed.last(now, &listed.id);
+                last.and_then(|last| listed.order(last)).is_some_and(cmp::Ordering::is_le)
+            }
+        }
     }
 
     fn on_announced(&mut self, now: time::Millis, endpoint: endpoint::Endpoint) {
--- a/crates/chestnutpick_router/tests/view.rs
+++ b/crates/chestnutpick_router/tests/view.rs
@@ -152,6 +152,20 @@
     assert_eq!(view.endpoints[&common::endpoint_id(1)].endpoint.started_at, Some(2));
 }
 
+/// Guards against a restarted endpoint that is ignored, even when it drains, because its time of day had gone back.
+#[test]
+fn endpoint_whose_time_has_gone_back_is_followed() {
+    let mut view = common::view(1);
+    let earlier = endpoint::Endpoint {
+        started_at: Some(2),
+        sequence: Some(endpoint::Sequence(90)),
+        ..common::endpoint(1, "llm", "lima")
+    };
+    view.apply(Millis(1_000), common::announced(earlier));
+    view.apply(Millis(2_000), announcement(1, endpoint::State::Draining));
+    assert_eq!(view.endpoints[&common::endpoint_id(1)].endpoint.state, endpoint::State::Draining);
+}
+
 /// Guards against requests to an endpoint that has left and is announced in an older copy, and against never using one
 /// again that lives.
 #[test]
