Ask for the origin at the first failed try, and ignore older answers

The question now goes out at the first failed try, the read at the fourth unless a router has answered; routers whose lease has expired do not answer, and answers by an older configuration than the known one are ignored.

--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -27,7 +27,7 @@
 /// Pause after a failed step.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Failed tries after which the address of the origin is in doubt.
+/// Failed tries after which the configuration is read again if no router has named the origin meanwhile.
 const ORIGIN_TRIES: usize = 3;
 
 /// Minimum time between two reads of the configuration, and the time for which the address of the origin that a router has
@@ -179,9 +179,7 @@
         let manifest = match sources.manifest(version, tries).await {
             Ok(manifest) => manifest,
             Err(reason) => {
-                if tries >= ORIGIN_TRIES {
-                    self.check_origin().await;
-                }
+                self.check_origin(tries).await;
                 return Err(format!("no manifest: {reason}"));
             }
         };
@@ -195,9 +193,10 @@
 
     /// Asks routers for the address of the origin, which may have changed since the configuration was read, and reads the
     /// configuration again if no router answers.
-    async fn check_origin(&self) {
+    async fn check_origin(&self, tries: usize) {
         self.node.origin_doubted.notify_one();
-        let is_due = self.node.now().since(self.node.config_read_at.get()) >= CONFIG_INTERVAL;
+        let is_due = tries >= ORIGIN_TRIES
+            && self.node.now().since(self.node.config_read_at.get()) >= CONFIG_INTERVAL;
         if !is_due || self.node.has_named_origin(CONFIG_INTERVAL) {
             return;
         }
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -140,6 +140,13 @@
         newer.or_else(|| config.origin().cloned())
     }
 
+    /// Returns the version of the newest configuration whose origin of weights this loader knows.
+    pub(crate) fn origin_version(&self) -> Option<u64> {
+        let own = self.config.borrow().as_ref().map(|config| config.version);
+        let named = self.named_origin.borrow().as_ref().map(|(origin, _)| origin.config);
+        own.max(named)
+    }
+
     /// Returns whether a router has named the origin of weights within the time `span`.
     pub(crate) fn has_named_origin(&self, span: time::Millis) -> bool {
         let named = self.named_origin.borrow();
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -177,7 +177,11 @@
             self.origin_queries.wrapping_add(ORIGIN_ROUTERS) % routers.len().max(1);
     }
 
+    /// Applies the origin that a router names, unless its configuration is older than a known one.
     fn on_origin(&self, from: net::SocketAddr, origin: load::Origin) {
+        if self.node.origin_version().is_some_and(|known| origin.config < known) {
+            return;
+        }
         let is_news = self.node.origin().is_none_or(|known| known.address != origin.address);
         if is_news {
             event::Event::new("origin_named")
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync;
 
 use crate::crash;
+use crate::lease;
 use crate::node;
 use crate::outcome;
 use crate::view;
@@ -139,8 +140,11 @@
     }
 }
 
-/// Names the origin of weights to a loader.
+/// Names the origin of weights to a loader, unless this router's configuration may be outdated.
 fn name_origin<C>(node: &node::Node<C>, loader: net::SocketAddr) {
+    if node.lease() == lease::Lease::Expired {
+        return;
+    }
     let Some(config) = node.config() else { return };
     let Some(config::Origin { address, zone }) = config.origin().cloned() else { return };
     let origin = load::Origin { config: config.version, address, zone };
