Keep calls to the store whose response arrives

A cancelled listing no longer cancels others, and a call whose response arrives is the last to go. By reading only: no test shows it.

--- a/crates/chestnutpick_router/src/calls.rs
+++ b/crates/chestnutpick_router/src/calls.rs
@@ -110,9 +110,11 @@
         if outstanding.len() < MAX_CALLS {
             return true;
         }
-        let Some(oldest) = outstanding.iter().position(|call| !call.is_pending()) else {
-            return false;
-        };
+        // A call whose response arrives is the last to go.
+        let is_silent = |call: &rc::Rc<Call>| !call.is_pending() && !call.progress.is_receiving();
+        let silent = outstanding.iter().position(is_silent);
+        let oldest = silent.or_else(|| outstanding.iter().position(|call| !call.is_pending()));
+        let Some(oldest) = oldest else { return false };
         outstanding.remove(oldest).token.cancel();
         true
     }
@@ -145,7 +147,8 @@
         tokio::pin!(fetch);
         let mut fetch = future::poll_fn(|context| {
             let poll = fetch.as_mut().poll(context);
-            if call.ask.is_list() && call.progress.is_receiving() {
+            let is_listing = call.ask.is_list() && call.progress.is_receiving();
+            if is_listing && !call.token.is_cancelled() {
                 self.cancel_listings(|other| !std::ptr::eq(other, call));
             }
             poll
