--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -194,9 +194,16 @@
     /// Starts a call to the store and waits until it has ended or is overdue, or another read should start before that.
     /// Returns the minimum time from the start to the next read.
     async fn call(self: &rc::Rc<Self>) -> time::Millis {
-        let call = match self.calls.pending().filter(|_| !self.is_reader()) {
-            Some(call) => call,
-            None => self.start().await,
+        let pending = self.calls.pending().filter(|_| !self.is_reader());
+        let start = async {
+            match pending {
+                Some(call) => call,
+                None => self.start().await,
+            }
+        };
+        let call = tokio::select! {
+            call = start => call,
+            () = self.ask_until_answered(), if !self.is_reader() => return time::Millis::ZERO,
         };
         let interval = self.node.bounds.get().store_interval();
         tokio::select! {
@@ -267,14 +274,13 @@
         let after = if call.ask.is_list() { known } else { call.ask.after() };
         call.ask.content(false).check_history(after, batch.position)?;
         // A watch that ends without a change has waited at the store, which received the call no earlier than its start.
-        let waited = if batch.changes.is_empty() { call.ask.wait() } else { time::Millis::ZERO };
+        // One that is cut, or that returns only items which are not used, may not have waited.
+        let has_waited = batch.changes.is_empty() && call.progress.answer_time() >= call.ask.wait();
+        let waited = if has_waited { call.ask.wait() } else { time::Millis::ZERO };
         let confirmed_at = (call.start + waited).min(self.node.now());
         self.calls.on_answer(call.progress.answer_time().since(waited));
-        let was_failing = std::mem::take(&mut self.node.relay.borrow_mut().failing);
-        let content = call.ask.content(was_failing || batch.position.replaces_history_of(known));
-        if was_failing {
-            event::Event::new("store_regained").with("position", batch.position).info();
-        }
+        let ends_outage = self.is_failing() || batch.position.replaces_history_of(known);
+        let content = call.ask.content(ends_outage);
         let response = relay::Response::new(content, raw, confirmed_at);
         self.apply(
             read::Read { reader: None, start: call.start, response },
@@ -294,9 +300,16 @@
         read.record(&self.node);
         let known = self.position.get();
         let is_outdated = batch.position < known && self.applied_at.get() >= read.start;
+        if is_outdated && batch.position.era == known.era {
+            // The known content includes what this response brings.
+            self.node.view.borrow_mut().on_confirmed(read.response.confirmed_at);
+        }
         if is_outdated || batch.position.era < known.era || after > known {
             return Ok(());
         }
+        if read.reader.is_none() && std::mem::take(&mut self.node.relay.borrow_mut().failing) {
+            event::Event::new("store_regained").with("position", batch.position).info();
+        }
         if after < known && !read.response.content.is_listing() {
             let raw = self.store.skip_changes(read.response.raw.clone(), known.revision)?;
             read.response = read.response.with_raw(raw);
@@ -375,14 +388,17 @@
         let is_outdated =
             if forgotten { self.applied_at.get() > call.start } else { !call.is_pending() };
         if !is_outdated {
-            self.must_list.set(true);
             self.log_failure(call, reason);
         }
+        if !is_outdated && (forgotten || matches!(reason, directory::Error::Malformed { .. })) {
+            self.must_list.set(true);
+        }
         if !is_outdated && !forgotten {
             self.on_store_failed(self.node.now());
         }
         let is_restored = matches!(reason, directory::Error::HistoryReplaced { .. });
-        self.calls.settle(call, if is_restored { time::Millis::ZERO } else { RETRY_PAUSE });
+        let pause = if is_restored { time::Millis::ZERO } else { RETRY_PAUSE };
+        self.calls.settle(call, pause);
     }
 
     fn log_failure(&self, call: &calls::Call, reason: &directory::Error) {
