--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -396,8 +396,12 @@
         if !is_outdated && !forgotten {
             self.on_store_failed(self.node.now());
         }
-        let is_restored = matches!(reason, directory::Error::HistoryReplaced { .. });
-        let pause = if is_restored { time::Millis::ZERO } else { RETRY_PAUSE };
+        let pause = match reason {
+            directory::Error::HistoryReplaced { era } if *era > self.position.get().era => {
+                time::Millis::ZERO
+            }
+            _ => RETRY_PAUSE,
+        };
         self.calls.settle(call, pause);
     }
 
