--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -126,8 +126,7 @@
 
     /// Returns the age of the known content of the store.
     fn age(&self) -> time::Millis {
-        let confirmed_at = self.node.view.borrow().confirmed_at.unwrap_or_default();
-        self.node.now().since(confirmed_at)
+        self.node.view.borrow().age(self.node.now())
     }
 
     /// Probes the routers that have failed, without waiting for the results.
