Decide in one place which errors of the store end its history

Found in the read-through: the router's is_forgotten and the loader's is_history_over were the same check. Both now call directory::Error::ends_history; terms::unconfirmed is private. No behaviour changes.

--- a/crates/chestnutpick_fleet/src/directory.rs
+++ b/crates/chestnutpick_fleet/src/directory.rs
@@ -102,6 +102,22 @@
     },
 }
 
+impl Error {
+    /// Returns whether the store no longer has the history that a call continues, so that everything must be listed.
+    ///
+    /// ```
+    /// use chestnutpick_fleet::directory;
+    /// assert!(directory::Error::HistoryLost.ends_history());
+    /// assert!(!directory::Error::Refused { status: 503 }.ends_history());
+    /// ```
+    pub fn ends_history(&self) -> bool {
+        match self {
+            Self::HistoryLost | Self::HistoryReplaced { .. } => true,
+            Self::Refused { .. } | Self::Unreachable { .. } | Self::Malformed { .. } => false,
+        }
+    }
+}
+
 impl From<client::CallError> for Error {
     fn from(error: client::CallError) -> Self {
         Self::Unreachable { reason: error.to_string().into() }
--- a/crates/chestnutpick_loader/src/watch.rs
+++ b/crates/chestnutpick_loader/src/watch.rs
@@ -44,7 +44,7 @@
                 if !std::mem::replace(&mut failing, true) {
                     event::Event::new("store_call_failed").with("reason", &reason).warn();
                 }
-                if is_history_over(&reason) {
+                if reason.ends_history() {
                     position = None;
                 }
                 actix_rt::time::sleep(RETRY_PAUSE.to_duration()).await;
@@ -53,16 +53,6 @@
     }
 }
 
-/// Returns whether the declared versions must be listed again.
-fn is_history_over(reason: &directory::Error) -> bool {
-    match reason {
-        directory::Error::HistoryLost | directory::Error::HistoryReplaced { .. } => true,
-        directory::Error::Refused { .. }
-        | directory::Error::Unreachable { .. }
-        | directory::Error::Malformed { .. } => false,
-    }
-}
-
 async fn step<E, D>(
     node: &node::Node<E>,
     store: &D,
--- a/crates/chestnutpick_router/src/terms.rs
+++ b/crates/chestnutpick_router/src/terms.rs
@@ -164,7 +164,7 @@
 }
 
 /// Returns the refusal of a request for which an expired configuration does not suffice.
-pub(crate) fn unconfirmed<C>(node: &node::Node<C>, reason: &str) -> error::Refusal {
+fn unconfirmed<C>(node: &node::Node<C>, reason: &str) -> error::Refusal {
     let age = node.view.borrow().age(node.now());
     let message =
         format!("the configuration is unconfirmed, the store was last heard {age} ago: {reason}");
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -382,7 +382,7 @@
 
     /// Handles a failed call.
     fn on_error(&self, call: &calls::Call, reason: &directory::Error) {
-        let forgotten = is_forgotten(reason);
+        let forgotten = reason.ends_history();
         // An overdue call already counts as failed, and a later call may have succeeded.
         let is_outdated =
             if forgotten { self.applied_at.get() > call.start } else { !call.is_pending() };
@@ -405,7 +405,7 @@
     }
 
     fn log_failure(&self, call: &calls::Call, reason: &directory::Error) {
-        if is_forgotten(reason) || !self.is_failing() {
+        if reason.ends_history() || !self.is_failing() {
             event::Event::new("store_call_failed")
                 .with("took", self.node.now().since(call.start))
                 .with("reason", reason)
@@ -423,11 +423,6 @@
     }
 }
 
-/// Returns whether the store no longer has the history that a call continues, and everything must be listed.
-fn is_forgotten(reason: &directory::Error) -> bool {
-    matches!(reason, directory::Error::HistoryLost | directory::Error::HistoryReplaced { .. })
-}
-
 /// Queries a router that has failed, and trusts it again if it responds.
 async fn probe<C>(node: rc::Rc<node::Node<C>>, reader: net::IpAddr, after: position::Position) {
     let timeout = relay::reader_timeout(&node);
