--- a/crates/chestnutpick_settings/src/file.rs
+++ b/crates/chestnutpick_settings/src/file.rs
@@ -36,10 +36,12 @@
         message: String,
     },
     /// A value is not allowed.
-    #[snafu(display("{}: {violation}", path.display()))]
+    #[snafu(display("{}:{line}: {violation}", path.display()))]
     Value {
         /// Path of the file.
         path: path::PathBuf,
+        /// Line number, from 1.
+        line: usize,
         /// Rejected key and value, and the allowed values.
         violation: check::Violation,
     },
@@ -92,7 +94,7 @@
 ///     }
 /// }
 /// let error = file::parse::<Settings>("a.toml".as_ref(), "slots = 0").unwrap_err();
-/// assert_eq!(error.to_string(), "a.toml: slots is \"0\": allowed is 1 to 64");
+/// assert_eq!(error.to_string(), "a.toml:1: slots is \"0\": allowed is 1 to 64");
 /// ```
 pub fn parse<T>(path: &path::Path, text: &str) -> Result<T, SettingsError>
 where
@@ -101,14 +103,36 @@
     let settings: T = toml::from_str(text).map_err(|reason| parse_error(path, text, &reason))?;
     match settings.check() {
         Ok(()) => Ok(settings),
-        Err(violation) => ValueSnafu { path, violation }.fail(),
+        Err(violation) => {
+            let line = line_at(text, start_of(text, violation.key));
+            ValueSnafu { path, line, violation }.fail()
+        }
     }
 }
 
 fn parse_error(path: &path::Path, text: &str, reason: &toml::de::Error) -> SettingsError {
-    let start = reason.span().map_or(0, |span| span.start).min(text.len());
-    let line = text[..start].matches('\n').count();
-    let content = text.lines().nth(line).unwrap_or_default().trim().to_owned();
+    let line = line_at(text, reason.span().map_or(0, |span| span.start));
+    let content = text.lines().nth(line - 1).unwrap_or_default().trim().to_owned();
     let message = reason.message().replace('\n', "; ");
-    ParseSnafu { path, line: line + 1, text: content, message }.build()
+    ParseSnafu { path, line, text: content, message }.build()
+}
+
+/// Returns the number of the line that contains the byte at `start`, from 1.
+fn line_at(text: &str, start: usize) -> usize {
+    let before = text.as_bytes().iter().take(start);
+    before.filter(|byte| **byte == b'\n').count() + 1
+}
+
+/// Returns the position of a key with its tables, or of the innermost of its tables that the file has.
+fn start_of(text: &str, key: &str) -> usize {
+    let Ok(root) = toml::de::DeTable::parse(text) else { return 0 };
+    let mut start = 0;
+    let mut table = root.get_ref();
+    for part in key.split('.') {
+        let Some((name, value)) = table.get_key_value(part) else { break };
+        start = name.span().start;
+        let toml::de::DeValue::Table(inner) = value.get_ref() else { break };
+        table = inner;
+    }
+    start
 }
