Catch SIGHUP before anything else in a process's life

Change: main installs the handler first, without a runtime (signal-hook, whose registry tokio uses already). A signal that arrives before the runtime runs is handled once it does. What remains is the time until main.

--- a/crates/chestnutpick_loader/src/run.rs
+++ b/crates/chestnutpick_loader/src/run.rs
@@ -42,6 +42,7 @@
     store: D,
     engine: E,
     origin: O,
+    reload_signal: signal::Reload,
     reload: F,
 ) -> io::Result<()>
 where
@@ -50,8 +51,6 @@
     O: engine::Origin + 'static,
     F: Fn() -> Result<host::Bounds, String> + 'static,
 {
-    // Installed first because a SIGHUP during the start would otherwise end the process.
-    let reload_signal = signal::Reload::catch()?;
     let metrics = metric::Exporter::install().map_err(io::Error::other)?;
     let signal = signal::stop_token()?;
     let listener = server::bind(host.chunk_address(host.ip)).await?;
@@ -61,7 +60,7 @@
     let stop = sync::CancellationToken::new();
     let reloading = rc::Rc::clone(&node);
     reload_signal
-        .spawn_handler(stop.clone(), move || host::apply_bounds(&reloading.bounds, reload()));
+        .spawn_handler(stop.clone(), move || host::apply_bounds(&reloading.bounds, reload()))?;
     let share = || (rc::Rc::clone(&node), stop.clone());
     let (following, token) = share();
     actix_rt::spawn(watch::follow(following, store.clone(), token));
--- a/crates/chestnutpick_process/src/start.rs
+++ b/crates/chestnutpick_process/src/start.rs
@@ -70,7 +70,8 @@
     settings
 }
 
-fn fail(binary: &str, message: &str) -> ! {
+/// Ends a process that cannot start with one line on standard error and [`file::EXIT_STATUS`].
+pub fn fail(binary: &str, message: &str) -> ! {
     eprintln!("{binary}: {message}");
     process::exit(file::EXIT_STATUS)
 }
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -70,6 +70,7 @@
     addresses: Addresses,
     store: D,
     codec: C,
+    reload_signal: signal::Reload,
     reload: F,
 ) -> io::Result<()>
 where
@@ -77,8 +78,6 @@
     D: directory::Directory + 'static,
     F: Fn() -> Result<host::Bounds, String> + 'static,
 {
-    // Installed first because a SIGHUP during the start would otherwise end the process.
-    let reload_signal = signal::Reload::catch()?;
     let metrics = metric::Exporter::install().map_err(io::Error::other)?;
     let signal = signal::stop_token()?;
     let front = server::bind(addresses.front).await?;
@@ -95,7 +94,7 @@
     let stop = sync::CancellationToken::new();
     let reloading = rc::Rc::clone(&node);
     reload_signal
-        .spawn_handler(stop.clone(), move || host::apply_bounds(&reloading.bounds, reload()));
+        .spawn_handler(stop.clone(), move || host::apply_bounds(&reloading.bounds, reload()))?;
     actix_rt::spawn(watch::follow(rc::Rc::clone(&node), store, stop.clone()));
     actix_rt::spawn(loads::exchange(rc::Rc::clone(&node), stop.clone()));
     actix_rt::spawn(crash::probe(rc::Rc::clone(&node), stop.clone()));
