Count error responses as failures of an endpoint, and forget failures after 3 s

And an endpoint of a plain service whose failure was never followed by a success kept its penalty for good. Change: `router::failures`. A 5xx counts as a failure (penalty in the choice; alone it does not open the breaker, since the request may be the cause); failures are forgotten 3 s after the last one.

--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -410,7 +410,7 @@
     region
         + stale_load
         + silence_penalty(now, endpoint_view)
-        + FAILURE_PENALTY_MS * f64::from(endpoint_view.failures)
+        + FAILURE_PENALTY_MS * f64::from(endpoint_view.failures.count(now))
 }
 
 /// Returns the penalty of an endpoint that shows no sign of life.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -291,7 +291,7 @@
             answer::on_head(node, endpoint, &response, &head);
             match answer::check(node, call, endpoint, &response, &head) {
                 Ok(()) => {
-                    slot.on_response_started();
+                    slot.on_response_started(response.status);
                     tries.weights = head.version;
                     let endpoint = endpoint.id.clone();
                     return Ok(Opened { response, head, endpoint, slot });
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,6 +1,6 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`departed`], [`events`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`],
+//! The policies ([`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`],
 //! [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an argument and do no I/O; the
 //! other modules connect them to sockets and clocks.
 
@@ -8,6 +8,7 @@
 pub mod compression;
 pub mod departed;
 pub mod events;
+pub mod failures;
 pub mod lease;
 pub mod limit;
 pub mod liveness;
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -228,7 +228,7 @@
                 "occupied": endpoint_view.occupied,
                 "weights": endpoint_view.weights(now),
                 "load_age_ms": endpoint_view.load_received_at.map(|at| now.since(at)),
-                "failures": endpoint_view.failures,
+                "failures": endpoint_view.failures.count(now),
             })
         });
         json!({
--- a/crates/chestnutpick_router/src/slot.rs
+++ b/crates/chestnutpick_router/src/slot.rs
@@ -69,10 +69,10 @@
     }
 
     /// Records that the endpoint has started to respond.
-    pub(crate) fn on_response_started(&self) {
-        let tokens = self.pending_tokens.take();
+    pub(crate) fn on_response_started(&self, status: u16) {
+        let (now, tokens) = (self.node.now(), self.pending_tokens.take());
         self.started.set(true);
-        self.node.view.borrow_mut().on_response_started(&self.endpoint, tokens);
+        self.node.view.borrow_mut().on_response_started(now, &self.endpoint, tokens, status);
         loads::send_usage(&self.node, &self.endpoint);
     }
 
--- a/crates/chestnutpick_router/src/view/response.rs
+++ b/crates/chestnutpick_router/src/view/response.rs
@@ -97,12 +97,23 @@
         }
     }
 
-    /// Records that an endpoint has started to respond to a request.
-    pub fn on_response_started(&mut self, id: &id::EndpointId, tokens: u32) {
+    /// Records that an endpoint has started to respond to a request. An error response counts as a failure, but alone does
+    /// not block the endpoint: the request itself may be the cause.
+    pub fn on_response_started(
+        &mut self,
+        now: time::Millis,
+        id: &id::EndpointId,
+        tokens: u32,
+        status: u16,
+    ) {
         if let Some(endpoint_view) = self.endpoints.get_mut(id) {
             endpoint_view.pending_tokens = endpoint_view.pending_tokens.saturating_sub(tokens);
-            endpoint_view.failures = 0;
             endpoint_view.connect_failures = 0;
+            if status < 500 {
+                endpoint_view.failures.on_served();
+            } else {
+                endpoint_view.failures.on_failed(now);
+            }
         }
     }
 
@@ -124,8 +135,7 @@
             !endpoint_view.loading_weights && !endpoint_view.liveness.is_silent()
         };
         if let Some(endpoint_view) = self.endpoints.get_mut(id).filter(counts) {
-            endpoint_view.failures += 1;
-            if endpoint_view.failures >= BREAKER.0 {
+            if endpoint_view.failures.on_failed(now) >= BREAKER.0 {
                 endpoint_view.blocked_until = endpoint_view.blocked_until.max(now + BREAKER.1);
             }
         }
--- a/crates/chestnutpick_router/src/view/state.rs
+++ b/crates/chestnutpick_router/src/view/state.rs
@@ -3,6 +3,7 @@
 use chestnutpick_fleet::{endpoint, load};
 use chestnutpick_types::time;
 
+use crate::failures;
 use crate::liveness;
 use crate::window;
 
@@ -49,8 +50,8 @@
     pub weights_load_at: Option<time::Millis>,
     /// Consecutive failures to connect.
     pub connect_failures: u32,
-    /// Consecutive failed requests.
-    pub failures: u32,
+    /// Recent failures of requests.
+    pub failures: failures::Failures,
     /// Time until which the endpoint gets no requests because it failed or reported that it is full.
     pub blocked_until: time::Millis,
     /// Requests that this router sent in the last second.
@@ -77,7 +78,7 @@
             loading_weights: false,
             weights_load_at: None,
             connect_failures: 0,
-            failures: 0,
+            failures: failures::Failures::default(),
             blocked_until: time::Millis::ZERO,
             window: window::Window::default(),
         }
--- a/crates/chestnutpick_router/tests/choice.rs
+++ b/crates/chestnutpick_router/tests/choice.rs
@@ -127,6 +127,30 @@
     assert!(common::choose(&view, Millis(1_000), TARGET, 1).is_ok());
 }
 
+/// Guards against an endpoint that attracts requests because it fails them at once and so looks idle, and against one
+/// that never gets another request after a failure.
+#[test]
+fn endpoint_that_responds_with_errors_is_avoided_for_a_while() {
+    let mut view = common::view(0);
+    for n in 1..=2 {
+        view.apply(Millis(0), common::announced(common::endpoint(n, "ledger", "lima")));
+    }
+    let failing = common::endpoint_id(1);
+    view.on_sent(Millis(0), &failing, 0);
+    view.on_response_started(Millis(5), &failing, 0, 500);
+    view.on_finished(&failing, 0);
+    // The other endpoint has a request in flight.
+    view.on_sent(Millis(5), &common::endpoint_id(2), 0);
+    let chosen_at = |now| {
+        let seeds = (0..40).map(|seed| {
+            common::choose_for(&view, now, &common::plain_service(), seed).unwrap().endpoint.id
+        });
+        seeds.filter(|id| *id == failing).count()
+    };
+    assert_eq!(chosen_at(Millis(100)), 0);
+    assert!(chosen_at(Millis(3_100)) > 0);
+}
+
 /// Guards against aborting streams because their first event would be late at another endpoint although they started
 /// long ago. The fault ends 100 of 136 streams that lose their engine.
 #[test]
--- a/crates/chestnutpick_router/tests/limit.rs
+++ b/crates/chestnutpick_router/tests/limit.rs
@@ -62,7 +62,7 @@
             let seed = now.0 * 1_000 + n as u64;
             if now >= START && common::choose_for(view, now, service, seed).is_ok() {
                 view.on_sent(now, &common::endpoint_id(1), 1);
-                view.on_response_started(&common::endpoint_id(1), 1);
+                view.on_response_started(now, &common::endpoint_id(1), 1, 200);
                 view.on_finished(&common::endpoint_id(1), 0);
                 view.on_heard(now, &common::endpoint_id(1));
                 limit_endpoint(view, now, Some(limit));
