Report each change of an engine's load only to active routers, and prefer the own region

And as each engine's limit on cold requests is far below the number of routers, each router drew 1 of 148 parts of the room at any engine, although a fifth of them could use it. Change: a router's subscription states its interest. Active ones (engine in its region, or with requests of it in the last second) get each change at 500 datagrams a second a loader, and four fifths of the room of a limit; the others get a report each 500 ms, and what decides whether the engine may be used at once (`loader::pace`). The choice compares four engines of the region and two others; reports that are periodic cost 35 ms. Two faults of the limit at this size, seen while testing it: - While the number of routers was not known, 64 were assumed; 148 that start at once exceed the limit of a cold engine. Loaders now report their subscribers from the start, as a lower bound until all have had time to subscribe. - A loader that had just started reported only the requests that it had seen itself. It now counts as many as the engine may have got in the part of the last second before its start. The simulation of limits now sends by loader::pace, and two thirds of its routers are in another region than the engines. Ruled out: fewer reports to all routers (stale loads overload free engines).

--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -111,6 +111,19 @@
     pub age: Option<u32>,
     /// The router's own requests at the engine.
     pub usage: Usage,
+    /// Whether the router is likely to send requests to the engine.
+    pub interest: Interest,
+}
+
+/// Whether a router is likely to send requests to an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Interest {
+    /// The router prefers other engines. It gets periodic load reports.
+    #[default]
+    Passive,
+    /// The engine is in the router's region, or has just got requests from it. The router gets each change of the load, and
+    /// active routers share most of the requests that the engine can bear.
+    Active,
 }
 
 /// Requests of one router at an engine.
@@ -131,7 +144,7 @@
     pub occupied: u32,
     /// Prompt tokens of all routers' requests that have not started to respond.
     pub pending_tokens: u32,
-    /// Requests that all routers have sent to the engine in the last second.
+    /// Requests that all routers have sent to the engine in the last second, or may have sent before the loader started.
     pub recent: u32,
     /// Version of the weights that the engine holds completely, 0 if none.
     pub version: u64,
@@ -140,8 +153,12 @@
     /// Time in milliseconds until the engine starts to load weights and accepts no new requests, if that is
     /// scheduled.
     pub weights_load_in: Option<u32>,
-    /// Routers with a current subscription, including the receiver; 0 until the loader has run long enough to know.
+    /// Routers with a current subscription, including the receiver.
     pub routers: u32,
+    /// Whether the loader has run long enough to know all routers.
+    pub is_settled: bool,
+    /// Active ones among these.
+    pub active: u32,
     /// Newest declared version of the weights known to the loader, 0 if none.
     pub declared: u64,
     /// Time in milliseconds since the loader learned of that version; `None` if the version was declared before the
@@ -200,7 +217,8 @@
 ///
 /// ```
 /// use chestnutpick_fleet::load;
-/// let subscribe = load::Subscribe { version: 3, age: None, usage: load::Usage::default() };
+/// let (usage, interest) = (load::Usage::default(), load::Interest::Active);
+/// let subscribe = load::Subscribe { version: 3, age: None, usage, interest };
 /// let datagram = load::encode(&load::FromRouter::Subscribe(subscribe));
 /// assert_eq!(load::decode(&datagram), Some(load::FromRouter::Subscribe(subscribe)));
 /// ```
--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod chunks;
 pub mod lookup;
+pub mod pace;
 pub mod run;
 pub mod schedule;
 pub mod subscribers;
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync;
 
 use crate::node;
+use crate::pace;
 use crate::subscribers;
 
 /// Interval at which the engine's report is read.
@@ -21,8 +22,8 @@
 /// Time-out for reading a report.
 const REPORT_TIMEOUT: time::Millis = time::Millis(400);
 
-/// Maximum time between two load reports to a subscriber; shorter than the age at which routers ignore a load report.
-const MAX_INTERVAL: time::Millis = time::Millis(500);
+/// Interval at which the versions before the newest one are sent, and that an engine is down.
+const NEWS_INTERVAL: time::Millis = time::Millis(500);
 
 /// Number of routers that are asked at the same time for the origin of weights.
 const ORIGIN_ROUTERS: usize = 2;
@@ -31,7 +32,7 @@
     node: rc::Rc<node::Node<E>>,
     socket: UdpSocket,
     subscribers: subscribers::Subscribers,
-    last: Option<(load::Load, time::Millis)>,
+    pace: pace::Pace,
     /// Start time of the engine according to its last report.
     started_at: Option<u64>,
     /// Time at which the routers were last told that the engine is down.
@@ -57,7 +58,7 @@
         node,
         socket,
         subscribers,
-        last: None,
+        pace: pace::Pace::default(),
         started_at: None,
         down_sent_at: None,
         limit: load::Limit::Unknown,
@@ -120,7 +121,7 @@
 
     /// Tells the subscribers that the engine is down, and again while it is.
     fn report_down(&mut self, now: time::Millis) {
-        let is_due = self.down_sent_at.is_none_or(|at| now.since(at) >= MAX_INTERVAL);
+        let is_due = self.down_sent_at.is_none_or(|at| now.since(at) >= NEWS_INTERVAL);
         if is_due && self.started_at.is_some() {
             self.down_sent_at = Some(now);
             self.broadcast(&load::ToRouter::EngineDown(self.started_at), None);
@@ -130,7 +131,7 @@
     /// Sends the versions before the newest one to all subscribers: a router that has started since does not find them in
     /// the store.
     fn publish_versions(&mut self, now: time::Millis) {
-        if now.since(self.versions_sent_at) < MAX_INTERVAL {
+        if now.since(self.versions_sent_at) < NEWS_INTERVAL {
             return;
         }
         self.versions_sent_at = now;
@@ -142,7 +143,7 @@
         }
     }
 
-    /// Sends the load to all subscribers if it has changed or [`MAX_INTERVAL`] has passed.
+    /// Sends the load to the subscribers that need it now.
     fn publish(&mut self) {
         let now = self.node.now();
         self.subscribers.expire(now);
@@ -150,17 +151,20 @@
         let Some(load) = self.load() else { return };
         metrics::gauge!("engine_version").set(load.version as f64);
         metrics::gauge!("engine_occupied").set(f64::from(load.occupied));
-        // Ages and remaining times change continually and alone are no reason to publish.
-        let is_changed = |last: load::Load| {
-            load::Load { age: last.age, weights_load_in: last.weights_load_in, ..load } != last
-        };
-        let is_due =
-            self.last.is_none_or(|(last, at)| is_changed(last) || now.since(at) >= MAX_INTERVAL);
-        if !is_due {
-            return;
+        match self.pace.next(now, load) {
+            Some(pace::Audience::All) => self.broadcast(&load::ToRouter::Load(load), None),
+            Some(pace::Audience::Active) => self.send_to_active(&load::ToRouter::Load(load)),
+            None => {}
+        }
+    }
+
+    /// Sends a datagram to the active routers.
+    fn send_to_active(&self, message: &load::ToRouter) {
+        let datagram = load::encode(message);
+        for subscriber in self.subscribers.active_addresses() {
+            // The next load report replaces a lost one.
+            let _ = self.socket.try_send_to(&datagram, subscriber);
         }
-        self.last = Some((load, now));
-        self.broadcast(&load::ToRouter::Load(load), None);
     }
 
     /// Asks a few routers for the origin of weights, others each time.
@@ -205,7 +209,7 @@
     fn load(&mut self) -> Option<load::Load> {
         let report = self.node.report.borrow();
         let (report, _) = report.as_ref()?;
-        let now = self.node.now();
+        let (now, uptime) = (self.node.now(), self.node.clock.uptime());
         let declared = self.node.declared.borrow();
         let declared = declared.values().next();
         let newest = declared.and_then(declared::Declarations::newest);
@@ -214,11 +218,14 @@
         Some(load::Load {
             occupied: self.subscribers.occupied(),
             pending_tokens: self.subscribers.pending_tokens(),
-            recent: self.subscribers.recent(now),
+            recent: self.subscribers.recent(now)
+                + subscribers::unseen_requests(uptime, self.node.cold_rate()),
             version: report.loaded.as_ref().map_or(0, |(_, version)| *version),
             loading_weights: self.node.loading.get() || report.busy,
             weights_load_in: self.node.next_load().map(|at| load::millis(at.since(now))),
-            routers: self.subscribers.routers(self.node.clock.uptime()),
+            routers: self.subscribers.routers(),
+            is_settled: subscribers::is_settled(uptime),
+            active: self.subscribers.active(),
             declared: newest.unwrap_or(0),
             age: learned_at.map(|learned_at| load::millis(now.since(learned_at))),
             required: declared.and_then(|declared| declared.due(now, cutoff)).unwrap_or(0),
@@ -273,7 +280,7 @@
 
     fn on_subscribe(&mut self, from: net::SocketAddr, subscribe: load::Subscribe) {
         let now = self.node.now();
-        self.subscribers.on_usage(now, from, subscribe.usage);
+        self.subscribers.on_usage(now, from, subscribe.usage, subscribe.interest);
         if self.subscribers.is_near_limit(now, self.node.slots(), self.node.cold_rate()) {
             self.publish();
         }
--- a/crates/chestnutpick_loader/src/subscribers.rs
+++ b/crates/chestnutpick_loader/src/subscribers.rs
@@ -26,6 +26,40 @@
 struct Subscriber {
     last_report_at: time::Millis,
     usage: load::Usage,
+    interest: load::Interest,
+}
+
+impl Subscriber {
+    fn is_active(&self) -> bool {
+        self.interest == load::Interest::Active
+    }
+}
+
+/// Returns whether each router has had time to subscribe to a loader that has run for `uptime`. A number of routers that is
+/// too small would give each of them too large a share of the engine.
+///
+/// ```
+/// use chestnutpick_loader::subscribers;
+/// use chestnutpick_types::time::Millis;
+/// assert!(!subscribers::is_settled(Millis(0)));
+/// assert!(subscribers::is_settled(Millis(5_000)));
+/// ```
+pub fn is_settled(uptime: time::Millis) -> bool {
+    uptime >= STARTUP_TIME
+}
+
+/// Returns the number of requests that an engine may have got in the last second before its loader started, which has run
+/// for `uptime`.
+///
+/// ```
+/// use chestnutpick_loader::subscribers;
+/// use chestnutpick_types::time::Millis;
+/// assert_eq!(subscribers::unseen_requests(Millis(250), 14.0), 11);
+/// assert_eq!(subscribers::unseen_requests(Millis(1_000), 14.0), 0);
+/// ```
+pub fn unseen_requests(uptime: time::Millis, cold_rate: f64) -> u32 {
+    let unseen_span = RATE_WINDOW.since(uptime);
+    (cold_rate * unseen_span.0 as f64 / 1_000.0).ceil() as u32
 }
 
 /// Routers with a current subscription.
@@ -50,12 +84,20 @@
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
     /// let usage = load::Usage { pending_tokens: 977, in_flight: 1, total: 1 };
-    /// subscribers.on_usage(Millis(0), "10.0.0.1:7700".parse().unwrap(), usage);
+    /// let interest = load::Interest::Active;
+    /// subscribers.on_usage(Millis(0), "10.0.0.1:7700".parse().unwrap(), usage, interest);
     /// assert_eq!((subscribers.addresses().count(), subscribers.pending_tokens()), (1, 977));
     /// ```
-    pub fn on_usage(&mut self, now: time::Millis, from: net::SocketAddr, usage: load::Usage) {
+    pub fn on_usage(
+        &mut self,
+        now: time::Millis,
+        from: net::SocketAddr,
+        usage: load::Usage,
+        interest: load::Interest,
+    ) {
         let load::Usage { in_flight, total, .. } = usage;
-        let before = self.subscribers.insert(from, Subscriber { last_report_at: now, usage });
+        let subscriber = Subscriber { last_report_at: now, usage, interest };
+        let before = self.subscribers.insert(from, subscriber);
         // If the router had no subscription, only its requests in flight count as new. A restarted router counts from 0
         // again.
         let before = before.map_or(total.saturating_sub(in_flight), |before| before.usage.total);
@@ -73,8 +115,10 @@
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
     /// let (router, usage) = ("10.0.0.1:7700".parse().unwrap(), load::Usage::default());
-    /// subscribers.on_usage(Millis(0), router, load::Usage { in_flight: 1, total: 1, ..usage });
-    /// subscribers.on_usage(Millis(10), router, load::Usage { in_flight: 1, total: 3, ..usage });
+    /// let interest = load::Interest::Active;
+    /// let usage_of = |total| load::Usage { in_flight: 1, total, ..usage };
+    /// subscribers.on_usage(Millis(0), router, usage_of(1), interest);
+    /// subscribers.on_usage(Millis(10), router, usage_of(3), interest);
     /// assert_eq!(subscribers.recent(Millis(20)), 3);
     /// assert_eq!(subscribers.recent(Millis(1_005)), 2);
     /// ```
@@ -132,23 +176,19 @@
         self.subscribers.keys().copied()
     }
 
-    /// Returns the number of routers to report, for a loader that has run for `uptime`: 0 until each router has had
-    /// time to subscribe, since a number that is too small would give each router too large a share of the engine.
-    ///
-    /// ```
-    /// use chestnutpick_fleet::load;
-    /// use chestnutpick_loader::subscribers;
-    /// use chestnutpick_types::time::Millis;
-    /// let mut subscribers = subscribers::Subscribers::default();
-    /// let router = "10.0.0.1:7700".parse().unwrap();
-    /// subscribers.on_usage(Millis(0), router, load::Usage::default());
-    /// assert_eq!(subscribers.routers(Millis(0)), 0);
-    /// assert_eq!(subscribers.routers(Millis(5_000)), 1);
-    /// ```
-    pub fn routers(&self, uptime: time::Millis) -> u32 {
-        if uptime < STARTUP_TIME {
-            return 0;
-        }
+    /// Returns the addresses of the active routers.
+    pub fn active_addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
+        let active = self.subscribers.iter().filter(|(_, subscriber)| subscriber.is_active());
+        active.map(|(address, _)| *address)
+    }
+
+    /// Returns the number of active routers.
+    pub fn active(&self) -> u32 {
+        u32::try_from(self.active_addresses().count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of subscribed routers.
+    pub fn routers(&self) -> u32 {
         u32::try_from(self.subscribers.len()).unwrap_or(u32::MAX)
     }
 
@@ -172,7 +212,8 @@
     /// let mut subscribers = subscribers::Subscribers::default();
     /// subscribers.on_report(5);
     /// let usage = load::Usage { pending_tokens: 977, in_flight: 1, total: 1 };
-    /// subscribers.on_usage(Millis(0), "10.0.0.1:7700".parse().unwrap(), usage);
+    /// let interest = load::Interest::Active;
+    /// subscribers.on_usage(Millis(0), "10.0.0.1:7700".parse().unwrap(), usage, interest);
     /// assert_eq!(subscribers.occupied(), 6);
     /// ```
     pub fn occupied(&self) -> u32 {
--- a/crates/chestnutpick_loader/tests/limits.rs
+++ b/crates/chestnutpick_loader/tests/limits.rs
@@ -10,8 +10,10 @@
 
 use chestnutpick_fleet::{config, directory, load};
 use chestnutpick_loader::subscribers::Subscribers;
-use chestnutpick_router::{choice, view};
+use chestnutpick_loader::{pace, subscribers};
+use chestnutpick_router::{choice, region, view};
 use chestnutpick_routing::retry;
+use chestnutpick_types::id;
 use chestnutpick_types::time::Millis;
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -24,6 +26,9 @@
 
 const ENGINES: u8 = 4;
 
+/// Maximum number of routers, of which some are added during the simulation.
+const MAX_ROUTERS: usize = 160;
+
 /// Interval at which routers renew subscriptions, in milliseconds.
 const RENEWAL_INTERVAL: u64 = 1_000;
 
@@ -35,6 +40,8 @@
 
 struct Router {
     address: SocketAddr,
+    /// Zone of the router. The engines are in zone `lima`.
+    zone: id::ZoneId,
     view: view::View,
     /// Time until which the router is suspended or dead.
     frozen_until: u64,
@@ -53,7 +60,7 @@
 }
 
 enum Message {
-    Subscribe(load::Usage),
+    Subscribe(load::Subscribe),
     Load(load::Load),
 }
 
@@ -63,6 +70,8 @@
     rng: Xoshiro256PlusPlus,
     routers: Vec<Router>,
     loaders: BTreeMap<u8, Subscribers>,
+    /// Load reports of each loader.
+    paces: BTreeMap<u8, pace::Pace>,
     /// Start time of each loader.
     started_at: BTreeMap<u8, u64>,
     datagrams: Vec<Datagram>,
@@ -96,6 +105,7 @@
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             routers: Vec::new(),
             loaders: (0..ENGINES).map(|engine| (engine, Subscribers::default())).collect(),
+            paces: BTreeMap::new(),
             started_at: (0..ENGINES).map(|engine| (engine, 0)).collect(),
             datagrams: Vec::new(),
             arrivals: BTreeMap::new(),
@@ -106,10 +116,12 @@
 
     fn add_router(&mut self) {
         let address = format!("10.1.0.{}:7700", self.routers.len()).parse().unwrap();
+        let zone = if self.routers.len().is_multiple_of(3) { "lima" } else { "cusco" };
         let mut view = new_view(self.now, self.cold_rate);
         view.salt = self.routers.len() as u64;
         self.routers.push(Router {
             address,
+            zone: zone.parse().unwrap(),
             view,
             frozen_until: 0,
             cut_off_until: 0,
@@ -151,10 +163,11 @@
             }
             1 => self.routers[router].frozen_until = until,
             2 => self.routers[router].cut_off_until = until,
-            3 if self.routers.len() < 48 => self.add_router(),
+            3 if self.routers.len() < MAX_ROUTERS => self.add_router(),
             4 => {
                 let engine = self.random_below(ENGINES.into()) as u8;
                 self.loaders.insert(engine, Subscribers::default());
+                self.paces.remove(&engine);
                 self.started_at.insert(engine, self.now);
             }
             _ => {}
@@ -169,9 +182,11 @@
     }
 
     fn subscribe(&mut self, router: usize, engine: u8) {
-        let usage = self.routers[router].view.usage_at(&common::endpoint_id(engine));
-        if let Some((_, usage)) = usage {
-            self.send(router, engine, Message::Subscribe(usage));
+        let (now, regions) = (Millis(self.now), common::regions());
+        let Router { zone, view, .. } = &mut self.routers[router];
+        let local = region::Local { zone, regions: &regions };
+        if let Some((_, subscribe)) = view.subscribe(now, &common::endpoint_id(engine), &local) {
+            self.send(router, engine, Message::Subscribe(subscribe));
         }
     }
 
@@ -182,11 +197,11 @@
         let due: Vec<Datagram> = due;
         for Datagram { router, engine, message, .. } in due {
             match message {
-                Message::Subscribe(usage) => {
+                Message::Subscribe(subscribe) => {
                     let address = self.routers[router].address;
                     let slots = common::engine_service().engine.map_or(0, |engine| engine.slots);
                     let loader = self.loaders.get_mut(&engine).unwrap();
-                    loader.on_usage(Millis(now), address, usage);
+                    loader.on_usage(Millis(now), address, subscribe.usage, subscribe.interest);
                     if loader.is_near_limit(Millis(now), slots, self.cold_rate) {
                         self.publish(engine);
                     }
@@ -205,10 +220,21 @@
         let now = self.now;
         let loader = self.loaders.get_mut(&engine).unwrap();
         loader.expire(Millis(now));
-        let routers = loader.routers(Millis(now - self.started_at[&engine]));
-        let addresses: Vec<_> = loader.addresses().collect();
-        let recent = loader.recent(Millis(now));
-        let load = load::Load { recent, routers, ..common::load(0) };
+        let uptime = Millis(now - self.started_at[&engine]);
+        let load = load::Load {
+            recent: loader.recent(Millis(now))
+                + subscribers::unseen_requests(uptime, self.cold_rate),
+            routers: loader.routers(),
+            is_settled: subscribers::is_settled(uptime),
+            active: loader.active(),
+            ..common::load(0)
+        };
+        let addresses: Vec<_> = match self.paces.entry(engine).or_default().next(Millis(now), load)
+        {
+            Some(pace::Audience::All) => loader.addresses().collect(),
+            Some(pace::Audience::Active) => loader.active_addresses().collect(),
+            None => return,
+        };
         for address in addresses {
             let router = self.routers.iter().position(|router| router.address == address);
             self.send(router.unwrap(), engine, Message::Load(load));
@@ -225,8 +251,8 @@
     /// Sends a request through a router. The total rate is many times what the engines may get.
     fn request(&mut self, router: usize) {
         let (service, regions) = (service(self.cold_rate), common::regions());
-        let zone = "lima".parse().unwrap();
-        let context = choice::Context { zone: &zone, regions: &regions, bounds: common::bounds() };
+        let local = region::Local { zone: &self.routers[router].zone, regions: &regions };
+        let context = choice::Context { local, bounds: common::bounds() };
         let request = choice::Request {
             target: common::route("llm", config::Kind::Stream).target,
             service: &service,
@@ -276,6 +302,18 @@
     }
 }
 
+/// Guards against the same where a fleet of many routers starts at once, and where a loader that has just started reports
+/// fewer requests than its engine has got.
+#[rstest]
+#[case(1)]
+#[case(6)]
+fn many_routers_do_not_exceed_the_rate_limit(#[case] seed: u64) {
+    let mut simulation = Simulation::new(seed, 148, 14.0);
+    while simulation.now < 20_000 {
+        simulation.step();
+    }
+}
+
 /// Guards against retries of many routers that exceed the limit together although each router keeps to its own limit.
 /// Each router gets a share of its first tries, and the allowance beyond it is divided among the routers.
 #[rstest]
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -2,17 +2,21 @@
 
 use std::fmt;
 
-use chestnutpick_fleet::{config, declared, endpoint, host};
+use chestnutpick_fleet::{config, declared, endpoint, host, load};
 use chestnutpick_types::{id, time};
 use rand_core::Rng;
 
 use crate::limit;
+use crate::region;
 use crate::view;
 
 /// Added to the expected wait at an endpoint of another region, in milliseconds. Covers the round trip and the cost of
 /// using the narrow link between regions.
 const REGION_PENALTY_MS: f64 = 25.0;
 
+/// Added for an engine whose loader sends this router only periodic reports, in milliseconds: its load is less certain.
+const PASSIVE_PENALTY_MS: f64 = 35.0;
+
 /// Added for each consecutive failure, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 200.0;
 
@@ -36,8 +40,11 @@
 /// same endpoint.
 const JITTER_MS: f64 = 30.0;
 
-/// Mean number of candidates that are compared.
-const SAMPLE_SIZE: f64 = 4.0;
+/// Mean number of candidates of the router's region that are compared.
+const LOCAL_SAMPLE_SIZE: f64 = 4.0;
+
+/// Mean number of candidates of other regions that are compared with them.
+const REMOTE_SAMPLE_SIZE: f64 = 2.0;
 
 /// Unreported requests assumed for each other router, per recent request of this router. The other routers receive the
 /// same load reports and tend to choose the same engines.
@@ -143,13 +150,11 @@
     }
 }
 
-/// Zone of this router, region of each zone, and service bounds in force.
+/// Place of this router, and service bounds in force.
 #[derive(Debug, Clone)]
 pub struct Context<'a> {
-    /// Zone of this router.
-    pub zone: &'a id::ZoneId,
-    /// Region of each zone.
-    pub regions: &'a std::collections::BTreeMap<id::ZoneId, id::RegionId>,
+    /// Zone of this router, and the region of each zone.
+    pub local: region::Local<'a>,
     /// Service bounds that the users set.
     pub bounds: host::Bounds,
 }
@@ -195,7 +200,8 @@
             + penalty(now, context, endpoint_view)
             + weights_load_penalty(now, request, endpoint_view)
             + JITTER_MS * random_unit(rng);
-        candidates.push(Candidate { rank, expected, endpoint_view });
+        let is_local = context.local.includes(&endpoint_view.endpoint.zone);
+        candidates.push(Candidate { rank, expected, is_local, endpoint_view });
     }
     let none = |reason, expected: Option<f64>| NoChoice {
         reason,
@@ -231,12 +237,14 @@
     rank: f64,
     /// Expected time to the first byte, in milliseconds.
     expected: f64,
+    /// Whether the endpoint is in this router's region.
+    is_local: bool,
     endpoint_view: &'a view::EndpointView,
 }
 
-/// Returns the best of a few random candidates, or the best of all if the response would be late there. All routers
-/// learn at the same time that an endpoint has become free. If each chose the best of all, they would fill that
-/// endpoint before its next load report reaches them.
+/// Returns the best of a few random candidates of this router's region and of a few others, or the best of all if the
+/// response would be late there. All routers learn at the same time that an endpoint has become free. If each chose the
+/// best of all, they would fill that endpoint before its next load report reaches them.
 fn best_of_sample<'a, 'b, R>(
     candidates: &'b [Candidate<'a>],
     request: &Request<'_>,
@@ -245,8 +253,12 @@
 where
     R: Rng,
 {
-    let share = SAMPLE_SIZE / candidates.len().max(1) as f64;
-    let sample = candidates.iter().filter(|_| random_unit(rng) < share);
+    let local = candidates.iter().filter(|candidate| candidate.is_local).count();
+    let share = LOCAL_SAMPLE_SIZE / local.max(1) as f64;
+    let remote_share = REMOTE_SAMPLE_SIZE / (candidates.len() - local).max(1) as f64;
+    let sample = candidates.iter().filter(|candidate| {
+        random_unit(rng) < if candidate.is_local { share } else { remote_share }
+    });
     let found = sample.min_by(|a, b| a.rank.total_cmp(&b.rank));
     found
         .filter(|candidate| !is_late(request, candidate.expected))
@@ -303,7 +315,7 @@
     endpoint_view: &view::EndpointView,
 ) -> bool {
     let endpoint = &endpoint_view.endpoint;
-    let region = context.regions.get(&endpoint.zone);
+    let region = context.local.regions.get(&endpoint.zone);
     let allows = |regions: &&[id::RegionId]| {
         regions.is_empty() || region.is_some_and(|region| regions.contains(region))
     };
@@ -398,16 +410,22 @@
 }
 
 fn penalty(now: time::Millis, context: &Context<'_>, endpoint_view: &view::EndpointView) -> f64 {
-    let same_region =
-        context.regions.get(context.zone) == context.regions.get(&endpoint_view.endpoint.zone);
-    let region = if same_region { 0.0 } else { REGION_PENALTY_MS };
+    let is_local = context.local.includes(&endpoint_view.endpoint.zone);
+    let region = if is_local { 0.0 } else { REGION_PENALTY_MS };
     let stale_load =
         if endpoint_view.load_received_at.is_some() && !endpoint_view.has_recent_load(now) {
             STALE_LOAD_PENALTY_MS
         } else {
             0.0
         };
+    let passive = match endpoint_view.interest {
+        load::Interest::Passive if endpoint_view.load_received_at.is_some() && !is_local => {
+            PASSIVE_PENALTY_MS
+        }
+        _ => 0.0,
+    };
     region
+        + passive
         + stale_load
         + silence_penalty(now, endpoint_view)
         + FAILURE_PENALTY_MS * f64::from(endpoint_view.failures.count(now))
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,6 +1,6 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`],
+//! The policies ([`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`], [`region`],
 //! [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an argument and do no I/O; the
 //! other modules connect them to sockets and clocks.
 
@@ -14,6 +14,7 @@
 pub mod liveness;
 pub mod notices;
 pub mod readers;
+pub mod region;
 pub mod routers;
 pub mod run;
 pub mod suspicion;
--- a/crates/chestnutpick_router/src/limit.rs
+++ b/crates/chestnutpick_router/src/limit.rs
@@ -5,7 +5,7 @@
 //! then sends only where the loader reports the recent requests of all routers, and draws at random whether it may take
 //! one of the remaining ones.
 
-use chestnutpick_fleet::host;
+use chestnutpick_fleet::{host, load};
 use chestnutpick_types::{rate, time};
 
 use crate::view;
@@ -17,6 +17,9 @@
 /// Maximum fraction of seconds in which a router sends to an endpoint whose requests no loader reports.
 const ACTIVE_FRACTION: f64 = 0.25;
 
+/// Part of an engine's remaining requests that the active routers share.
+const ACTIVE_ROUTERS_PART: f64 = 0.8;
+
 /// Window over which loaders and routers count requests.
 const WINDOW: time::Millis = time::Millis(1_000);
 
@@ -50,7 +53,7 @@
     /// never cold. The limit applies to warm endpoints too because an endpoint can become cold at any time.
     ///
     /// ```
-    /// # use chestnutpick_fleet::host;
+    /// # use chestnutpick_fleet::{host, load};
     /// # use chestnutpick_types::time::Millis;
     /// # let (grace, drain, revocation) = (Millis(1), Millis(1), Millis(1));
     /// # let (config, version) = (Millis(1), Millis(1));
@@ -117,7 +120,8 @@
         }
         // A router may send if its random draw is below its share of the remaining requests.
         let room = self.reported_rate - f64::from(endpoint_view.recent);
-        let is_drawn = endpoint_view.admission_draw.is_some_and(|draw| draw * routers < room);
+        let share = room * share_of_room(endpoint_view, routers);
+        let is_drawn = endpoint_view.admission_draw.is_some_and(|draw| draw < share);
         let is_unreported = !has_loader || view.routers.is_silent(now);
         endpoint_view.has_recent_load(now) && is_drawn && (has_share || !self.is_strict)
             || is_unreported
@@ -139,3 +143,16 @@
         view::draw(view.salt, now.0 / WINDOW.0, &endpoint_view.endpoint.id) < fraction
     }
 }
+
+/// Returns the share of an engine's remaining requests that one of `routers` may take. Active routers share most of them;
+/// the others share the rest, which they need when the engines of their region are full or fail.
+fn share_of_room(endpoint_view: &view::EndpointView, routers: f64) -> f64 {
+    let active = f64::from(endpoint_view.active_routers);
+    if active == 0.0 || active >= routers {
+        return 1.0 / routers;
+    }
+    match endpoint_view.interest {
+        load::Interest::Active => ACTIVE_ROUTERS_PART / active,
+        load::Interest::Passive => (1.0 - ACTIVE_ROUTERS_PART) / (routers - active),
+    }
+}
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -14,7 +14,6 @@
 use crate::lease;
 use crate::node;
 use crate::outcome;
-use crate::view;
 
 /// Number of hosts that relay a message to all routers, so that the failure of one or two of them does no harm.
 const RELAY_HOSTS: usize = 3;
@@ -32,24 +31,23 @@
         tokio::select! {
             () = stop.cancelled() => return,
             _ = renewal.tick() => {
-                subscribe(&node, socket);
+                subscribe(&node);
                 report_versions(&node, socket);
                 ask_for_peers(&node, socket);
                 crash::confirm(&node);
                 crash::next_round(&node);
                 node.record();
             }
-            () = node.engines_changed.notified() => subscribe(&node, socket),
+            () = node.engines_changed.notified() => subscribe(&node),
             received = socket.recv_from(&mut buffer) => on_received(&node, &buffer, received),
         }
     }
 }
 
-fn subscribe<C>(node: &node::Node<C>, socket: &UdpSocket) {
-    let hosts = node.view.borrow().engine_hosts();
-    for (ip, usage) in hosts {
-        let subscribe = subscription(node, &node.view.borrow(), usage);
-        send(node, socket, ip, subscribe);
+fn subscribe<C>(node: &node::Node<C>) {
+    let engines = node.view.borrow().engine_ids();
+    for id in engines {
+        send_usage(node, &id);
     }
 }
 
@@ -57,7 +55,7 @@
 /// store.
 fn report_versions<C>(node: &node::Node<C>, socket: &UdpSocket) {
     let (view, now, cutoff) = (node.view.borrow(), node.now(), node.bounds.get().version_cutoff());
-    for (ip, _) in view.engine_hosts() {
+    for ip in view.engine_hosts() {
         let versions = view.pending_versions(now, ip, cutoff);
         if !versions.is_empty() {
             let datagram = load::encode(&load::FromRouter::Versions(versions));
@@ -76,12 +74,14 @@
     }
 }
 
-/// Reports this router's requests at an engine to the engine's loader.
+/// Subscribes to an engine's load, and reports this router's requests there to its loader.
 pub(crate) fn send_usage<C>(node: &node::Node<C>, endpoint: &id::EndpointId) {
-    let view = node.view.borrow();
-    let Some((ip, usage)) = view.usage_at(endpoint) else { return };
-    if let Some(socket) = node.socket.get() {
-        send(node, socket, ip, subscription(node, &view, usage));
+    let Some(socket) = node.socket.get() else { return };
+    let subscription = node.view.borrow_mut().subscribe(node.now(), endpoint, &node.local());
+    if let Some((ip, subscribe)) = subscription {
+        let datagram = load::encode(&load::FromRouter::Subscribe(subscribe));
+        // The next renewal replaces a lost or rejected datagram.
+        let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
     }
 }
 
@@ -91,7 +91,7 @@
     endpoint: &endpoint::Endpoint,
     limit: Option<rate::RequestsPerSec>,
 ) {
-    let is_engine = node.view.borrow().usage_at(&endpoint.id).is_some();
+    let is_engine = node.view.borrow().is_engine_id(&endpoint.id);
     if let Some(socket) = node.socket.get().filter(|_| is_engine) {
         let message = load::FromRouter::Limit(endpoint.started_at, limit.into());
         let address = node.host.load_address(endpoint.address.ip());
@@ -100,17 +100,6 @@
     }
 }
 
-fn subscription<C>(node: &node::Node<C>, view: &view::View, usage: load::Usage) -> load::Subscribe {
-    let (version, age) = view.newest_declared(node.now());
-    load::Subscribe { version, age: age.map(load::millis), usage }
-}
-
-fn send<C>(node: &node::Node<C>, socket: &UdpSocket, ip: net::IpAddr, subscribe: load::Subscribe) {
-    // The next renewal replaces a lost or rejected datagram.
-    let datagram = load::encode(&load::FromRouter::Subscribe(subscribe));
-    let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
-}
-
 fn on_received<C>(
     node: &node::Node<C>,
     buffer: &[u8],
@@ -217,7 +206,7 @@
     let datagram = load::encode(message);
     // Drawn anew each time, so that a repeated message does not depend on the same hosts.
     for _ in 0..RELAY_HOSTS.min(hosts.len()) {
-        let (ip, _) = hosts.swap_remove(rng.next_u32() as usize % hosts.len());
+        let ip = hosts.swap_remove(rng.next_u32() as usize % hosts.len());
         // One of the hosts is enough.
         let _ = socket.try_send_to(&datagram, node.host.load_address(ip));
     }
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -18,6 +18,7 @@
 use crate::choice;
 use crate::forward;
 use crate::lease;
+use crate::region;
 use crate::relay;
 use crate::routers;
 use crate::suspicion;
@@ -111,6 +112,11 @@
         self.clock.now()
     }
 
+    /// Returns the router's zone, and the region of each zone.
+    pub(crate) fn local(&self) -> region::Local<'_> {
+        region::Local { zone: &self.host.zone, regions: &self.host.regions }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn config(&self) -> Option<sync::Arc<config::Config>> {
         self.view.borrow().config.clone()
@@ -126,11 +132,7 @@
         &self,
         request: &choice::Request<'_>,
     ) -> Result<choice::Chosen, choice::NoChoice> {
-        let context = choice::Context {
-            zone: &self.host.zone,
-            regions: &self.host.regions,
-            bounds: self.bounds.get(),
-        };
+        let context = choice::Context { local: self.local(), bounds: self.bounds.get() };
         let now = self.now();
         let mut view = self.view.borrow_mut();
         view.expire(now);
--- a/crates/chestnutpick_router/src/routers.rs
+++ b/crates/chestnutpick_router/src/routers.rs
@@ -56,11 +56,21 @@
         Self { current: 0, previous: DEFAULT_COUNT, window_start: now, updated_at: None }
     }
 
-    /// Applies a reported number; 0 means that the loader does not know it.
+    /// Applies a number from a loader that may not know all routers yet. It counts only if it is larger.
+    ///
+    /// ```
+    /// use chestnutpick_router::routers;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut routers = routers::Estimate::default();
+    /// routers.on_least_count(148);
+    /// assert_eq!(routers.count(Millis(0)), 148);
+    /// ```
+    pub fn on_least_count(&mut self, count: u32) {
+        self.previous = self.previous.max(count);
+    }
+
+    /// Applies the number of routers from a loader that knows all of them.
     pub fn on_count(&mut self, now: time::Millis, count: u32) {
-        if count == 0 {
-            return;
-        }
         let span = now.since(self.window_start);
         if self.is_stale(now) {
             (self.previous, self.current, self.window_start) = (self.count(now), 0, now);
@@ -85,7 +95,7 @@
     pub fn count(&self, now: time::Millis) -> u32 {
         let largest = self.current.max(self.previous);
         match self.updated_at {
-            None => DEFAULT_COUNT,
+            None => largest.max(DEFAULT_COUNT),
             Some(_) if self.is_stale(now) => {
                 (largest * STALE_FACTOR).clamp(MIN_STALE_COUNT, DEFAULT_COUNT.max(largest))
             }
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -13,6 +13,7 @@
 
 use crate::departed;
 use crate::notices;
+use crate::region;
 use crate::routers;
 
 pub use self::state::EndpointView;
@@ -222,11 +223,35 @@
         self.endpoints.values().filter(|endpoint_view| self.is_engine(endpoint_view))
     }
 
-    /// Returns an engine's address and this router's requests there, or `None` if the endpoint is not an engine.
-    pub fn usage_at(&self, id: &id::EndpointId) -> Option<(std::net::IpAddr, load::Usage)> {
-        let endpoint_view =
-            self.endpoints.get(id).filter(|endpoint_view| self.is_engine(endpoint_view))?;
-        Some((endpoint_view.endpoint.address.ip(), endpoint_view.usage()))
+    /// Subscribes to the load of an engine. Returns the engine's address and what to report to its loader, or `None` if the
+    /// endpoint is not an engine.
+    pub fn subscribe(
+        &mut self,
+        now: time::Millis,
+        id: &id::EndpointId,
+        local: &region::Local<'_>,
+    ) -> Option<(std::net::IpAddr, load::Subscribe)> {
+        let is_engine = self.is_engine_id(id);
+        let (version, age) = self.newest_declared(now);
+        let endpoint_view = self.endpoints.get_mut(id).filter(|_| is_engine)?;
+        endpoint_view.interest = endpoint_view.current_interest(now, local);
+        let subscribe = load::Subscribe {
+            version,
+            age: age.map(load::millis),
+            usage: endpoint_view.usage(),
+            interest: endpoint_view.interest,
+        };
+        Some((endpoint_view.endpoint.address.ip(), subscribe))
+    }
+
+    /// Returns whether an endpoint is an engine.
+    pub fn is_engine_id(&self, id: &id::EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint_view| self.is_engine(endpoint_view))
+    }
+
+    /// Returns the ids of the engines.
+    pub fn engine_ids(&self) -> Vec<id::EndpointId> {
+        self.engines().map(|endpoint_view| endpoint_view.endpoint.id.clone()).collect()
     }
 
     /// Returns the newest declared version of any model, or 0, and its age if known.
@@ -244,11 +269,9 @@
         near.map(|endpoint_view| endpoint_view.endpoint.address.ip()).collect()
     }
 
-    /// Returns the addresses of the engines' hosts and this router's requests at each engine.
-    pub fn engine_hosts(&self) -> Vec<(std::net::IpAddr, load::Usage)> {
-        self.engines()
-            .map(|endpoint_view| (endpoint_view.endpoint.address.ip(), endpoint_view.usage()))
-            .collect()
+    /// Returns the addresses of the engines' hosts.
+    pub fn engine_hosts(&self) -> Vec<std::net::IpAddr> {
+        self.engines().map(|endpoint_view| endpoint_view.endpoint.address.ip()).collect()
     }
 }
 
--- a/crates/chestnutpick_router/src/view/report.rs
+++ b/crates/chestnutpick_router/src/view/report.rs
@@ -19,7 +19,11 @@
         load: &load::Load,
     ) -> Vec<(id::EndpointId, Option<rate::RequestsPerSec>)> {
         let mut limits = Vec::new();
-        self.routers.on_count(now, load.routers);
+        if load.is_settled {
+            self.routers.on_count(now, load.routers);
+        } else {
+            self.routers.on_least_count(load.routers);
+        }
         self.on_reported_versions(now, ip, load);
         let engines = self.endpoints.values_mut().filter(|endpoint_view| {
             endpoint_view.endpoint.address.ip() == ip && endpoint_view.expires_at.is_none()
@@ -34,6 +38,7 @@
             endpoint_view.down_at = None;
             endpoint_view.occupied = load.occupied;
             endpoint_view.recent = load.recent;
+            endpoint_view.active_routers = if load.is_settled { load.active } else { 0 };
             endpoint_view.admission_draw =
                 Some(view::draw(self.salt, now.0, &endpoint_view.endpoint.id));
             endpoint_view.other_tokens =
--- a/crates/chestnutpick_router/src/view/state.rs
+++ b/crates/chestnutpick_router/src/view/state.rs
@@ -5,11 +5,15 @@
 
 use crate::failures;
 use crate::liveness;
+use crate::region;
 use crate::window;
 
 /// Age at which a load report becomes stale and is ignored.
 const MAX_LOAD_AGE: time::Millis = liveness::TIMEOUT;
 
+/// Time after a request for which the router stays interested in its endpoint.
+const INTEREST_SPAN: time::Millis = time::Millis(1_000);
+
 /// State of one endpoint, as known to this router.
 #[derive(Debug, Clone)]
 pub struct EndpointView {
@@ -44,6 +48,10 @@
     pub liveness: liveness::Liveness,
     /// Version of the weights according to the last load report.
     pub version: u64,
+    /// This router's interest in the endpoint, as its loader knows it.
+    pub interest: load::Interest,
+    /// Active routers according to the last load report; 0 if unknown.
+    pub active_routers: u32,
     /// Whether the endpoint is loading weights or about to.
     pub loading_weights: bool,
     /// Time at which the endpoint will start to load weights, if a weight load is scheduled.
@@ -75,6 +83,8 @@
             load_received_at: None,
             liveness: liveness::Liveness::default(),
             version: 0,
+            interest: load::Interest::default(),
+            active_routers: 0,
             loading_weights: false,
             weights_load_at: None,
             connect_failures: 0,
@@ -93,6 +103,20 @@
         }
     }
 
+    /// Returns this router's interest in the endpoint: whether it is in the router's region or has its requests.
+    pub(super) fn current_interest(
+        &self,
+        now: time::Millis,
+        local: &region::Local<'_>,
+    ) -> load::Interest {
+        let has_requests = self.in_flight > 0 || self.window.count(now, INTEREST_SPAN) > 0;
+        if has_requests || local.includes(&self.endpoint.zone) {
+            load::Interest::Active
+        } else {
+            load::Interest::Passive
+        }
+    }
+
     /// Returns for how long the endpoint has owed a sign of life.
     pub fn silence(&self, now: time::Millis) -> time::Millis {
         self.liveness.silence(now, self.in_flight)
--- a/crates/chestnutpick_router/tests/choice.rs
+++ b/crates/chestnutpick_router/tests/choice.rs
@@ -194,3 +194,28 @@
     let limit = common::bounds().version_limit();
     assert_eq!(chosen.begin_by, declared_at.map(|declared_at| Millis(declared_at) + limit));
 }
+
+/// Guards against requests that leave their region although its engines can serve them: with five regions, four of five
+/// random candidates are in another one.
+#[rstest]
+#[case::local_engines_are_usable(2, 0, 0..=4)]
+#[case::local_engines_are_late(15, 20_000, 95..=100)]
+fn request_leaves_its_region_only_if_it_would_be_late(
+    #[case] running: u32,
+    #[case] pending_tokens: u32,
+    #[case] left: std::ops::RangeInclusive<usize>,
+) {
+    let mut view = common::view(4);
+    for n in 5..=20 {
+        view.apply(Millis(0), common::announced(common::endpoint(n, "llm", "cusco")));
+    }
+    for n in 1..=20 {
+        let load = load::Load { active: 1, ..common::load(2) };
+        let load =
+            if n <= 4 { load::Load { occupied: running, pending_tokens, ..load } } else { load };
+        set_load(&mut view, n, load);
+    }
+    let chosen = (0..100).map(|seed| common::choose(&view, Millis(10), TARGET, seed).unwrap());
+    let remote = chosen.filter(|chosen| chosen.endpoint.zone.as_str() == "cusco").count();
+    assert!(left.contains(&remote), "{remote} of 100");
+}
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use chestnutpick_fleet::{config, directory, endpoint, host, load};
-use chestnutpick_router::{choice, view};
+use chestnutpick_router::{choice, region, view};
 use chestnutpick_types::id;
 use chestnutpick_types::time::Millis;
 
@@ -110,6 +110,8 @@
         loading_weights: false,
         weights_load_in: None,
         routers: 4,
+        is_settled: true,
+        active: 4,
         declared: 0,
         age: None,
         required: 0,
@@ -194,7 +196,8 @@
 ) -> Result<choice::Chosen, choice::NoChoice> {
     use rand_core::SeedableRng;
     let (regions, zone) = (regions(), "lima".parse().unwrap());
-    let context = choice::Context { zone: &zone, regions: &regions, bounds: bounds() };
+    let local = region::Local { zone: &zone, regions: &regions };
+    let context = choice::Context { local, bounds: bounds() };
     let request = choice::Request {
         target: route("llm", config::Kind::Stream).target,
         service,
--- a/crates/chestnutpick_router/tests/limit.rs
+++ b/crates/chestnutpick_router/tests/limit.rs
@@ -40,7 +40,7 @@
 }
 
 fn report(view: &mut view::View, now: Millis, recent: u32, routers: u32) {
-    let load = load::Load { recent, routers, ..common::load(0) };
+    let load = load::Load { recent, routers, active: routers, ..common::load(0) };
     view.on_load_report(now, "10.0.0.1".parse().unwrap(), &load);
 }
 
