Find the endpoints of a load report by host instead of visiting all

Cause: each load datagram visited every endpoint of the view three times (application, model, awaited announcement), so a router's processor time grew with engines times engines. Change: `view::hosts` keeps the ids by address; an awaited announcement is looked for on the reporting host only, whose report is what makes it awaited. Test: load_report_applies_to_the_endpoints_on_the_host guards the index against moved and departed endpoints. Not yet measured on its own.

--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -150,7 +150,7 @@
         log_limit(&endpoint, limit, "loader");
     }
     log_age(before, view.newest_declared(now), ip);
-    if view.awaits_announcement(now) {
+    if view.awaits_announcement(now, ip) {
         node.announcement_awaited.notify_one();
     }
     drop(view);
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -1,5 +1,6 @@
 //! This router's view of the deployment, built from the store and from the engines' load reports.
 
+mod hosts;
 mod report;
 mod response;
 mod state;
@@ -29,6 +30,8 @@
     pub config: Option<sync::Arc<config::Config>>,
     /// Endpoints by id.
     pub endpoints: collections::BTreeMap<id::EndpointId, EndpointView>,
+    /// Endpoints on each host.
+    hosts: hosts::Hosts,
     /// Endpoints that have left.
     departed: departed::Departed,
     /// What endpoints state about themselves in responses.
@@ -135,6 +138,10 @@
         if self.is_outdated(now, &endpoint) {
             return;
         }
+        if let Some(known) = self.endpoints.get(&endpoint.id) {
+            self.hosts.remove(&known.endpoint);
+        }
+        self.hosts.add(&endpoint);
         match self.endpoints.get_mut(&endpoint.id) {
             Some(endpoint_view) if endpoint_view.endpoint.started_at == endpoint.started_at => {
                 endpoint_view.expires_at = None;
@@ -174,6 +181,7 @@
             endpoint_view.expires_at.is_some_and(|at| at <= now)
         };
         for (_, endpoint_view) in self.endpoints.extract_if(.., is_expired) {
+            self.hosts.remove(&endpoint_view.endpoint);
             self.departed.on_left(now, endpoint_view.endpoint);
         }
         self.notices.retain(now, |id| self.endpoints.contains_key(id));
--- a/crates/chestnutpick_router/src/view/report.rs
+++ b/crates/chestnutpick_router/src/view/report.rs
@@ -25,10 +25,11 @@
             self.routers.on_least_count(load.routers);
         }
         self.on_reported_versions(now, ip, load);
-        let engines = self.endpoints.values_mut().filter(|endpoint_view| {
-            endpoint_view.endpoint.address.ip() == ip && endpoint_view.expires_at.is_none()
-        });
-        for endpoint_view in engines {
+        for id in self.hosts.at(ip) {
+            let found = self.endpoints.get_mut(id);
+            let Some(endpoint_view) = found.filter(|found| found.expires_at.is_none()) else {
+                continue;
+            };
             if load.started_at > endpoint_view.endpoint.started_at
                 && endpoint_view.endpoint.started_at.is_some()
             {
@@ -73,16 +74,15 @@
         }
     }
 
-    /// Returns whether an engine has restarted recently and its new announcement has not arrived.
-    pub fn awaits_announcement(&self, now: time::Millis) -> bool {
-        let recent = |endpoint_view: &&view::EndpointView| {
-            endpoint_view.superseded_at.is_some_and(|at| now.since(at) < ANNOUNCEMENT_TIMEOUT)
-        };
-        self.endpoints.values().filter(recent).any(|old| {
-            let host = old.endpoint.address.ip();
-            let mut others = self.endpoints.values();
-            !others.any(|new| new.superseded_at.is_none() && new.endpoint.address.ip() == host)
-        })
+    /// Returns whether the engine on the host `ip` has restarted recently and its new announcement has not arrived.
+    pub fn awaits_announcement(&self, now: time::Millis, ip: net::IpAddr) -> bool {
+        let superseded_at = || self.views_at(ip).map(|endpoint_view| endpoint_view.superseded_at);
+        let is_recent = |at: time::Millis| now.since(at) < ANNOUNCEMENT_TIMEOUT;
+        superseded_at().flatten().any(is_recent) && superseded_at().all(|at| at.is_some())
+    }
+
+    fn views_at(&self, ip: net::IpAddr) -> impl Iterator<Item = &view::EndpointView> {
+        self.hosts.at(ip).filter_map(|id| self.endpoints.get(id))
     }
 
     /// Applies the declared versions in a load report. In this way, routers that get no response from the store learn
@@ -131,10 +131,7 @@
 
     /// Returns the model of the engine on the host `ip`.
     fn model_at(&self, ip: net::IpAddr) -> Option<id::ModelId> {
-        let endpoint_view = self
-            .endpoints
-            .values()
-            .find(|endpoint_view| endpoint_view.endpoint.address.ip() == ip)?;
+        let endpoint_view = self.views_at(ip).next()?;
         let service = self.config.as_ref()?.service(&endpoint_view.endpoint.service)?;
         service.engine.as_ref()?.models.first().cloned()
     }
--- a/crates/chestnutpick_router/src/view/response.rs
+++ b/crates/chestnutpick_router/src/view/response.rs
@@ -135,9 +135,9 @@
             !endpoint_view.loading_weights && !endpoint_view.liveness.is_silent()
         };
         if let Some(endpoint_view) = self.endpoints.get_mut(id).filter(counts) {
-            if endpoint_view.failures.on_failed(now) >= BREAKER.0 {
-                endpoint_view.blocked_until = endpoint_view.blocked_until.max(now + BREAKER.1);
-            }
+            let failures = endpoint_view.failures.on_failed(now);
+            let opens_until = if failures >= BREAKER.0 { now + BREAKER.1 } else { now };
+            endpoint_view.blocked_until = endpoint_view.blocked_until.max(opens_until);
         }
     }
 
--- a/crates/chestnutpick_router/tests/view.rs
+++ b/crates/chestnutpick_router/tests/view.rs
@@ -244,17 +244,37 @@
     view.on_load_report(Millis(0), "10.0.0.1".parse().unwrap(), &load);
     let none = common::choose(&view, Millis(10), Millis(500), 1).unwrap_err();
     assert_eq!(none.reason, choice::Reason::NoEndpoint);
-    assert!(view.awaits_announcement(Millis(10)));
+    assert!(view.awaits_announcement(Millis(10), engine_ip(1)));
     // The announcement may never arrive, and the store must not be polled for it indefinitely.
-    assert!(!view.awaits_announcement(Millis(10_000)));
+    assert!(!view.awaits_announcement(Millis(10_000), engine_ip(1)));
     let restarted = endpoint::Endpoint {
         id: common::endpoint_id(2),
         started_at: Some(9),
         ..common::endpoint(1, "llm", "lima")
     };
     view.apply(Millis(20), common::announced(restarted));
-    assert!(!view.awaits_announcement(Millis(20)));
+    assert!(!view.awaits_announcement(Millis(20), engine_ip(1)));
     view.on_load_report(Millis(30), "10.0.0.1".parse().unwrap(), &load);
     let chosen = common::choose(&view, Millis(40), Millis(500), 1).unwrap();
     assert_eq!(chosen.endpoint.id, common::endpoint_id(2));
 }
+
+/// Guards against a load report that is applied to an endpoint which has moved to another host or has left.
+#[test]
+fn load_report_applies_to_the_endpoints_on_the_host() {
+    let mut view = common::view(2);
+    let moved = endpoint::Endpoint {
+        address: "10.0.0.9:80".parse().unwrap(),
+        sequence: Some(endpoint::Sequence(2)),
+        ..common::endpoint(1, "llm", "lima")
+    };
+    view.apply(Millis(1), common::announced(moved));
+    view.apply(Millis(1), directory::Change::Removed(common::endpoint_id(2)));
+    let first = common::endpoint_id(1);
+    for n in [1, 2] {
+        view.on_load_report(Millis(2), engine_ip(n), &common::load(7));
+    }
+    assert_eq!((view.endpoints.len(), view.endpoints[&first].occupied), (1, 0));
+    view.on_load_report(Millis(3), engine_ip(9), &common::load(7));
+    assert_eq!(view.endpoints[&first].occupied, 7);
+}
