Call the store less after a listing, and keep loaders' watches for 30 s

Cause: each router that starts listed the store and watched it at once, although it learns the readers of its zone within a second and reads from them; each loader renewed its watch every 15 s. Change: the interval between reads applies after a listing too; loaders' watches wait for the maximum of 30 s. A loader whose connection to the store has gone silent learns of versions from routers, as before.

--- a/crates/chestnutpick_loader/src/watch.rs
+++ b/crates/chestnutpick_loader/src/watch.rs
@@ -10,8 +10,9 @@
 
 use crate::node;
 
-/// Maximum wait of a watch on declared versions. Declarations are rare, and each call has a cost.
-const WATCH_WAIT: time::Millis = time::Millis(15_000);
+/// Maximum wait of a watch on declared versions. Declarations are rare, each call has a cost, and routers report new versions
+/// to a loader whose connection to the store has gone silent.
+const WATCH_WAIT: time::Millis = time::Millis(30_000);
 
 /// Interval at which the store is checked for the first configuration.
 const CONFIG_INTERVAL: time::Millis = time::Millis(700);
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -238,7 +238,7 @@
         count_call(call.ask, matches!(outcome, Some(Ok(()))));
         self.calls.remove(&call);
         match outcome {
-            Some(Ok(())) => self.calls.settle(&call, self.pause_after(call.ask)),
+            Some(Ok(())) => self.calls.settle(&call, self.interval()),
             Some(Err(reason)) => self.on_error(&call, &reason),
             None => self.calls.settle(&call, time::Millis::ZERO),
         }
@@ -254,12 +254,10 @@
         }
     }
 
-    /// Returns the minimum time from the start of a successful call to the next read.
-    fn pause_after(&self, ask: calls::Ask) -> time::Millis {
-        match ask {
-            calls::Ask::List => time::Millis::ZERO,
-            calls::Ask::Watch(_) => self.calls.interval(self.node.bounds.get().store_interval()),
-        }
+    /// Returns the minimum time from the start of a successful call to the next read. It also applies to a listing: by the
+    /// time of its next read, a router that has just started knows the readers of its zone and need not call the store.
+    fn interval(&self) -> time::Millis {
+        self.calls.interval(self.node.bounds.get().store_interval())
     }
 
     /// Applies the response to a call to the store.
