--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -294,7 +294,6 @@
     context: &Context<'_>,
     request: &Request<'_>,
 ) -> Option<u64> {
-    let now = view.contact.version_time(now);
     declarations(view, request)?.required(now, context.bounds.version_cutoff())
 }
 
@@ -306,9 +305,7 @@
     endpoint_view: &view::EndpointView,
 ) -> Option<time::Millis> {
     let version = endpoint_view.weights(now)?;
-    let bounds = &context.bounds;
-    let outdated_at = declarations(view, request)?.outdated_at(version, bounds.version_limit())?;
-    Some(view.contact.begin_by(now, outdated_at, bounds.version))
+    declarations(view, request)?.outdated_at(version, context.bounds.version_limit())
 }
 
 fn is_permitted(
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -243,7 +243,6 @@
             "config_version": view.config.as_ref().map(|config| config.version),
             "config_lease": lease::Lease::of_age(view.age(now), &self.bounds.get()).to_string(),
             "confirmed_age_ms": view.confirmed_at.map(|at| now.since(at)),
-            "versions_interrupted": view.contact.is_interrupted(),
             "evacuated": view.evacuated().collect::<Vec<_>>(),
             "suspects": self.suspicion.borrow().dump(),
             "endpoints": endpoints.collect::<Vec<_>>(),
--- a/crates/chestnutpick_router/src/silence.rs
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -45,10 +45,7 @@
     now: time::Millis,
     silent: &mut collections::BTreeSet<id::EndpointId>,
 ) {
-    let mut view = node.view.borrow_mut();
-    view.check_liveness(now);
-    view.check_contact(now, node.bounds.get().version);
-    drop(view);
+    node.view.borrow_mut().check_liveness(now);
     let view = node.view.borrow();
     let found = view.endpoints.values().filter(|found| found.liveness.is_silent());
     let now_silent = found.map(|found| found.endpoint.id.clone()).collect();
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -12,7 +12,6 @@
 use chestnutpick_fleet::{config, declared, directory, endpoint, load};
 use chestnutpick_types::{digest, id, time};
 
-use crate::contact;
 use crate::departed;
 use crate::notices;
 use crate::region;
@@ -41,8 +40,6 @@
     evacuated: collections::BTreeMap<id::ZoneId, Option<time::Millis>>,
     /// Declared versions of the weights of each model.
     pub declared: collections::BTreeMap<id::ModelId, declared::Declarations>,
-    /// Contact with the store.
-    pub contact: contact::Contact,
     /// Latest time at which the view is known to have matched the store.
     pub confirmed_at: Option<time::Millis>,
     /// Time at which the store last recovered from an outage or was restored from a copy.
@@ -200,13 +197,6 @@
         now.since(self.confirmed_at.unwrap_or_default())
     }
 
-    /// Checks the contact with the store, once the view has first been confirmed.
-    pub fn check_contact(&mut self, now: time::Millis, version_bound: time::Millis) {
-        if let Some(confirmed_at) = self.confirmed_at {
-            self.contact.check(now, confirmed_at, self.stalled_until, version_bound);
-        }
-    }
-
     /// Records that the store responds again after failures, or after it was restored from a copy.
     pub fn on_store_recovered(&mut self, now: time::Millis) {
         self.recovered_at = Some(now);
--- a/crates/chestnutpick_router/src/view/report.rs
+++ b/crates/chestnutpick_router/src/view/report.rs
@@ -95,7 +95,7 @@
         if let Some(age) = load.age {
             declared.on_reported(load.declared, load::learned_at(now, age));
         }
-        if load.required > 0 && !self.contact.is_interrupted() {
+        if load.required > 0 {
             declared.on_required(load.required);
         }
     }
