Count no unseen requests at an engine that started with its loader

Change: unseen requests are limited to the time in which the engine ran before its loader, by the engine's start time. Tests: the doc example of unseen_requests; many_routers_do_not_exceed_the_rate_limit still passes.

--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -219,7 +219,7 @@
             occupied: self.subscribers.occupied(),
             pending_tokens: self.subscribers.pending_tokens(),
             recent: self.subscribers.recent(now)
-                + subscribers::unseen_requests(uptime, self.node.cold_rate()),
+                + subscribers::unseen_requests(uptime, engine_age(report), self.node.cold_rate()),
             version: report.loaded.as_ref().map_or(0, |(_, version)| *version),
             loading_weights: self.node.loading.get() || report.busy,
             weights_load_in: self.node.next_load().map(|at| load::millis(at.since(now))),
@@ -307,6 +307,12 @@
     }
 }
 
+/// Returns for how long an engine has run; without a limit if it does not say so.
+fn engine_age(report: &engine::Report) -> time::Millis {
+    let unix = time::unix_now();
+    report.started_at.map_or(time::Millis(u64::MAX), |at| unix.since(time::Millis(at)))
+}
+
 /// Logs a version or an earlier time of its declaration, as learned from a router.
 fn log_version(from: net::SocketAddr, version: u64, age: Option<time::Millis>) {
     event::Event::new("version_age_learned")
--- a/crates/chestnutpick_loader/src/subscribers.rs
+++ b/crates/chestnutpick_loader/src/subscribers.rs
@@ -48,17 +48,20 @@
     uptime >= STARTUP_TIME
 }
 
-/// Returns the number of requests that an engine may have got in the last second before its loader started, which has run
-/// for `uptime`.
+/// Returns the number of requests that an engine may have got in the last second before its loader started. The loader has
+/// run for `uptime`, the engine for `engine_age`.
 ///
 /// ```
 /// use chestnutpick_loader::subscribers;
 /// use chestnutpick_types::time::Millis;
-/// assert_eq!(subscribers::unseen_requests(Millis(250), 14.0), 11);
-/// assert_eq!(subscribers::unseen_requests(Millis(1_000), 14.0), 0);
+/// let hour = Millis(3_600_000);
+/// assert_eq!(subscribers::unseen_requests(Millis(250), hour, 14.0), 11);
+/// assert_eq!(subscribers::unseen_requests(Millis(1_000), hour, 14.0), 0);
+/// // Engine and loader have started together.
+/// assert_eq!(subscribers::unseen_requests(Millis(250), Millis(250), 14.0), 0);
 /// ```
-pub fn unseen_requests(uptime: time::Millis, cold_rate: f64) -> u32 {
-    let unseen_span = RATE_WINDOW.since(uptime);
+pub fn unseen_requests(uptime: time::Millis, engine_age: time::Millis, cold_rate: f64) -> u32 {
+    let unseen_span = RATE_WINDOW.since(uptime).min(engine_age.since(uptime));
     (cold_rate * unseen_span.0 as f64 / 1_000.0).ceil() as u32
 }
 
