--- a/crates/chestnutpick_router/src/limit.rs
+++ b/crates/chestnutpick_router/src/limit.rs
@@ -53,7 +53,7 @@
     /// never cold. The limit applies to warm endpoints too because an endpoint can become cold at any time.
     ///
     /// ```
-    /// # use chestnutpick_fleet::{host, load};
+    /// # use chestnutpick_fleet::host;
     /// # use chestnutpick_types::time::Millis;
     /// # let (grace, drain, revocation) = (Millis(1), Millis(1), Millis(1));
     /// # let (config, version) = (Millis(1), Millis(1));
