--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -157,7 +157,7 @@
     pub routers: u32,
     /// Whether the loader has run long enough to know all routers.
     pub is_settled: bool,
-    /// Active ones among these.
+    /// Active routers among the subscribed ones.
     pub active: u32,
     /// Newest declared version of the weights known to the loader, 0 if none.
     pub declared: u64,
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -153,20 +153,13 @@
         metrics::gauge!("engine_occupied").set(f64::from(load.occupied));
         match self.pace.next(now, load) {
             Some(pace::Audience::All) => self.broadcast(&load::ToRouter::Load(load), None),
-            Some(pace::Audience::Active) => self.send_to_active(&load::ToRouter::Load(load)),
+            Some(pace::Audience::Active) => {
+                self.send(&load::ToRouter::Load(load), self.subscribers.active_addresses());
+            }
             None => {}
         }
     }
 
-    /// Sends a datagram to the active routers.
-    fn send_to_active(&self, message: &load::ToRouter) {
-        let datagram = load::encode(message);
-        for subscriber in self.subscribers.active_addresses() {
-            // The next load report replaces a lost one.
-            let _ = self.socket.try_send_to(&datagram, subscriber);
-        }
-    }
-
     /// Asks a few routers for the origin of weights, others each time.
     fn ask_for_origin(&mut self) {
         let routers: Vec<_> = self.subscribers.addresses().collect();
@@ -199,8 +192,17 @@
 
     /// Sends a datagram to all subscribers except one.
     fn broadcast(&self, message: &load::ToRouter, except: Option<net::SocketAddr>) {
+        let others = self.subscribers.addresses().filter(|other| Some(*other) != except);
+        self.send(message, others);
+    }
+
+    /// Sends a datagram to some subscribers.
+    fn send<I>(&self, message: &load::ToRouter, subscribers: I)
+    where
+        I: Iterator<Item = net::SocketAddr>,
+    {
         let datagram = load::encode(message);
-        for subscriber in self.subscribers.addresses().filter(|other| Some(*other) != except) {
+        for subscriber in subscribers {
             // The next load report replaces a lost one, and several hosts relay each message about a crash suspect.
             let _ = self.socket.try_send_to(&datagram, subscriber);
         }
--- a/crates/chestnutpick_loader/tests/pace.rs
+++ b/crates/chestnutpick_loader/tests/pace.rs
@@ -1,27 +1,15 @@
 //! Load reports of a busy engine to many routers.
 
+#[path = "../../chestnutpick_router/tests/common/mod.rs"]
+mod common;
+
 use chestnutpick_fleet::load;
 use chestnutpick_loader::pace;
 use chestnutpick_types::time::Millis;
 use rstest::rstest;
 
 fn load(occupied: u32, active: u32) -> load::Load {
-    load::Load {
-        occupied,
-        pending_tokens: 0,
-        recent: 0,
-        version: 1,
-        loading_weights: false,
-        weights_load_in: None,
-        routers: 148,
-        is_settled: true,
-        active,
-        declared: 0,
-        age: None,
-        required: 0,
-        started_at: Some(1),
-        limit: load::Limit::Unknown,
-    }
+    load::Load { routers: 148, active, ..common::load(occupied) }
 }
 
 /// Returns the datagrams that a loader sends in ten seconds, with one change of the load per 20 ms.
--- a/crates/chestnutpick_process/src/start.rs
+++ b/crates/chestnutpick_process/src/start.rs
@@ -11,6 +11,8 @@
 use gumdrop::Options;
 use serde::de;
 
+use crate::signal;
+
 /// Command line of a process that is driven by a settings file.
 #[derive(Debug, Options)]
 pub struct CommandLine {
@@ -70,8 +72,16 @@
     settings
 }
 
-/// Ends a process that cannot start with one line on standard error and [`file::EXIT_STATUS`].
-pub fn fail(binary: &str, message: &str) -> ! {
+/// Returns the handler for SIGHUP, which ends the process if it arrives before this call. Exits with
+/// [`file::EXIT_STATUS`] and one line on standard error if the handler cannot be installed.
+pub fn catch_reload(binary: &str) -> signal::Reload {
+    match signal::Reload::catch() {
+        Ok(reload) => reload,
+        Err(reason) => fail(binary, &format!("SIGHUP cannot be caught: {reason}")),
+    }
+}
+
+fn fail(binary: &str, message: &str) -> ! {
     eprintln!("{binary}: {message}");
     process::exit(file::EXIT_STATUS)
 }
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -196,11 +196,11 @@
             continue;
         }
         let expected = expected_ms(now, view, request, endpoint_view);
+        let is_local = context.local.includes(&endpoint_view.endpoint.zone);
         let rank = expected
-            + penalty(now, context, endpoint_view)
+            + penalty(now, is_local, endpoint_view)
             + weights_load_penalty(now, request, endpoint_view)
             + JITTER_MS * random_unit(rng);
-        let is_local = context.local.includes(&endpoint_view.endpoint.zone);
         candidates.push(Candidate { rank, expected, is_local, endpoint_view });
     }
     let none = |reason, expected: Option<f64>| NoChoice {
@@ -409,8 +409,7 @@
     endpoint_view.in_flight * view.routers.count(now).clamp(1, 4)
 }
 
-fn penalty(now: time::Millis, context: &Context<'_>, endpoint_view: &view::EndpointView) -> f64 {
-    let is_local = context.local.includes(&endpoint_view.endpoint.zone);
+fn penalty(now: time::Millis, is_local: bool, endpoint_view: &view::EndpointView) -> f64 {
     let region = if is_local { 0.0 } else { REGION_PENALTY_MS };
     let stale_load =
         if endpoint_view.load_received_at.is_some() && !endpoint_view.has_recent_load(now) {
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,8 +1,8 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`], [`readers`], [`region`],
-//! [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an argument and do no I/O; the
-//! other modules connect them to sockets and clocks.
+//! The policies ([`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`],
+//! [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an
+//! argument and do no I/O; the other modules connect them to sockets and clocks.
 
 pub mod choice;
 pub mod compression;
