--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod http;
 mod leaving;
+mod memory;
 mod poison;
 mod process;
 mod store;
@@ -35,6 +36,7 @@
             "frozen-loader" => weights::frozen_loader(&folder, &record, trouble),
             "cut-watch" => leaving::cut_watch(&folder, &record, trouble),
             "quiet-caller" => poison::quiet_caller(&folder, &record, trouble),
+            "large-orders" => memory::large_orders(&folder, &record, trouble),
             other => process::fail(&format!("no case {other}")),
         }
     }));
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -13,6 +13,7 @@
 use crate::http;
 use crate::wire;
 
+pub const KILL: i32 = 9;
 pub const TERMINATE: i32 = 15;
 pub const STOP: i32 = 19;
 pub const CONTINUE: i32 = 18;
@@ -100,6 +101,10 @@
         Self { child }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: i32) {
         // SAFETY: the call takes numbers only, and the process is a child that has not been waited for.
         unsafe { kill(self.child.id() as i32, signal) };
