--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -83,6 +83,8 @@
     bad_tokens: usize,
     /// Starts of the runner after the first.
     restarts: u64,
+    /// Whether the runner's machine stands still.
+    is_frozen: bool,
 }
 
 /// Stand-in of a model runner. Clones share the state.
@@ -113,6 +115,17 @@
         http::serve_until_crash(ip, self.crash.clone(), handle)
     }
 
+    /// Makes the runner stand still, or go on.
+    pub fn set_frozen(&self, is_frozen: bool) {
+        self.state.lock().unwrap().is_frozen = is_frozen;
+    }
+
+    fn wait_while_frozen(&self) {
+        while self.state.lock().unwrap().is_frozen {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Crashes the runner: it loses its weights and counts, and keeps what is staged.
     fn crash(&self) {
         self.crash.strike(DOWNTIME);
@@ -171,6 +184,7 @@
     }
 
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> bool {
+        self.wait_while_frozen();
         let index = request.parameter(wire::name("piece_index")).and_then(|text| text.parse().ok());
         if request.path == wire::name("report") {
             http::respond(stream, 200, &[], self.report().as_bytes())
@@ -314,6 +328,7 @@
             return false;
         }
         for event in 1..=events {
+            self.wait_while_frozen();
             if self.state.lock().unwrap().cuts != cuts {
                 return false;
             }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -61,7 +61,7 @@
     (len > 0).then(|| line.trim_end().to_owned())
 }
 
-/// A server that can crash: it resets nothing politely, closes all connections, and refuses new ones while it is down.
+/// Switch that crashes a server: it closes all connections and refuses new ones while it is down.
 #[derive(Clone, Default)]
 pub struct Crash(Arc<Mutex<Connections>>);
 
--- a/review/standin/weights.rs
+++ b/review/standin/weights.rs
@@ -18,7 +18,7 @@
 /// Time from the declaration of a version to the start of the streams. The loader's turn comes 3.6 s after it.
 const STREAMS_AFTER: Duration = Duration::from_millis(2_000);
 
-/// Time for which the loader is stopped; the site files freeze `side` machines for 4.0 s.
+/// Time for which the machine stands still; the site files freeze `side` machines for 4.0 s.
 const FREEZE: Duration = Duration::from_millis(4_000);
 
 /// Pieces that turn bad: 6 in 100, as the site files have it.
@@ -101,20 +101,22 @@
     bad_tokens == 0
 }
 
-/// Stops the loader, turns pieces bad, and continues the loader.
+/// Stops the loader and the runner, as their machine stands still, turns pieces bad, and continues both.
 fn freeze(loader: &Process, runner: &Engine, record: &Arc<Record>) {
     thread::sleep(Duration::from_millis(50)); // the answer to the last check is read
     if runner.ordered_at().is_some() {
         process::fail("the order came before the freeze");
     }
-    record.add("platform: the loader is frozen");
+    record.add("platform: the machine of the loader and its runner is frozen");
     loader.signal(STOP);
+    runner.set_frozen(true);
     thread::sleep(Duration::from_millis(200));
     SPOILT.iter().for_each(|index| runner.spoil(*index));
     let spoilt_at = Instant::now();
     record.add(format!("runner: staged pieces {SPOILT:?} turn bad"));
     thread::sleep(FREEZE - Duration::from_millis(200));
-    record.add("platform: the loader runs again");
+    record.add("platform: the machine runs again");
+    runner.set_frozen(false);
     loader.signal(CONTINUE);
     process::wait_for("an order", 10, || runner.ordered_at().is_some());
     let age = runner.ordered_at().map(|at| at.duration_since(spoilt_at)).unwrap_or_default();
