--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -106,7 +106,7 @@
         let sending = if request.body.is_empty() {
             call.send()
         } else {
-            call.send_body(request::sized_body(request.body))
+            call.send_body(request::sized_body(request.body, request.expiry))
         };
         match tokio::time::timeout(timeout.to_duration(), sending).await {
             Ok(Ok(response)) => {
--- a/crates/chestnutpick_client/src/client/request.rs
+++ b/crates/chestnutpick_client/src/client/request.rs
@@ -5,7 +5,8 @@
 use actix_http::body;
 use actix_http::header;
 use bytes::Bytes;
-use chestnutpick_types::size;
+use chestnutpick_types::{size, time};
+use snafu::Snafu;
 
 /// A header of a request or response: its name in lower case and its value.
 pub type Header = (sync::Arc<str>, sync::Arc<str>);
@@ -21,6 +22,8 @@
     pub headers: Vec<Header>,
     /// Pieces of the body, sent one after the other without being concatenated.
     pub body: Vec<Bytes>,
+    /// Time after which no piece of the body is sent. The peer then receives no complete request.
+    pub expiry: Option<time::Expiry>,
 }
 
 impl Request {
@@ -34,7 +37,13 @@
     where
         P: Into<sync::Arc<str>>,
     {
-        Self { method: method.into(), path: path.into(), headers: Vec::new(), body: Vec::new() }
+        Self {
+            method: method.into(),
+            path: path.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            expiry: None,
+        }
     }
 }
 
@@ -49,12 +58,22 @@
     Ok((name, value))
 }
 
-/// Returns a body of known length that is sent piece by piece.
-pub(super) fn sized_body(pieces: Vec<Bytes>) -> impl body::MessageBody + 'static {
+/// Error of a body that was not sent because its request had expired.
+#[derive(Debug, Snafu)]
+#[snafu(display("the request expired before its body was sent"))]
+pub(super) struct Expired;
+
+/// Returns a body of known length that is sent piece by piece, up to `expiry`.
+pub(super) fn sized_body(
+    pieces: Vec<Bytes>,
+    expiry: Option<time::Expiry>,
+) -> impl body::MessageBody + 'static {
     let len = pieces.iter().map(|piece| size::Bytes::of_len(piece.len()).0).sum();
     let pieces = pieces.into_iter().filter(|piece| !piece.is_empty());
-    body::SizedStream::new(
-        len,
-        futures::stream::iter(pieces.map(Ok::<_, std::convert::Infallible>)),
-    )
+    // The iterator is advanced when the connection is open and takes the next piece.
+    let pieces = pieces.map(move |piece| match expiry {
+        Some(expiry) if expiry.has_passed() => Err(Expired),
+        _ => Ok(piece),
+    });
+    body::SizedStream::new(len, futures::stream::iter(pieces))
 }
--- a/crates/chestnutpick_client/src/service.rs
+++ b/crates/chestnutpick_client/src/service.rs
@@ -57,7 +57,7 @@
     ) -> LocalBoxFuture<'static, Result<client::Response, client::CallError>> {
         let Self { client, address, timeout } = self.clone();
         let body = if body.is_empty() { Vec::new() } else { vec![body] };
-        let request = client::Request { method, path, headers, body };
+        let request = client::Request { method, path, headers, body, expiry: None };
         async move { client.call(address, request, timeout).await }.boxed_local()
     }
 }
--- a/crates/chestnutpick_client/tests/client.rs
+++ b/crates/chestnutpick_client/tests/client.rs
@@ -6,7 +6,7 @@
 
 use chestnutpick_client::client::{CallError, Client, Options, Request};
 use chestnutpick_types::size;
-use chestnutpick_types::time::Millis;
+use chestnutpick_types::time::{Expiry, Millis};
 use common::Reply;
 use rstest::rstest;
 
@@ -60,6 +60,24 @@
     });
 }
 
+/// Guards against an order that reaches the peer after the check on which it rests has expired, because the process was
+/// suspended while it opened the connection.
+#[rstest]
+#[case::valid(LONG_TIMEOUT, true)]
+#[case::expired(Millis::ZERO, false)]
+fn expired_request_does_not_reach_the_peer(#[case] validity: Millis, #[case] arrives: bool) {
+    common::run(async move {
+        let peer = common::start(vec![common::response(200, "", "ok")]).await;
+        let mut request = Request::new("POST", "/order");
+        request.body = vec!["load".into()];
+        request.expiry = Some(Expiry::after(validity));
+        let outcome = Client::new().call(peer.address, request, LONG_TIMEOUT).await;
+        assert_eq!(outcome.is_ok(), arrives, "{:?}", outcome.err());
+        let requests = peer.requests.borrow();
+        assert_eq!(requests.iter().any(|text| text.ends_with("load")), arrives, "{requests:?}");
+    });
+}
+
 /// Guards against the same faults on a pooled connection that the peer closes on the second request.
 #[test]
 fn response_lost_on_pooled_connection() {
--- a/crates/chestnutpick_fleet/src/engine.rs
+++ b/crates/chestnutpick_fleet/src/engine.rs
@@ -95,12 +95,13 @@
         data: Bytes,
     ) -> impl Future<Output = Result<(), Error>>;
 
-    /// Orders the engine to load the staged chunks as `version`.
+    /// Orders the engine to load the staged chunks as `version`, unless `expiry` passes before the order is sent.
     fn load(
         &self,
         model: &id::ModelId,
         version: u64,
         switch: Switch,
+        expiry: time::Expiry,
     ) -> impl Future<Output = Result<LoadOutcome, Error>>;
 }
 
--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -37,6 +37,10 @@
 /// Time between the notice to routers and the load order, so that few requests reach an engine that refuses them.
 const NOTICE_PERIOD: Duration = Duration::from_millis(10);
 
+/// Time for which a check of the staged chunks may be relied on. The users tolerate that an engine loads a chunk that became
+/// corrupt less than 3 s before, and an order may take a second to reach it.
+const STAGED_TTL: time::Millis = time::Millis(2_000);
+
 /// Maximum time from the load order until the engine holds the version, including the requests that must finish first.
 const LOAD_TIMEOUT: time::Millis = time::Millis(12_000);
 
@@ -260,9 +264,8 @@
     async fn order(&self, version: &chunks::Version) -> Result<(), String> {
         actix_rt::time::sleep(NOTICE_PERIOD).await;
         let start = self.node.now();
-        let repaired = self.repair_staged(version).await?;
-        let switch = self.wait_for_streams(version).await;
-        let ordered = self.node.engine.load(&version.0, version.1, switch).await;
+        let (repaired, switch, expiry) = self.prepare(version).await?;
+        let ordered = self.node.engine.load(&version.0, version.1, switch, expiry).await;
         let ordered = ordered.map_err(|reason| reason.to_string())?;
         event::Event::new("load_ordered")
             .with("version", version.1)
@@ -291,6 +294,25 @@
         Err("the engine did not load the version in time".to_owned())
     }
 
+    /// Checks the staged chunks and waits until the engine can stop serving. The check is repeated if it is too old by then,
+    /// because the wait was long or the process was suspended. Returns the number of repaired chunks, how to load, and the
+    /// time until which the check may be relied on.
+    async fn prepare(
+        &self,
+        version: &chunks::Version,
+    ) -> Result<(usize, engine::Switch, time::Expiry), String> {
+        let mut repaired = 0;
+        loop {
+            let expiry = time::Expiry::after(STAGED_TTL);
+            repaired += self.repair_staged(version).await?;
+            let switch = self.wait_for_streams(version).await;
+            if !expiry.has_passed() {
+                return Ok((repaired, switch, expiry));
+            }
+            event::Event::new("staged_check_expired").with("version", version.1).info();
+        }
+    }
+
     /// Waits until the engine has few requests left, if they can be resumed at another engine, and returns how to load.
     async fn wait_for_streams(&self, version: &chunks::Version) -> engine::Switch {
         let resume_deadline = self.node.resume_deadline(version);
--- a/crates/chestnutpick_types/src/time.rs
+++ b/crates/chestnutpick_types/src/time.rs
@@ -112,6 +112,32 @@
     first: Millis,
 }
 
+/// Point in time up to which a permission or a check may be acted on. Time for which the process or the machine is suspended
+/// counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Expiry {
+    /// Boot time.
+    at: time::Duration,
+}
+
+impl Expiry {
+    /// Returns the point in time that is `span` from now.
+    ///
+    /// ```
+    /// use chestnutpick_types::time;
+    /// assert!(!time::Expiry::after(time::Millis::from_secs(60)).has_passed());
+    /// assert!(time::Expiry::after(time::Millis::ZERO).has_passed());
+    /// ```
+    pub fn after(span: Millis) -> Self {
+        Self { at: boot_time() + span.to_duration() }
+    }
+
+    /// Returns whether the point in time has been reached.
+    pub fn has_passed(&self) -> bool {
+        boot_time() >= self.at
+    }
+}
+
 fn boot_time() -> time::Duration {
     let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     // The kernel returns no negative values and fewer nanoseconds than a second has.
