--- a/crates/chestnutpick_router/src/crash.rs
+++ b/crates/chestnutpick_router/src/crash.rs
@@ -42,16 +42,33 @@
 
 /// Refuses a request that was lost in several crashes, or a part of whose prompt was.
 pub(crate) fn check<C>(node: &node::Node<C>, call: &handle::Call) -> Result<(), error::Refusal> {
-    let suspicion = node.suspicion.borrow();
-    if suspicion.is_empty() {
+    if node.suspicion.borrow().is_empty() {
         return Ok(());
     }
-    let found = suspicion.quarantined(time::unix_now(), traits(call));
-    let Some((subject, records)) = found else { return Ok(()) };
+    let (now, unix) = (node.now(), time::unix_now());
+    let routers = node.view.borrow().routers.count(now);
+    let admitted = node.suspicion.borrow_mut().admit(now, unix, routers, traits(call));
+    match admitted {
+        Ok(suspicion::Admission::Clear) => Ok(()),
+        Ok(suspicion::Admission::Trial) => {
+            event::Event::new("suspect_tried").with("request", &call.head.request_id).info();
+            Ok(())
+        }
+        Err(quarantined) => Err(refusal(quarantined)),
+    }
+}
+
+/// Returns whether an admitted request may be sent once more.
+pub(crate) fn is_permitted<C>(node: &node::Node<C>, call: &handle::Call) -> bool {
+    let suspicion = node.suspicion.borrow();
+    suspicion.is_empty() || suspicion.quarantined(time::unix_now(), traits(call)).is_none()
+}
+
+fn refusal((subject, records): suspicion::Quarantined) -> error::Refusal {
     let name = subject.part.map_or_else(|| "the request".into(), |part| format!("part {part}"));
     let (fingerprint, crashes) = (subject.fingerprint, records.len());
     let message = format!("{name} was in {crashes} crashes of endpoints, suspect {fingerprint}");
-    Err(error::Refusal::new(error::ErrorKind::SuspectBusy, message))
+    error::Refusal::new(error::ErrorKind::SuspectBusy, message)
 }
 
 /// Returns whether a request that was lost with its endpoint may be repeated at another one.
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -140,7 +140,7 @@
         let (kind, reason) = match failed {
             Failed::NotRun(_, reason) => {
                 let retry = tries.sends < MAX_REJECTIONS
-                    && crash::check(node, call).is_ok()
+                    && crash::is_permitted(node, call)
                     && may_retry(node, call);
                 if retry {
                     continue;
--- a/crates/chestnutpick_router/src/suspicion.rs
+++ b/crates/chestnutpick_router/src/suspicion.rs
@@ -7,6 +7,11 @@
 //! causes crashes accumulates them. After several crashes without a success in between it is quarantined: requests
 //! that have it are refused.
 //!
+//! Where few requests run, a harmless trait can be quarantined together with the one that causes crashes, because they
+//! were in the same crashes. Refusing all requests that have it would keep it from ever being cleared. So a request is
+//! refused only if one of its quarantined traits was in crashes that no trait outside the request can have caused. Another
+//! request runs as a trial: its answer clears its traits, and a crash leaves them as the only cause.
+//!
 //! All routers share their records. Datagrams may be lost or late, so records and clearances are repeated, a record of
 //! a trait that has recently succeeded here is answered with a clearance, and quarantined traits are sent again and
 //! again for routers that have just started.
@@ -34,6 +39,9 @@
 /// Time after a loss within which the endpoint must be found unreachable or restarted for the loss to count as a crash.
 const CONFIRMATION_TIMEOUT: time::Millis = time::Millis(3_000);
 
+/// Time between two trials of a trait, at all routers together. An engine begins to answer, or crashes, within that time.
+const TRIAL_INTERVAL: time::Millis = time::Millis(200);
+
 /// Maximum number of losses that await a confirmation; the newest are kept.
 const MAX_LOSSES: usize = 256;
 
@@ -118,6 +126,18 @@
     pub record: suspects::Record,
 }
 
+/// How a request that is not refused may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// None of its traits is quarantined.
+    Clear,
+    /// Its quarantined traits may be harmless, which its outcome shows.
+    Trial,
+}
+
+/// Quarantined trait for which a request is refused, with the records of its crashes.
+pub type Quarantined = (Trait, Vec<suspects::Record>);
+
 /// Fingerprints that have succeeded recently, with the times of their last successes. Two generations bound the memory
 /// without a search for the oldest.
 #[derive(Debug, Default)]
@@ -159,6 +179,8 @@
     losses: collections::VecDeque<Loss>,
     list: suspects::List,
     successes: Successes,
+    /// Times of the last trials of fingerprints at this router.
+    trials: collections::BTreeMap<digest::Digest, time::Millis>,
     /// Fingerprints that another router suspects although they have succeeded here.
     owed: collections::BTreeSet<digest::Digest>,
     /// Messages to be repeated, and how often.
@@ -175,6 +197,7 @@
             losses: collections::VecDeque::new(),
             list: suspects::List::with_threshold(QUARANTINE_CRASHES),
             successes: Successes::default(),
+            trials: collections::BTreeMap::new(),
             owed: collections::BTreeSet::new(),
             repeated: collections::VecDeque::new(),
             new: 0,
@@ -305,6 +328,7 @@
         R: Rng,
     {
         self.list.expire(unix);
+        self.trials.retain(|fingerprint, _| self.list.crashes(unix, fingerprint) > 0);
         self.new = 0;
         let mut messages: Vec<_> =
             std::mem::take(&mut self.owed).into_iter().map(load::FromRouter::Cleared).collect();
@@ -322,19 +346,59 @@
         messages
     }
 
-    /// Returns the first of the traits that is quarantined, with the records of its crashes.
-    pub fn quarantined(
-        &self,
+    /// Returns how a request with these traits may run. `routers` is the number of routers, which share the trials of a
+    /// trait.
+    ///
+    /// # Errors
+    ///
+    /// Returns the trait for which the request is refused.
+    ///
+    /// ```
+    /// use chestnutpick_router::suspicion;
+    /// use chestnutpick_types::time::Millis;
+    /// let mut suspicion = suspicion::Suspicion::default();
+    /// let part = suspicion::Trait::of_part(&"5c1e07a2".into());
+    /// let admitted = suspicion.admit(Millis(0), Millis(0), 1, &[part]);
+    /// assert_eq!(admitted, Ok(suspicion::Admission::Clear));
+    /// ```
+    pub fn admit(
+        &mut self,
+        now: time::Millis,
         unix: time::Millis,
+        routers: u32,
         traits: &[Trait],
-    ) -> Option<(Trait, Vec<suspects::Record>)> {
-        let mut traits = traits.iter();
-        let subject = traits.find(|subject| {
-            self.list.status(unix, &subject.fingerprint) == suspects::Status::Quarantined
+    ) -> Result<Admission, Quarantined> {
+        if let Some(quarantined) = self.quarantined(unix, traits) {
+            return Err(quarantined);
+        }
+        let Some(subject) = traits.iter().find(|subject| self.is_suspect(unix, subject)) else {
+            return Ok(Admission::Clear);
+        };
+        let interval = time::Millis(TRIAL_INTERVAL.0 * u64::from(routers.max(1)));
+        let last = self.trials.get(&subject.fingerprint);
+        if last.is_some_and(|last| now.since(*last) < interval) {
+            return Err((subject.clone(), self.list.records_of(unix, &subject.fingerprint)));
+        }
+        self.trials.insert(subject.fingerprint, now);
+        Ok(Admission::Trial)
+    }
+
+    /// Returns the first of the traits that is quarantined, with the records of its crashes, unless a trait other than
+    /// these was in all of its crashes.
+    pub fn quarantined(&self, unix: time::Millis, traits: &[Trait]) -> Option<Quarantined> {
+        let fingerprints: Vec<_> = traits.iter().map(|subject| subject.fingerprint).collect();
+        let subject = traits.iter().find(|subject| {
+            self.is_suspect(unix, subject)
+                && !self.list.has_alternative(unix, &subject.fingerprint, &fingerprints)
         })?;
         Some((subject.clone(), self.list.records_of(unix, &subject.fingerprint)))
     }
 
+    /// Returns whether a trait was in as many crashes as quarantine it.
+    fn is_suspect(&self, unix: time::Millis, subject: &Trait) -> bool {
+        self.list.status(unix, &subject.fingerprint) == suspects::Status::Quarantined
+    }
+
     /// Returns the fingerprints that have been quarantined since the last call, with the records of their crashes.
     pub fn take_quarantined(
         &mut self,
--- a/crates/chestnutpick_router/tests/suspicion.rs
+++ b/crates/chestnutpick_router/tests/suspicion.rs
@@ -36,6 +36,12 @@
 /// Time that a datagram takes from router to router.
 const RELAY_DELAY: Millis = Millis(20);
 
+/// Number of requests in a burst of a quiet caller.
+const BURST: usize = 10;
+
+/// Time after which a caller repeats a lost request.
+const RETRY_DELAY: Millis = Millis(300);
+
 fn chance<R: Rng>(rng: &mut R, probability: f64) -> bool {
     f64::from(rng.next_u32()) < probability * f64::from(u32::MAX)
 }
@@ -287,6 +293,40 @@
         }
     }
 
+    /// Sends a request of a caller with few requests, all of which begin with the same part.
+    fn send_quiet(&mut self, deadly: bool) {
+        self.sound += usize::from(!deadly);
+        self.serial += 1;
+        let whole = Trait::of_request("POST\n/a\n", &self.serial.to_be_bytes());
+        let mut traits = vec![whole, part("quiet"), part(&format!("last-{}", self.serial))];
+        if deadly {
+            traits.push(part("dead"));
+        }
+        let router = pick(&mut self.rng, self.routers.len());
+        let request = Request { traits, deadly, router, runs: 0, begins_at: Millis::ZERO };
+        self.place(request.clone());
+        if deadly {
+            // The caller repeats the lost request once.
+            self.run_for(RETRY_DELAY);
+            let router = pick(&mut self.rng, self.routers.len());
+            self.place(Request { router, ..request });
+        }
+    }
+
+    /// Sends sound requests of a quiet caller shortly after one another.
+    fn send_burst(&mut self) {
+        for _ in 0..BURST {
+            self.send_quiet(false);
+            self.run_for(Millis(20));
+        }
+    }
+
+    fn run_for(&mut self, span: Millis) {
+        for _ in 0..span.0 / STEP.0 {
+            self.step(0.0, 0.0);
+        }
+    }
+
     fn arrivals_after(&self, time: Millis) -> usize {
         self.arrivals.iter().filter(|at| **at > time).count()
     }
@@ -318,6 +358,31 @@
     }
 }
 
+/// Guards against a caller whose sound requests are all refused because one of its requests crashed engines while no other
+/// ran: the part that all of them share was in the same crashes as the deadly one, and only an answer clears a part.
+#[rstest]
+fn quiet_caller_is_not_refused_for_its_shared_part(
+    #[values(1, 8, 40)] routers: usize,
+    #[values(0.0, 0.3)] loss: f64,
+) {
+    for seed in 1..=8 {
+        let mut simulation = Simulation::new(routers, loss, seed);
+        simulation.send_burst();
+        for _ in 0..10 {
+            simulation.run_for(Millis(3_800));
+            simulation.send_quiet(true);
+            simulation.run_for(Millis(900));
+            simulation.send_burst();
+        }
+        let Simulation { sound, refused, crashes, .. } = &simulation;
+        assert!(crashes.len() >= suspicion::QUARANTINE_CRASHES, "seed {seed}: {crashes:?}");
+        assert!(refused * 2 <= *sound, "seed {seed}: {refused} of {sound} requests were refused");
+        let fifth = crashes.get(4).or(crashes.last()).copied().unwrap();
+        let late = simulation.arrivals_after(fifth + WINDOW);
+        assert!(late <= 3, "seed {seed}: {late} requests after the fifth crash and the window");
+    }
+}
+
 /// Guards against a router that lets the part crash engines again because it was restarted and knows nothing.
 #[test]
 fn restarted_router_learns_what_is_quarantined() {
--- a/crates/chestnutpick_routing/src/suspects.rs
+++ b/crates/chestnutpick_routing/src/suspects.rs
@@ -244,6 +244,36 @@
         found
     }
 
+    /// Returns whether a fingerprint other than those in `excluded` was in flight at each crash of `fingerprint`, and may
+    /// have caused all of them instead.
+    ///
+    /// ```
+    /// # use chestnutpick_routing::suspects;
+    /// # use chestnutpick_types::{digest::Digest, time::Millis};
+    /// let mut suspects = suspects::List::default();
+    /// let (shared, rare) = (Digest::of(b"shared"), Digest::of(b"rare"));
+    /// suspects.on_crash(Millis(0), &"gpu-1".parse().unwrap(), 7, &[shared, rare]);
+    /// assert!(suspects.has_alternative(Millis(1), &shared, &[shared]));
+    /// assert!(!suspects.has_alternative(Millis(1), &shared, &[shared, rare]));
+    /// suspects.on_crash(Millis(2), &"gpu-2".parse().unwrap(), 4, &[rare]);
+    /// assert!(!suspects.has_alternative(Millis(3), &rare, &[rare]));
+    /// ```
+    pub fn has_alternative(
+        &self,
+        now: time::Millis,
+        fingerprint: &digest::Digest,
+        excluded: &[digest::Digest],
+    ) -> bool {
+        let Some(crashes) = self.fingerprints.get(fingerprint) else { return false };
+        let valid: Vec<_> = crashes.iter().filter(|(_, at)| is_valid(now, **at)).collect();
+        self.fingerprints.iter().any(|(candidate, other)| {
+            other.len() >= valid.len()
+                && candidate != fingerprint
+                && !excluded.contains(candidate)
+                && valid.iter().all(|(crash, _)| other.contains_key(*crash))
+        })
+    }
+
     /// Returns the records of `fingerprint` that have not expired, in ascending order of time.
     ///
     /// ```
