--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -13,6 +13,7 @@
 use crate::choice;
 use crate::crash;
 use crate::handle;
+use crate::liveness;
 use crate::node;
 use crate::outcome;
 use crate::silence;
@@ -89,6 +90,16 @@
     pub(crate) weights: Option<u64>,
     /// Whether an endpoint has begun to answer the request.
     pub(crate) begun: bool,
+    /// Time of the last event of a stream that was passed to the caller.
+    pub(crate) event_at: Option<time::Millis>,
+}
+
+impl Tries {
+    /// Returns the time until which the caller may be kept waiting for the response, or for the next event.
+    pub(crate) fn wait_limit(&self, call: &handle::Call) -> time::Millis {
+        let since = self.event_at.unwrap_or(call.arrived);
+        liveness::wait_limit(since, call.admitted.route.patience)
+    }
 }
 
 /// Forwards a request and returns the response for the caller.
--- a/crates/chestnutpick_router/src/liveness.rs
+++ b/crates/chestnutpick_router/src/liveness.rs
@@ -49,6 +49,22 @@
     timeout + time::Millis(timeout.0 / 2)
 }
 
+/// Time before a caller abandons a request at which it is given up at a silent endpoint. The endpoint then learns of it no
+/// later than the caller leaves.
+const PATIENCE_MARGIN: time::Millis = time::Millis(200);
+
+/// Returns the time until which a caller that waits since `since` for an event of a stream, or for the response, may be kept
+/// waiting, if it abandons the request after `patience`.
+///
+/// ```
+/// use chestnutpick_router::liveness;
+/// use chestnutpick_types::time::Millis;
+/// assert_eq!(liveness::wait_limit(Millis(1_000), Millis(3_200)), Millis(4_000));
+/// ```
+pub fn wait_limit(since: time::Millis, patience: time::Millis) -> time::Millis {
+    since + patience.since(PATIENCE_MARGIN)
+}
+
 /// What is known about the life of one endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Liveness {
--- a/crates/chestnutpick_router/src/silence.rs
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -67,9 +67,11 @@
     node.silence_checked.notify_waiters();
 }
 
-/// Waits until the endpoint of `slot` is silent and the request, or the stream that started on `version`, can move to
-/// another endpoint. If it cannot move, it is given up after a longer silence, so that its caller can repeat it.
-/// A request that may not be repeated stays: the endpoint may still answer it. Returns the reason for leaving the endpoint.
+/// Waits until the request, which `tries` describe, must leave the endpoint of `slot`. It leaves a silent endpoint if it can
+/// move to another one. If it cannot, it is given up after a longer silence. A request that may still run at an endpoint that
+/// it left is given up before its caller leaves, as nobody would wait for that run. In both cases the caller gets a response
+/// and can repeat it. `version` is that of the weights on which a stream started. A request that may not be repeated stays:
+/// the endpoint may still answer it. Returns the reason for leaving the endpoint.
 pub(crate) async fn wait<C>(
     node: &node::Node<C>,
     call: &handle::Call,
@@ -84,15 +86,21 @@
     loop {
         node.silence_checked.notified().await;
         let now = node.now();
+        if !call.admitted.route.is_repeatable() {
+            continue;
+        }
         let silence = node.view.borrow().silence(now, endpoint, slot.heard_at());
-        let is_over = silence >= liveness::timeout(target)
-            && call.admitted.route.is_repeatable()
+        let is_silent = silence >= liveness::timeout(target);
+        let is_left = is_silent
             && (silence >= liveness::give_up_timeout(target)
                 || can_move(node, call, tries, endpoint, version));
-        if is_over {
+        if is_left {
             node.view.borrow_mut().on_left(now, endpoint);
             return format!("no sign of life for {silence}");
         }
+        if (is_silent || tries.runs > 0) && now >= tries.wait_limit(call) {
+            return "not begun before the caller would leave".to_owned();
+        }
     }
 }
 
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -197,7 +197,9 @@
                 continue;
             }
             self.last_event_id = event.id.or(self.last_event_id);
-            self.pauses.on_event(self.node.now());
+            let now = self.node.now();
+            self.tries.event_at = Some(now);
+            self.pauses.on_event(now);
             self.ready.push_back(event.bytes);
         }
     }
