--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -33,6 +33,7 @@
 mod outcome;
 mod read;
 mod relay;
+mod resumption;
 mod silence;
 mod slot;
 mod stream;
--- a/crates/chestnutpick_router/src/silence.rs
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -22,6 +22,10 @@
 /// Delay of a check from which this process was suspended or overloaded. Signs of life may then have arrived unread.
 const MAX_DELAY: time::Millis = time::Millis(300);
 
+/// Pause of a stream after which it moves to another endpoint that can take it, although its own shows signs of life. A
+/// batch that processes many prompts pauses for several hundred milliseconds.
+const MAX_PAUSE: time::Millis = time::Millis(1_500);
+
 /// Checks the endpoints until `stop` is cancelled, and then lets the requests in flight check their own.
 pub(crate) async fn watch<C>(node: rc::Rc<node::Node<C>>, stop: sync::CancellationToken) {
     let (mut last_check_at, mut silent) = (node.now(), collections::BTreeSet::new());
@@ -67,6 +71,14 @@
     node.silence_checked.notify_waiters();
 }
 
+/// How a request leaves a silent endpoint, with the reason.
+pub(crate) enum Departure {
+    /// Another endpoint can take it.
+    Move(String),
+    /// No other endpoint can take it, and its caller would not wait longer.
+    GiveUp(String),
+}
+
 /// Waits until the request, which `tries` describe, must leave the endpoint of `slot`. It leaves a silent endpoint if it can
 /// move to another one. If it cannot, it is given up after a longer silence. A request that may still run at an endpoint that
 /// it left is given up before its caller leaves, as nobody would wait for that run. In both cases the caller gets a response
@@ -104,6 +116,44 @@
     }
 }
 
+/// Waits until the stream of `slot` must leave its endpoint because of a pause. Its caller has received a part of the
+/// response and would lose the rest, and a sound endpoint may pause too. So the stream stays where no other endpoint can
+/// take it until its caller is about to leave.
+pub(crate) async fn wait_in_stream<C>(
+    node: &node::Node<C>,
+    call: &handle::Call,
+    tries: &forward::Tries,
+    slot: &slot::Slot<C>,
+    version: Option<u64>,
+) -> Departure
+where
+    C: codec::Codec,
+{
+    let (endpoint, route) = (slot.endpoint(), &call.admitted.route);
+    loop {
+        node.silence_checked.notified().await;
+        let now = node.now();
+        let silence = node.view.borrow().silence(now, endpoint, slot.heard_at());
+        let pause = node.view.borrow().pause(now, slot.heard_at());
+        let is_silent = silence >= liveness::timeout(route.target);
+        if !is_silent && pause < MAX_PAUSE || !route.is_repeatable() {
+            continue;
+        }
+        let reason = format!("no event for {pause}, no sign of life for {silence}");
+        let departure = if can_move(node, call, tries, endpoint, version) {
+            Departure::Move(reason)
+        } else if now >= tries.wait_limit(call) {
+            Departure::GiveUp(reason)
+        } else {
+            continue;
+        };
+        if is_silent {
+            node.view.borrow_mut().on_left(now, endpoint);
+        }
+        return departure;
+    }
+}
+
 /// Returns whether a request that may run at `endpoint` may run at another one as well, and one can take it.
 fn can_move<C>(
     node: &node::Node<C>,
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -22,12 +22,9 @@
 use crate::handle;
 use crate::node;
 use crate::outcome;
+use crate::resumption;
 use crate::silence;
 
-/// Maximum pause between two reads from an endpoint. A batch that processes many prompts pauses for several hundred
-/// milliseconds.
-const EVENT_TIMEOUT: time::Millis = time::Millis(1_500);
-
 /// Maximum length of comments, blank lines and repeated events between two events, in bytes.
 const MAX_PADDING: usize = 64 << 10;
 
@@ -95,6 +92,16 @@
     _guard: node::InFlight<C>,
 }
 
+/// Reason why a stream does not go on at its endpoint.
+enum Interruption {
+    /// The endpoint or the connection to it failed.
+    Lost(String),
+    /// The stream pauses, and another endpoint can take it.
+    Paused(String),
+    /// The stream pauses, and its caller is about to leave.
+    GivenUp(String),
+}
+
 /// Pauses between the events of a stream.
 struct Pauses {
     /// Time of the last event.
@@ -123,41 +130,61 @@
             let Some(time_left) = self.call.time_left(self.node.now()) else {
                 return Err(self.on_broken("the deadline has passed"));
             };
-            match self.read(time_left).await {
+            let mut progress = self.read(time_left).await;
+            if let Err(Interruption::Paused(reason)) = progress {
+                progress = self.relocate(time_left, &reason).await;
+            }
+            match progress {
                 Ok(true) => {}
                 Ok(false) => {
                     self.on_end();
                     return Ok(None);
                 }
-                Err(reason) => self.resume(&reason).await?,
+                Err(Interruption::Lost(reason)) => self.resume(&reason).await?,
+                Err(Interruption::Paused(reason) | Interruption::GivenUp(reason)) => {
+                    return Err(self.on_broken(&reason));
+                }
             }
         }
     }
 
-    /// Reads from the endpoint and queues the events. Returns whether the stream goes on, or a reason to give up the
-    /// endpoint.
-    async fn read(&mut self, time_left: time::Millis) -> Result<bool, String> {
+    /// Reads from the endpoint and queues the events. Returns whether the stream goes on.
+    async fn read(&mut self, time_left: time::Millis) -> Result<bool, Interruption> {
         let slot = &self.opened.slot;
+        let (node, call, tries) = (&self.node, &self.call, &self.tries);
         let piece = tokio::select! {
-            piece = self.opened.response.next(time_left.min(EVENT_TIMEOUT)) => piece,
-            reason = silence::wait(&self.node, &self.call, &self.tries, slot, self.version) => {
-                return Err(reason);
+            biased;
+            piece = self.opened.response.next(time_left) => piece,
+            departure = silence::wait_in_stream(node, call, tries, slot, self.version) => {
+                return Err(match departure {
+                    silence::Departure::Move(reason) => Interruption::Paused(reason),
+                    silence::Departure::GiveUp(reason) => Interruption::GivenUp(reason),
+                });
             }
         };
+        self.on_piece(piece)
+    }
+
+    /// Handles a piece of the response, its end or its loss. Returns whether the stream goes on.
+    fn on_piece(&mut self, piece: resumption::Piece) -> Result<bool, Interruption> {
         let reason = match piece {
-            Ok(Some(bytes)) => return self.accept(&bytes).map(|()| true),
+            Ok(Some(bytes)) => {
+                return self.accept(&bytes).map(|()| true).map_err(Interruption::Lost);
+            }
             Ok(None) if self.ended_before_first_event() => {
                 "the stream ended before its first event".to_owned()
             }
             Ok(None) if self.framer.is_empty() => return Ok(false),
             Ok(None) => "the stream ended inside an event".to_owned(),
-            Err(reason @ client::CallError::Timeout { .. }) => return Err(reason.to_string()),
+            Err(reason @ client::CallError::Timeout { .. }) => {
+                return Err(Interruption::Lost(reason.to_string()));
+            }
             Err(reason) => reason.to_string(),
         };
         if !self.tries.begun {
             crash::on_lost(&self.node, &self.call, &self.opened.endpoint);
         }
-        Err(reason)
+        Err(Interruption::Lost(reason))
     }
 
     /// Returns whether a stream whose end only the connection marks has ended without an event, as when its engine
@@ -213,51 +240,81 @@
         }
     }
 
-    /// Resumes the stream at another endpoint.
+    /// Resumes the stream at another endpoint, after it was lost at its own.
     async fn resume(&mut self, reason: &str) -> io::Result<()> {
         self.opened.slot.end();
-        self.node.view.borrow_mut().on_failed(self.node.now(), &self.opened.endpoint);
-        self.tries.failed.push(self.opened.endpoint.clone());
-        self.tries.runs += 1;
-        let mut reason = reason.to_owned();
-        while self.may_resume() {
-            let placement = forward::choose(&self.node, &self.call, &self.tries, self.version)
-                .map_err(|refusal| {
-                    let message = &refusal.message;
-                    self.on_broken(&format!("{reason}; not resumed: {message}"))
-                })?;
-            let last_event_id = self.last_event_id;
-            match forward::open(&self.node, &self.call, &mut self.tries, &placement, last_event_id)
-                .await
-            {
-                Ok(opened) if opened.head.is_stream && opened.response.status == 200 => {
-                    self.log("stream_resumed", &reason);
-                    self.framer = events::Framer::default();
-                    self.padding = 0;
-                    self.opened = opened;
-                    return Ok(());
-                }
-                Ok(opened) => {
-                    opened.slot.end();
-                    self.tries.runs += 1;
-                    reason = format!("resumed with status {}", opened.response.status);
-                }
-                Err(forward::Failed::NotRun(_, text)) => reason = text,
-                Err(forward::Failed::Unknown(_, text)) => {
-                    self.tries.runs += 1;
-                    reason = text;
-                }
+        self.on_endpoint_failed();
+        let (_, resumption) = self.split();
+        match resumption.open(reason).await {
+            Ok(opened) => {
+                self.continue_with(opened, reason);
+                Ok(())
             }
+            Err(reason) => Err(self.on_broken(&reason)),
+        }
+    }
+
+    /// Moves a paused stream to another endpoint, unless its own goes on before another has begun to answer. Returns
+    /// whether the stream goes on.
+    async fn relocate(
+        &mut self,
+        time_left: time::Millis,
+        reason: &str,
+    ) -> Result<bool, Interruption> {
+        self.on_endpoint_failed();
+        let sends = self.tries.sends;
+        let waiting_time = self.tries.wait_limit(&self.call).since(self.node.now());
+        let (response, resumption) = self.split();
+        let opening = resumption.open(reason);
+        match resumption::race(response.next(time_left), opening, waiting_time).await {
+            resumption::First::Own(piece) => {
+                // The other endpoint may have run the request.
+                self.tries.runs += u32::from(self.tries.sends > sends);
+                self.log("stream_kept", "its endpoint went on first");
+                self.on_piece(piece)
+            }
+            resumption::First::Other(opened) => {
+                self.opened.slot.end();
+                self.continue_with(*opened, reason);
+                Ok(true)
+            }
+            resumption::First::Neither(reason) => {
+                self.log("stream_kept", &reason);
+                Ok(true)
+            }
+            resumption::First::Lost(reason) | resumption::First::Limit(reason) => {
+                Err(Interruption::GivenUp(reason))
+            }
+        }
+    }
+
+    /// Returns the response at the stream's endpoint, and what is needed to open the rest elsewhere.
+    fn split(&mut self) -> (&mut client::Response, resumption::Resumption<'_, C>) {
+        let resumption = resumption::Resumption {
+            node: &self.node,
+            call: &self.call,
+            tries: &mut self.tries,
+            version: self.version,
+            last_event_id: self.last_event_id,
+        };
+        (&mut self.opened.response, resumption)
+    }
+
+    fn on_endpoint_failed(&mut self) {
+        let endpoint = &self.opened.endpoint;
+        self.node.view.borrow_mut().on_failed(self.node.now(), endpoint);
+        // A stream that stayed at its endpoint may fail there again.
+        if !self.tries.failed.contains(endpoint) {
+            self.tries.failed.push(endpoint.clone());
+            self.tries.runs += 1;
         }
-        Err(self.on_broken(&reason))
     }
 
-    fn may_resume(&self) -> bool {
-        self.call.admitted.route.is_repeatable()
-            && self.tries.runs < self.call.admitted.route.attempts
-            && self.call.time_left(self.node.now()).is_some()
-            && (self.tries.begun || crash::may_repeat(&self.node, &self.call))
-            && self.node.try_retry(&self.call.admitted.service.name)
+    fn continue_with(&mut self, opened: forward::Opened<C>, reason: &str) {
+        self.log("stream_resumed", reason);
+        self.framer = events::Framer::default();
+        self.padding = 0;
+        self.opened = opened;
     }
 
     fn on_broken(&self, reason: &str) -> io::Error {
@@ -271,7 +328,10 @@
         event::Event::new(name)
             .with("request", &self.call.head.request_id)
             .with("endpoint", &self.opened.endpoint)
+            .with("admitted", self.call.admitted.version)
             .with("config", self.tries.config)
+            .with("newest", outcome::or_none(self.node.config().map(|config| config.version)))
+            .with("pause_ms", self.node.now().since(self.opened.slot.heard_at()).0)
             .with("last_event", outcome::or_none(self.last_event_id))
             .with("reason", reason)
             .with("ms", self.node.now().since(self.call.arrived).0)
--- a/crates/chestnutpick_router/src/view/response.rs
+++ b/crates/chestnutpick_router/src/view/response.rs
@@ -77,10 +77,16 @@
     ) -> time::Millis {
         match self.endpoints.get(id) {
             Some(endpoint_view) => endpoint_view.silence(now),
-            None => now.since(heard_at.max(self.stalled_until)),
+            None => self.pause(now, heard_at),
         }
     }
 
+    /// Returns for how long a request has received nothing that this process could have read; its last part arrived at
+    /// `heard_at`.
+    pub fn pause(&self, now: time::Millis, heard_at: time::Millis) -> time::Millis {
+        now.since(heard_at.max(self.stalled_until))
+    }
+
     /// Records that a request was sent to an endpoint.
     pub fn on_sent(&mut self, now: time::Millis, id: &id::EndpointId, tokens: u32) {
         if let Some(endpoint_view) = self.endpoints.get_mut(id) {
