--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -63,6 +63,16 @@
     }
 }
 
+/// What precedes a load order.
+struct Prepared {
+    /// Number of staged chunks that were repaired.
+    repaired: usize,
+    /// How to load.
+    switch: engine::Switch,
+    /// Time until which the check of the staged chunks may be relied on.
+    expiry: time::Expiry,
+}
+
 struct Installer<E, D, O> {
     node: rc::Rc<node::Node<E>>,
     store: D,
@@ -264,7 +274,7 @@
     async fn order(&self, version: &chunks::Version) -> Result<(), String> {
         actix_rt::time::sleep(NOTICE_PERIOD).await;
         let start = self.node.now();
-        let (repaired, switch, expiry) = self.prepare(version).await?;
+        let Prepared { repaired, switch, expiry } = self.prepare(version).await?;
         let ordered = self.node.engine.load(&version.0, version.1, switch, expiry).await;
         let ordered = ordered.map_err(|reason| reason.to_string())?;
         event::Event::new("load_ordered")
@@ -295,19 +305,15 @@
     }
 
     /// Checks the staged chunks and waits until the engine can stop serving. The check is repeated if it is too old by then,
-    /// because the wait was long or the process was suspended. Returns the number of repaired chunks, how to load, and the
-    /// time until which the check may be relied on.
-    async fn prepare(
-        &self,
-        version: &chunks::Version,
-    ) -> Result<(usize, engine::Switch, time::Expiry), String> {
+    /// because the wait was long or the process was suspended.
+    async fn prepare(&self, version: &chunks::Version) -> Result<Prepared, String> {
         let mut repaired = 0;
         loop {
             let expiry = time::Expiry::after(STAGED_TTL);
             repaired += self.repair_staged(version).await?;
             let switch = self.wait_for_streams(version).await;
             if !expiry.has_passed() {
-                return Ok((repaired, switch, expiry));
+                return Ok(Prepared { repaired, switch, expiry });
             }
             event::Event::new("staged_check_expired").with("version", version.1).info();
         }
