--- a/crates/chestnutpick_router/tests/suspicion.rs
+++ b/crates/chestnutpick_router/tests/suspicion.rs
@@ -152,9 +152,14 @@
 
     /// Sends a request to an engine that its router believes to run.
     fn place(&mut self, mut request: Request) {
-        let unix = self.unix();
-        let router = &self.routers[request.router];
-        if router.suspicion.quarantined(unix, &request.traits).is_some() {
+        let (now, unix) = (self.now, self.unix());
+        let count = u32::try_from(self.routers.len()).unwrap();
+        let suspicion = &mut self.routers[request.router].suspicion;
+        let is_refused = match request.runs {
+            0 => suspicion.admit(now, unix, count, &request.traits).is_err(),
+            _ => suspicion.quarantined(unix, &request.traits).is_some(),
+        };
+        if is_refused {
             self.refused += usize::from(!request.deadly);
             return;
         }
