Simplify the outcomes of moving a paused stream

Read again as a newcomer: two outcomes of the race were handled alike, a third held a result that was never an error, and the reason of a pause was formatted at each check, also when the stream stayed. No change of behaviour.

--- a/crates/chestnutpick_router/src/resumption.rs
+++ b/crates/chestnutpick_router/src/resumption.rs
@@ -18,16 +18,15 @@
 
 /// What comes first while a paused stream is moved to another endpoint.
 pub(crate) enum First<C> {
-    /// The next piece of the stream at its own endpoint, or its end.
-    Own(Piece),
+    /// The next piece of the stream at its own endpoint, or `None` at its end.
+    Own(Option<Bytes>),
     /// Another endpoint that has begun to answer.
     Other(Box<forward::Opened<C>>),
     /// No other endpoint answers; the stream still pauses.
     Neither(String),
-    /// The stream was lost at its own endpoint, and no other answers.
-    Lost(String),
-    /// The caller is about to leave.
-    Limit(String),
+    /// Nothing that its caller waits for: the stream is lost at its own endpoint and no other answers, or the caller is about
+    /// to leave.
+    Nothing(String),
 }
 
 /// Returns what comes first. Once the stream is lost at its own endpoint, only the other one counts.
@@ -45,16 +44,16 @@
             Err(reason) => First::Neither(reason),
         },
         () = actix_rt::time::sleep(waiting_time.to_duration()) => {
-            return First::Limit("the caller is about to leave".to_owned());
+            return First::Nothing("the caller is about to leave".to_owned());
         }
     };
     let lost = match piece {
-        Ok(piece) => return First::Own(Ok(piece)),
+        Ok(piece) => return First::Own(piece),
         Err(reason) => reason,
     };
     match opening.await {
         Ok(opened) => First::Other(Box::new(opened)),
-        Err(reason) => First::Lost(format!("{lost}; {reason}")),
+        Err(reason) => First::Nothing(format!("{lost}; {reason}")),
     }
 }
 
--- a/crates/chestnutpick_router/src/silence.rs
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -139,18 +139,17 @@
         if !is_silent && pause < MAX_PAUSE || !route.is_repeatable() {
             continue;
         }
-        let reason = format!("no event for {pause}, no sign of life for {silence}");
         let departure = if can_move(node, call, tries, endpoint, version) {
-            Departure::Move(reason)
+            Departure::Move
         } else if now >= tries.wait_limit(call) {
-            Departure::GiveUp(reason)
+            Departure::GiveUp
         } else {
             continue;
         };
         if is_silent {
             node.view.borrow_mut().on_left(now, endpoint);
         }
-        return departure;
+        return departure(format!("no event for {pause}, no sign of life for {silence}"));
     }
 }
 
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -98,7 +98,7 @@
     Lost(String),
     /// The stream pauses, and another endpoint can take it.
     Paused(String),
-    /// The stream pauses, and its caller is about to leave.
+    /// No endpoint goes on with the stream before its caller leaves.
     GivenUp(String),
 }
 
@@ -271,7 +271,7 @@
                 // The other endpoint may have run the request.
                 self.tries.runs += u32::from(self.tries.sends > sends);
                 self.log("stream_kept", "its endpoint went on first");
-                self.on_piece(piece)
+                self.on_piece(Ok(piece))
             }
             resumption::First::Other(opened) => {
                 self.opened.slot.end();
@@ -282,9 +282,7 @@
                 self.log("stream_kept", &reason);
                 Ok(true)
             }
-            resumption::First::Lost(reason) | resumption::First::Limit(reason) => {
-                Err(Interruption::GivenUp(reason))
-            }
+            resumption::First::Nothing(reason) => Err(Interruption::GivenUp(reason)),
         }
     }
 
