Tell by size and phase how requests end

request_answered, request_refused, caller_left and the lines of streams now carry prompt and output tokens, the bytes of the body and a class of size; request_refused and caller_left also the phase. request_rejected names the request's id, its tokens and how long it took. The counter requests_ended is labelled by outcome, phase and class. No decision of the router changes.

--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -12,6 +12,7 @@
 use crate::answer;
 use crate::choice;
 use crate::crash;
+use crate::ending;
 use crate::handle;
 use crate::liveness;
 use crate::node;
@@ -82,6 +83,8 @@
     pub(crate) runs: u32,
     /// Number of times that the request was sent.
     pub(crate) sends: usize,
+    /// What the router is doing for the request.
+    pub(crate) phase: ending::Phase,
     /// Most recent choice of an endpoint.
     pub(crate) chosen: Option<choice::Chosen>,
     /// Version of the configuration under which the request was last sent.
@@ -120,6 +123,8 @@
     match outcome {
         Ok(Served::Whole(response, endpoint)) => {
             outcome::log_answered(&node, &call, &tries, response.status().as_u16(), &endpoint);
+            let class = ending::Size::of(&call).class;
+            ending::count(ending::Outcome::Answered, ending::Phase::Streaming, class);
             response
         }
         Ok(Served::Stream(opened)) => {
@@ -192,6 +197,7 @@
 where
     C: codec::Codec,
 {
+    tries.phase = ending::Phase::Choosing;
     let placement = choose(node, call, tries, None)?;
     let opened = match open(node, call, tries, &placement, None).await {
         Ok(opened) => opened,
@@ -284,9 +290,10 @@
         return Err(Failed::NotRun(Rejection::NoTime, "no time is left".to_owned()));
     };
     tries.sends += 1;
+    tries.phase = ending::Phase::Waiting;
     tries.chosen = Some(placement.chosen.clone());
     tries.config = placement.terms.version;
-    let slot = slot::Slot::new(node, &endpoint.id, &call.head.request_id, call.tokens());
+    let slot = slot::Slot::new(node, &endpoint.id, call);
     let request = request(node, call, placement, time_left, last_event);
     let timeout = begin_timeout(node, placement, time_left);
     let outcome = tokio::select! {
--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -11,6 +11,7 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{error, size, time};
 
+use crate::ending;
 use crate::forward;
 use crate::node;
 use crate::outcome;
@@ -72,15 +73,21 @@
     let guard = node::InFlight::new(&node);
     let head = node.codec.request_head(request.head().headers());
     let timeout = head.as_ref().and_then(|head| head.deadline).unwrap_or(DEFAULT_DEADLINE);
+    let request_id = head.as_ref().map(|head| sync::Arc::clone(&head.request_id));
+    let size = ending::Size::unread(head.as_ref().and_then(|head| head.tokens));
     match admit(&node, &mut request, head, arrived).await {
         Ok(call) => forward::serve(node, call, guard).await,
         Err(refusal) => {
             metrics::counter!("requests_rejected", "kind" => <&str>::from(refusal.kind))
                 .increment(1);
-            event::Event::new("request_rejected")
+            ending::count(ending::Outcome::Rejected, ending::Phase::Reading, size.class);
+            size.log(event::Event::new("request_rejected"))
+                .with("request", outcome::or_none(request_id))
                 .with("path", request.path())
+                .with("phase", ending::Phase::Reading)
                 .with("kind", refusal.kind)
                 .with("message", &refusal.message)
+                .with("ms", node.now().since(arrived).0)
                 .info();
             outcome::respond(&refusal, timeout, time::Millis::ZERO)
         }
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod choice;
 pub mod compression;
 pub mod departed;
+pub mod ending;
 pub mod events;
 pub mod failures;
 pub mod lease;
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -6,6 +6,7 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{error, id, time};
 
+use crate::ending;
 use crate::forward;
 use crate::handle;
 use crate::node;
@@ -33,11 +34,14 @@
 ) -> respond::Response {
     let now = node.now();
     metrics::counter!("requests_refused", "kind" => <&str>::from(refusal.kind)).increment(1);
-    event::Event::new("request_refused")
+    let size = ending::Size::of(call);
+    ending::count(ending::Outcome::Refused, tries.phase, size.class);
+    size.log(event::Event::new("request_refused"))
         .with("request", &call.head.request_id)
         .with("route", &call.admitted.route.name)
         .with("kind", refusal.kind)
         .with("reason", &refusal.message)
+        .with("phase", tries.phase)
         .with("sends", tries.sends)
         .with("config", call.admitted.version)
         .with("config_age_ms", node.view.borrow().age(now).0)
@@ -85,7 +89,8 @@
     let took = now.since(call.arrived);
     metrics::histogram!("first_byte_ms").record(took.0 as f64);
     metrics::counter!("requests_answered").increment(1);
-    let mut event = event::Event::new("request_answered")
+    let mut event = ending::Size::of(call)
+        .log(event::Event::new("request_answered"))
         .with("request", &call.head.request_id)
         .with("route", &call.admitted.route.name)
         .with("endpoint", endpoint)
--- a/crates/chestnutpick_router/src/slot.rs
+++ b/crates/chestnutpick_router/src/slot.rs
@@ -7,6 +7,8 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
 
+use crate::ending;
+use crate::handle;
 use crate::loads;
 use crate::node;
 use crate::outcome;
@@ -17,6 +19,7 @@
     node: rc::Rc<node::Node<C>>,
     endpoint: id::EndpointId,
     request_id: sync::Arc<str>,
+    size: ending::Size,
     sent_at: time::Millis,
     /// Time of the last part of the response, or of sending the request.
     heard_at: cell::Cell<time::Millis>,
@@ -29,20 +32,20 @@
 }
 
 impl<C> Slot<C> {
-    /// Returns a guard for a request with `tokens` prompt tokens, and reports the request to the engine's loader.
+    /// Returns a guard for a request, and reports the request to the engine's loader.
     pub(crate) fn new(
         node: &rc::Rc<node::Node<C>>,
         endpoint: &id::EndpointId,
-        request_id: &sync::Arc<str>,
-        tokens: u32,
+        call: &handle::Call,
     ) -> Self {
-        let sent_at = node.now();
+        let (sent_at, tokens) = (node.now(), call.tokens());
         node.view.borrow_mut().on_sent(sent_at, endpoint, tokens);
         loads::send_usage(node, endpoint);
         Self {
             node: rc::Rc::clone(node),
             endpoint: endpoint.clone(),
-            request_id: sync::Arc::clone(request_id),
+            request_id: sync::Arc::clone(&call.head.request_id),
+            size: ending::Size::of(call),
             sent_at,
             heard_at: cell::Cell::new(sent_at),
             pending_tokens: cell::Cell::new(tokens),
@@ -81,6 +84,10 @@
         self.ended.set(true);
     }
 
+    fn phase(&self) -> ending::Phase {
+        if self.started.get() { ending::Phase::Streaming } else { ending::Phase::Waiting }
+    }
+
     /// Logs how long the caller waited, and how long ago the endpoint showed its last sign of life.
     fn log_caller_left(&self) {
         let (view, now) = (self.node.view.borrow(), self.node.now());
@@ -88,10 +95,12 @@
         let heard_age = endpoint_view.and_then(|found| found.liveness.age(now));
         let load_received_at = endpoint_view.and_then(|found| found.load_received_at);
         let load_age = load_received_at.map(|at| now.since(at));
-        event::Event::new("caller_left")
+        self.size
+            .log(event::Event::new("caller_left"))
             .with("request", &self.request_id)
             .with("endpoint", &self.endpoint)
             .with("started", self.started.get())
+            .with("phase", self.phase())
             .with("ms", now.since(self.sent_at).0)
             .with("heard_ms", outcome::or_none(heard_age.map(|age| age.0)))
             .with("load_age_ms", outcome::or_none(load_age.map(|age| age.0)))
@@ -104,6 +113,7 @@
     fn drop(&mut self) {
         if !self.ended.get() {
             metrics::counter!("callers_left").increment(1);
+            ending::count(ending::Outcome::Left, self.phase(), self.size.class);
             self.log_caller_left();
         }
         let pending_tokens = self.pending_tokens.get();
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -17,6 +17,7 @@
 
 use crate::answer;
 use crate::crash;
+use crate::ending;
 use crate::events;
 use crate::forward;
 use crate::handle;
@@ -234,6 +235,7 @@
     /// Ends the stream at its endpoint, and logs a stream with a longer pause between events than its route allows.
     fn on_end(&self) {
         self.opened.slot.end();
+        self.count(ending::Outcome::Answered);
         let longest = self.pauses.longest;
         if longest > self.call.admitted.route.gap {
             self.log("stream_paused", &format!("pause of {longest} between two events"));
@@ -318,12 +320,19 @@
     fn on_broken(&self, reason: &str) -> io::Error {
         self.opened.slot.end();
         metrics::counter!("streams_broken").increment(1);
+        self.count(ending::Outcome::Broken);
         self.log("stream_broken", reason);
         io::Error::other(reason.to_owned())
     }
 
+    fn count(&self, outcome: ending::Outcome) {
+        let class = ending::Size::of(&self.call).class;
+        ending::count(outcome, ending::Phase::Streaming, class);
+    }
+
     fn log(&self, name: &'static str, reason: &str) {
-        event::Event::new(name)
+        ending::Size::of(&self.call)
+            .log(event::Event::new(name))
             .with("request", &self.call.head.request_id)
             .with("endpoint", &self.opened.endpoint)
             .with("admitted", self.call.admitted.version)
