Refuse large requests about as often as small ones

While more requests arrived than the engines bore, callers with large prompts were refused again and again (429 queue_full, reason late), and callers with small ones were served.

Cause: a request is refused as late if the time until it begins, its own prompt included, exceeds the route's target. Engines therefore fill up to the backlog at which a small prompt is just in time; a prompt that takes 100 to 200 ms longer never is, however often its caller comes back. The class of fault is admission by a threshold that contains the size of the request itself: under a steady overload it starves the largest.

Now a quarter of the difference between a request's prompt and the service's mean prompt counts. The threshold is then nearly the same for all sizes, and the backlog settles where large ones pass, too.

--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -59,6 +59,10 @@
 /// Factor applied to the expected time to get the time within which most responses start.
 const LATENCY_SPREAD: f64 = 1.4;
 
+/// Part of the difference between a request's prompt and the mean prompt that counts when it is decided whether the response
+/// would be late. If all of it counted, engines would fill up to where only small requests are on time.
+const COUNTED_DIFFERENCE: f64 = 0.25;
+
 /// Properties of a request that determine the choice of an endpoint.
 #[derive(Debug, Clone)]
 pub struct Request<'a> {
@@ -462,10 +466,15 @@
     }
 }
 
-/// Returns whether the response would probably be late at the best endpoint.
+/// Returns whether the response would probably be late at the best endpoint. The own prompt counts like one closer to the mean:
+/// large requests would otherwise be refused first.
 fn is_late(request: &Request<'_>, expected: f64) -> bool {
-    request.service.engine.is_some()
-        && request.time_left.is_some_and(|time_left| expected * LATENCY_SPREAD > time_left.0 as f64)
+    let (Some(engine), Some(time_left)) = (&request.service.engine, request.time_left) else {
+        return false;
+    };
+    let difference = f64::from(request.tokens) - f64::from(engine.mean_tokens.0);
+    let uncounted_ms = difference * (1.0 - COUNTED_DIFFERENCE) / engine.prefill_rate;
+    (expected - uncounted_ms) * LATENCY_SPREAD > time_left.0 as f64
 }
 
 /// Slots of the endpoints that may serve a request.
