Do not refuse a request as late because its body arrived slowly

A caller whose body took as long to arrive as the route's target got 429 queue_full (late) whenever more than half of the slots were taken, although an engine could have begun its request at once. It could not send the body faster the next time, so it was never served. Large bodies in chunks are those that take longest.

Cause: the choice of an endpoint compared the expected time with what was left of the target since the head of the request had arrived. The time that the caller takes for its body counted as if the endpoints were late.

Evidence: a process test with an engine that has 3 of 4 slots taken and a route target of 2 s. A body at once: 200. The same body in 50 pieces over 2.5 s, before this change: HTTP/1.1 429 Too Many Requests ... no endpoint was chosen: late, 1 candidates, 3 of 4 places taken, 56ms expected

Now what is left of the target counts from the arrival of the whole request. The caller's deadline and patience still count from its head.

--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -249,16 +249,16 @@
     version: Option<u64>,
 ) -> Result<Placement, error::Refusal> {
     let terms = renew_terms(node, call, tries)?;
-    let elapsed = node.now().since(call.arrived);
+    let now = node.now();
     let route = &call.admitted.route;
     // Refusing a request that may have partly run counts as a failure. A late response is better, if the caller still
     // waits for it.
-    let limit = match tries.runs {
-        0 => Some(route.target),
+    let time_left = match tries.runs {
+        // A body that arrived slowly would arrive as slowly again after a refusal.
+        0 => Some(route.target.since(now.since(call.received))),
         _ if tries.begun => None,
-        _ => Some(route.patience),
+        _ => Some(route.patience.since(now.since(call.arrived))),
     };
-    let time_left = limit.map(|limit| limit.since(elapsed));
     let regions = [call.admitted.regions(), terms.regions()].concat();
     let chosen = node.choose(&choice::Request {
         target: route.target,
--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -35,6 +35,8 @@
     pub(crate) body: Bytes,
     /// Time at which the headers arrived.
     pub(crate) arrived: time::Millis,
+    /// Time at which the whole request had arrived.
+    pub(crate) received: time::Millis,
     /// Properties that determine the terms of the request.
     pub(crate) lookup: terms::Lookup,
     /// Terms when the request had arrived. Its deadline and number of attempts stay as they were then.
@@ -131,6 +133,7 @@
         headers: request.head().headers().clone(),
         body,
         arrived,
+        received: node.now(),
         lookup,
         admitted,
         traits: cell::OnceCell::new(),
