Read bodies of the coding identity to the end of their connection

Callers got a complete 200 with an empty body when an endpoint answered with `Transfer-Encoding: identity` and no length, also when the connection was reset within the body.

Cause: the client took any transfer coding for a statement of the length, and awc ignores `identity`, so nothing was read and no end was missed.

Why it works: the coding says nothing about the length, so the body extends to the close of the connection, as without the header. A response now knows what shows its end, and one that must end with its connection is lost unless that end was read.

--- a/crates/chestnutpick_client/src/client/response.rs
+++ b/crates/chestnutpick_client/src/client/response.rs
@@ -14,6 +14,7 @@
 
 use crate::client;
 use crate::connection;
+use crate::head;
 use crate::usage;
 
 /// Bytes of chunk framing and trailers that a body may have in any case.
@@ -28,6 +29,17 @@
 /// Reason for giving up a body beyond these limits.
 const EXCESSIVE_FRAMING: &str = "the body consists mostly of chunk framing";
 
+/// What shows the end of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// The announced length, or a response that has no body.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+}
+
 /// A response whose body is read as it arrives.
 pub struct Response {
     /// Status code.
@@ -40,6 +52,7 @@
     /// Announced bytes (`content-length`) that have not arrived yet. awc reports a connection that closes early as the
     /// end of the body.
     remaining: Option<u64>,
+    framing: Framing,
     /// Filled by the connection while the body is polled.
     record: connection::Record,
     /// What the connection has read during this body.
@@ -69,6 +82,7 @@
             timeout,
             body,
             remaining: None,
+            framing: Framing::Length,
             record,
             progress: connection::Progress::default(),
             arrived: 0,
@@ -76,10 +90,20 @@
         if !is_head_request && status != 304 {
             response.remaining =
                 response.header("content-length").and_then(|length| length.parse().ok());
+            response.framing = response.stated_framing();
         }
         response
     }
 
+    fn stated_framing(&self) -> Framing {
+        match self.header("transfer-encoding") {
+            None => Framing::Length,
+            Some(coding) if !head::is_identity(coding.as_bytes()) => Framing::Chunks,
+            Some(_) if self.remaining.is_some() || self.status == 204 => Framing::Length,
+            Some(_) => Framing::Connection,
+        }
+    }
+
     /// Returns the response with another time-out for each piece of its body than that of the call.
     ///
     /// ```
@@ -169,13 +193,17 @@
         if self.has_excessive_framing() {
             return Err(self.lost(EXCESSIVE_FRAMING));
         }
-        match self.remaining {
-            Some(remaining) if remaining > 0 => {
-                Err(self.lost(format!("the body broke off {remaining} bytes before its end")))
-            }
-            _ if self.progress.eof && self.header("transfer-encoding").is_some() => {
+        if let Some(remaining) = self.remaining.filter(|remaining| *remaining > 0) {
+            return Err(self.lost(format!("the body broke off {remaining} bytes before its end")));
+        }
+        match self.framing {
+            Framing::Chunks if self.progress.eof => {
                 Err(self.lost("the body broke off before its last chunk"))
             }
+            // awc reads such a body as empty on a connection that is reused.
+            Framing::Connection if !self.progress.eof => {
+                Err(self.lost("the body ends with a connection that was not read to its end"))
+            }
             _ => Ok(()),
         }
     }
--- a/crates/chestnutpick_client/src/head.rs
+++ b/crates/chestnutpick_client/src/head.rs
@@ -109,11 +109,17 @@
     let parsed = parser().parse_response(&mut response, head);
     let Ok(httparse::Status::Complete(_)) = parsed else { return };
     let states_length = response.headers.iter().any(|header| {
+        let is_coding = header.name.eq_ignore_ascii_case("transfer-encoding");
         header.name.eq_ignore_ascii_case("content-length")
-            || header.name.eq_ignore_ascii_case("transfer-encoding")
+            || (is_coding && !is_identity(header.value))
     });
     let has_body = response.code.is_some_and(|code| code != 204 && code != 304);
     if !states_length && has_body && head.starts_with(HTTP_1_1) {
         head[HTTP_1_1.len() - 1] = b'0';
     }
 }
+
+/// Returns whether a transfer coding leaves the body as it is and therefore does not show its end.
+pub(crate) fn is_identity(coding: &[u8]) -> bool {
+    coding.trim_ascii().eq_ignore_ascii_case(b"identity")
+}
--- a/crates/chestnutpick_client/tests/client.rs
+++ b/crates/chestnutpick_client/tests/client.rs
@@ -251,3 +251,43 @@
         assert_eq!(kind(&error), "lost", "{error}");
     });
 }
+
+/// Guards against an empty body that passes for complete because the peer states the coding `identity`, which says
+/// nothing about the length.
+#[rstest]
+#[case::alone("transfer-encoding: identity\r\n")]
+#[case::upper_case("Transfer-Encoding: Identity\r\n")]
+fn body_of_identity_coding_ends_with_its_connection(#[case] header: &str) {
+    common::run(async move {
+        let sent = format!("HTTP/1.1 200 OK\r\n{header}\r\nthe whole body");
+        let peer = common::start(vec![Reply::SendAndClose(sent)]).await;
+        let mut response =
+            client_without_reuse().call(peer.address, get("/"), LONG_TIMEOUT).await.unwrap();
+        assert_eq!(response.read(BODY_LIMIT).await.unwrap(), "the whole body");
+    });
+}
+
+/// Guards against a body of the coding `identity` that passes for complete although its connection was reset.
+#[test]
+fn body_of_identity_coding_is_lost_on_reset() {
+    common::run(async move {
+        let sent = "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nthe wh";
+        let peer = common::start(vec![Reply::SendAndReset(sent.to_owned())]).await;
+        let mut response =
+            client_without_reuse().call(peer.address, get("/"), LONG_TIMEOUT).await.unwrap();
+        let error = response.read(BODY_LIMIT).await.unwrap_err();
+        assert_eq!(kind(&error), "lost", "{error}");
+    });
+}
+
+/// Guards against an empty body of the coding `identity` that passes for complete on a connection that is reused.
+#[test]
+fn body_of_identity_coding_is_lost_on_a_reused_connection() {
+    common::run(async move {
+        let sent = "HTTP/1.1 200 OK\r\nx-revision: 1\r\ntransfer-encoding: identity\r\n\r\n{}";
+        let peer = common::start(vec![Reply::SendAndClose(sent.to_owned())]).await;
+        let mut response = Client::new().call(peer.address, get("/"), LONG_TIMEOUT).await.unwrap();
+        let outcome = response.read(BODY_LIMIT).await;
+        assert!(!matches!(&outcome, Ok(body) if body.is_empty()), "{outcome:?}");
+    });
+}
