Limit each piece of a watch's body to the time-out of the call

An entry or agent whose watch of the configuration had a stalled body waited for each of its pieces as long as for the head of a watch, its wait included, up to the limit on the whole body.

Cause: the response of a watch kept the time-out of its head for its body.

Why it works: the wait of a watch ends with its head, so the body gets the time-out that every other response has.

--- a/crates/chestnutpick_client/src/store.rs
+++ b/crates/chestnutpick_client/src/store.rs
@@ -136,8 +136,11 @@
         let Self { client, address, timeout } = self.clone();
         let path = format!("/v1/watch/{key}?after={after}&wait-ms={}", wait.0);
         let request = client::Request::new("GET", path);
-        async move { parse_value(client.call(address, request, wait + timeout).await?, timeout).await }
-            .boxed_local()
+        async move {
+            let response = client.call(address, request, wait + timeout).await?;
+            parse_value(response.with_body_timeout(timeout), timeout).await
+        }
+        .boxed_local()
     }
 }
 
--- a/crates/chestnutpick_client/tests/endless_clients.rs
+++ b/crates/chestnutpick_client/tests/endless_clients.rs
@@ -197,6 +197,19 @@
     });
 }
 
+/// Guards against giving each piece of a watch's body the time that the watch may wait for its head.
+#[test]
+fn stalled_body_of_a_watch_is_given_up() {
+    let start = "HTTP/1.1 200 OK\r\ncontent-length: 10000\r\nx-revision: 1\r\n\r\n";
+    run(async move {
+        let peer = endless::start(Answer::drip(start, "[", PAUSE)).await;
+        let store = HttpStore::new(Client::new(), peer.address, TIMEOUT);
+        let watching = store.watch("config".into(), 0, LONG_TIMEOUT);
+        let outcome = tokio::time::timeout(TIMEOUT.to_duration() * 5, watching).await;
+        assert!(matches!(outcome, Ok(Err(store::Error::Unknown { .. }))), "{outcome:?}");
+    });
+}
+
 /// Guards against reading a chunk of weights that never ends beyond its size.
 #[rstest]
 #[case::chunked(Answer::flood(CHUNKED, CHUNK))]
