Open a connection for each call to the store

Callers could get a purchase executed twice: a late second copy of the store's response to one write was taken for the response to the next write on the same connection, so a claim that the store had refused counted as written. An agent could take a fencing epoch in the same way.

Cause: the store's responses do not name their calls, and the entry and agent knew them by their place on a connection that was reused. The pool discards a connection only if the copy arrives before the next request.

Why it works: a connection that carries one request has nothing else to take for its response.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -53,6 +53,18 @@
         Self { pool, usage: usage::Usage::default(), options }
     }
 
+    /// Returns a client with the same settings that opens a connection for each call, so that no response to an earlier
+    /// call can be taken for the response to a later one.
+    ///
+    /// ```
+    /// let client = chestnutpick_client::client::Client::new();
+    /// let _single = client.without_reuse();
+    /// ```
+    #[must_use]
+    pub fn without_reuse(&self) -> Self {
+        Self::with_options(Options { reuse: false, ..self.options })
+    }
+
     /// Returns the current pool, after replacing it if it has reached the age limit. Calls in progress keep the old
     /// pool until they end.
     fn pool(&self) -> (awc::Client, connection::Record) {
--- a/crates/chestnutpick_client/src/store.rs
+++ b/crates/chestnutpick_client/src/store.rs
@@ -95,6 +95,8 @@
     /// takes up to `timeout` longer than its own `wait`, and for each piece of the body. The whole body may take ten
     /// times as long.
     ///
+    /// Each call has a connection of its own, since the responses do not name their calls.
+    ///
     /// ```
     /// use chestnutpick_client::{client, store};
     /// use chestnutpick_types::time;
@@ -102,7 +104,7 @@
     /// let _store = store::HttpStore::new(client::Client::new(), address, time::Millis(500));
     /// ```
     pub fn new(client: client::Client, address: net::SocketAddr, timeout: Millis) -> Self {
-        Self { client, address, timeout }
+        Self { client: client.without_reuse(), address, timeout }
     }
 }
 
--- a/crates/chestnutpick_client/tests/common/mod.rs
+++ b/crates/chestnutpick_client/tests/common/mod.rs
@@ -68,6 +68,37 @@
     peer
 }
 
+/// Starts a peer that answers the first request with `first`, and any other with `other`. On the connection of the
+/// first request it sends a copy of `first` before the response to the next.
+pub async fn start_with_copies(first: &str, other: &str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (first, other) = (first.to_owned(), other.to_owned());
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let (copy, answer) = (first.clone(), other.clone());
+        actix_rt::spawn(async move {
+            for reply in [first, format!("{copy}{answer}")] {
+                if read_request(&mut stream).await.is_none() {
+                    return;
+                }
+                stream.write_all(reply.as_bytes()).await.unwrap();
+            }
+            let _ = read_request(&mut stream).await;
+        });
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let other = other.clone();
+            actix_rt::spawn(async move {
+                while read_request(&mut stream).await.is_some() {
+                    stream.write_all(other.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
 async fn serve_connection(
     mut stream: TcpStream,
     replies: Rc<RefCell<VecDeque<Reply>>>,
