Open a connection for each attempt at an agent

A caller's call could be reported as not run, and be sent to another agent, although it may have run: a late second copy of an agent's refusal was taken for the refusal of the next attempt on the same connection.

Cause: the entry compares the id of the attempt in responses, but refusals bear none, and the connections to agents were reused.

Evidence: copy_of_a_refusal_does_not_refuse_the_next_call failed on the commit before with left: NotRun, right: Unknown, and passes now.

Why it works: a connection that carries one request has nothing else to take for its response. An id in refusals would not cover those that the HTTP server sends before it knows the attempt.

--- a/crates/chestnutpick_entry/src/node.rs
+++ b/crates/chestnutpick_entry/src/node.rs
@@ -136,7 +136,7 @@
             sequence: cell::Cell::new(0),
             leaving: cell::Cell::new(false),
             in_flight: cell::Cell::new(0),
-            client,
+            client: client.without_reuse(),
             settings,
         }
     }
