Give no order on a confirmation that was read late

An engine that ignores fencing numbers could get orders from two agents: one that was suspended while it confirmed its epoch read the store's response when it woke up and ordered on it, although its successor had taken the next epoch.

Cause: a response that arrives during a suspension waits in its socket, and tokio looks for a result before the time-out of the call. Nothing looked at the time that had passed since the request.

Evidence: old_confirmation_permits_no_order blocks the thread for 3 s between the store's response and its reading.

Why it works: the confirmation expires 2 s after its request by the clock that counts suspensions, and is compared with the clock after the response was read.

--- a/crates/chestnutpick_agent/src/fence.rs
+++ b/crates/chestnutpick_agent/src/fence.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use chestnutpick_client::store::{self, Store};
 use chestnutpick_telemetry::event;
+use chestnutpick_types::time as types_time;
 use tokio_util::sync;
 
 use crate::node;
@@ -14,6 +15,9 @@
 /// Delay before another try to obtain the epoch.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
+/// Time for which a confirmation of the epoch permits an order, from the moment at which it was requested.
+const CONFIRMATION_TTL: types_time::Millis = types_time::Millis::from_secs(2);
+
 /// Obtains the epoch, retrying until `stop` is cancelled. Orders to the engine wait for the epoch; serving does not.
 pub async fn acquire(node: rc::Rc<node::Node>, stop: sync::CancellationToken) {
     let key: std_sync::Arc<str> = format!("fence/{}", node.settings.host).into();
@@ -37,15 +41,22 @@
 ///
 /// An engine that checks fencing numbers refuses outdated ones itself. For any other engine the epoch is first read
 /// back from the store, so that an agent that was suspended and replaced gives no order when it resumes. If the store
-/// is unavailable, no order is given.
+/// is unavailable, or its response was read too late, no order is given.
 pub async fn may_order(node: &node::Node) -> bool {
     let Some(own) = node.epoch.get() else { return false };
     if node.settings.endpoint.fencing {
         return true;
     }
     let key = format!("fence/{}", node.settings.host).into();
+    let expiry = types_time::Expiry::after(CONFIRMATION_TTL);
     match node.store.get(key).await {
-        Ok(Some(value)) if parse(&value.bytes) == own => true,
+        Ok(Some(value)) if parse(&value.bytes) == own => {
+            let in_time = !expiry.has_passed();
+            if !in_time {
+                event::Event::new("fence_confirmation_expired").with("own", own).warn();
+            }
+            in_time
+        }
         Ok(found) => {
             let epoch = found.map_or(0, |value| parse(&value.bytes));
             event::Event::new("fence_lost").with("own", own).with("found", epoch).error();
