Send no end of an empty body after its request has expired

An order without a body could reach its peer after the check on which it rests had expired, because the process was suspended while it opened the connection.

Cause: the expiry of a request was looked at for each piece of its body, and an empty body has none.

Evidence: expired_request_without_body_does_not_reach_the_peer failed on the commit before: the peer got the whole head with content-length: 0 (left: true, right: false). It passes now.

Why it works: an empty body with an expiry is sent in chunks, and the last chunk, without which the request is incomplete, only before the expiry.

--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -115,10 +115,10 @@
                 request::parse_header(header).map_err(|reason| not_sent(address, reason))?;
             call.headers_mut().append(name, value);
         }
-        let sending = if request.body.is_empty() {
-            call.send()
-        } else {
-            call.send_body(request::sized_body(request.body, request.expiry))
+        let sending = match (request.expiry, request.body.is_empty()) {
+            (None, true) => call.send(),
+            (Some(expiry), true) => call.send_body(request::empty_body(expiry)),
+            (expiry, false) => call.send_body(request::sized_body(request.body, expiry)),
         };
         match tokio::time::timeout(timeout.to_duration(), sending).await {
             Ok(Ok(response)) => {
--- a/crates/chestnutpick_client/src/client/request.rs
+++ b/crates/chestnutpick_client/src/client/request.rs
@@ -1,5 +1,6 @@
 //! Requests.
 
+use std::iter;
 use std::sync;
 
 use actix_http::body;
@@ -22,7 +23,8 @@
     pub headers: Vec<Header>,
     /// Pieces of the body, sent one after the other without being concatenated.
     pub body: Vec<Bytes>,
-    /// Time after which no piece of the body is sent. The peer then receives no complete request.
+    /// Time after which no piece of the body, or the end of an empty one, is sent. The peer then receives no complete
+    /// request.
     pub expiry: Option<time::Expiry>,
 }
 
@@ -63,6 +65,13 @@
 #[snafu(display("the request expired before its body was sent"))]
 pub(super) struct Expired;
 
+/// Returns an empty body whose end is a chunk of its own, sent up to `expiry`.
+pub(super) fn empty_body(expiry: time::Expiry) -> impl body::MessageBody + 'static {
+    // The iterator is advanced when the connection is open.
+    let end = iter::once_with(move || expiry.has_passed().then_some(Err::<Bytes, _>(Expired)));
+    body::BodyStream::new(futures::stream::iter(end.flatten()))
+}
+
 /// Returns a body of known length that is sent piece by piece, up to `expiry`.
 pub(super) fn sized_body(
     pieces: Vec<Bytes>,
--- a/crates/chestnutpick_client/tests/client.rs
+++ b/crates/chestnutpick_client/tests/client.rs
@@ -9,6 +9,8 @@
 use chestnutpick_types::time::{Expiry, Millis};
 use common::Reply;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
 
 /// Time-out for steps that are expected to succeed.
 const LONG_TIMEOUT: Millis = Millis::from_secs(10);
@@ -78,6 +80,34 @@
     });
 }
 
+/// Guards against an order without a body that reaches the peer after its check has expired.
+#[rstest]
+#[case::valid(LONG_TIMEOUT, true)]
+#[case::expired(Millis::ZERO, false)]
+fn expired_request_without_body_does_not_reach_the_peer(
+    #[case] validity: Millis,
+    #[case] arrives: bool,
+) {
+    common::run(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut request = Request::new("POST", "/order");
+        request.expiry = Some(Expiry::after(validity));
+        let client = Client::new();
+        let calling = client.call(listener.local_addr().unwrap(), request, SHORT_TIMEOUT);
+        let receiving = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut text = String::new();
+            let _ = stream.read_to_string(&mut text).await;
+            text
+        };
+        let (_, text) = futures::join!(calling, receiving);
+        let is_whole = text.split_once("\r\n\r\n").is_some_and(|(head, body)| {
+            !head.contains("transfer-encoding: chunked") || body == "0\r\n\r\n"
+        });
+        assert_eq!(is_whole, arrives, "{text:?}");
+    });
+}
+
 /// Guards against the same faults on a pooled connection that the peer closes on the second request.
 #[test]
 fn response_lost_on_pooled_connection() {
