Count suspensions of the entry in the age of a claim

A purchase could run twice when its entry was suspended and its agent restarted meanwhile: the entry told the agent an age of the claim from before the suspension, so the agent took itself for older than the claim and ran the call, or said of it "not run".

Cause: the age was worked out before the connection to the agent was opened.

Evidence: age_of_a_claim_counts_suspensions, with the code only moved into ask_verdict, failed with an age of 0ms after a suspension of 3 s. It passes now. Its third case, a suspension during the call, passed before as well.

Why it works: the age is 1 s ahead of the clock and expires after that second, by the clock that counts suspensions. A claimed call is not sent after the expiry, and a verdict "not run" that came after it does not count. Entries wait 1 s longer for a young agent, so that the allowance for clocks stays.

--- a/crates/chestnutpick_entry/src/claims.rs
+++ b/crates/chestnutpick_entry/src/claims.rs
@@ -17,6 +17,9 @@
 use crate::node;
 use crate::settings;
 
+/// Time for which the age of a claim may be passed on to an agent after it was worked out.
+pub const AGE_TTL: time::Millis = time::Millis::from_secs(1);
+
 type Decisions = collections::BTreeMap<event::Token, mpsc::UnboundedSender<event::Decision>>;
 
 /// Claims made by this entry.
@@ -213,12 +216,53 @@
     host: id::HostId,
     claimed_at: time::Millis,
 ) {
-    let age = time::unix_now().since(claimed_at);
-    let response = match link::open(&node, &host).await {
-        Ok(connection) => connection.settle(&attempt, age).await,
+    let verdict = ask_verdict(&node, &attempt, &host, claimed_at).await;
+    let actions = node.claims.coordinator.borrow_mut().on_settled(node.now(), &attempt, verdict);
+    apply(&node, actions);
+}
+
+/// Age of a claim at an agent that receives it in time.
+pub struct Age {
+    /// Upper bound of the age until `expiry`.
+    pub bound: time::Millis,
+    /// Time after which the claim may be older than the bound.
+    pub expiry: time::Expiry,
+}
+
+impl Age {
+    /// Returns the age of a claim made at `claimed_at` by the wall clock.
+    ///
+    /// ```
+    /// use chestnutpick_entry::claims;
+    /// use chestnutpick_types::time;
+    /// let age = claims::Age::since(time::unix_now());
+    /// assert!(age.bound >= claims::AGE_TTL && !age.expiry.has_passed());
+    /// ```
+    pub fn since(claimed_at: time::Millis) -> Self {
+        let expiry = time::Expiry::after(AGE_TTL);
+        Self { bound: time::unix_now().since(claimed_at) + AGE_TTL, expiry }
+    }
+}
+
+/// Asks the agent on `host` for the outcome of an attempt that was claimed at `claimed_at`.
+pub async fn ask_verdict(
+    node: &node::Node,
+    attempt: &id::AttemptId,
+    host: &id::HostId,
+    claimed_at: time::Millis,
+) -> event::Verdict {
+    let connection = link::open(node, host).await;
+    let age = Age::since(claimed_at);
+    let response = match connection {
+        Ok(connection) => connection.settle(attempt, age.bound).await,
         Err(reason) => Err(reason),
     };
-    let verdict = match response {
+    match response {
+        // The agent may have received the age too late to know whether it is older than the claim.
+        Ok(message::Verdict::NotRun) if age.expiry.has_passed() => {
+            log::Event::new("settle_expired").with("attempt", attempt).warn();
+            event::Verdict::Unreachable
+        }
         Ok(message::Verdict::NotRun) => event::Verdict::NotRun,
         Ok(message::Verdict::Running) => event::Verdict::Running,
         Ok(message::Verdict::Unknown) => event::Verdict::Unknown,
@@ -230,13 +274,8 @@
             })
         }
         Err(reason) => {
-            log::Event::new("settle_failed")
-                .with("attempt", &attempt)
-                .with("reason", reason)
-                .warn();
+            log::Event::new("settle_failed").with("attempt", attempt).with("reason", reason).warn();
             event::Verdict::Unreachable
         }
-    };
-    let actions = node.claims.coordinator.borrow_mut().on_settled(node.now(), &attempt, verdict);
-    apply(&node, actions);
+    }
 }
--- a/crates/chestnutpick_entry/src/services.rs
+++ b/crates/chestnutpick_entry/src/services.rs
@@ -12,6 +12,7 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, error, id, size, time};
 
+use crate::claims;
 use crate::completions;
 use crate::dispatch;
 use crate::node;
@@ -19,8 +20,9 @@
 /// Memory units per call, the same as at agents.
 const CALL_COST: size::Tokens = size::Tokens(1);
 
-/// Minimum age of an agent process at which it can settle new claims: twice the maximum clock skew that claims permit.
-const MIN_AGENT_AGE: time::Millis = time::Millis::from_secs(4);
+/// Minimum age of an agent process at which it can settle new claims: twice the maximum clock skew that claims permit, and
+/// [`claims::AGE_TTL`].
+const MIN_AGENT_AGE: time::Millis = time::Millis::from_secs(5);
 
 /// Maximum number of attempts per call.
 const MAX_ATTEMPTS: usize = 4;
@@ -254,8 +256,9 @@
         request.headers.push(("content-type".into(), content_type.as_str().into()));
     }
     if let Some(claimed_at) = claim_time {
-        let age = time::unix_now().since(claimed_at);
-        request.headers.push(("x-claim-age-ms".into(), age.0.to_string().into()));
+        let age = claims::Age::since(claimed_at);
+        request.headers.push(("x-claim-age-ms".into(), age.bound.0.to_string().into()));
+        request.expiry = Some(age.expiry);
     }
     if let Some(key) = &call.key {
         request.headers.push(("x-idempotency-key".into(), key.as_str().into()));
