--- a/crates/chestnutpick_client/src/client.rs
+++ b/crates/chestnutpick_client/src/client.rs
@@ -53,6 +53,18 @@
         Self { pool, usage: usage::Usage::default(), options }
     }
 
+    /// Returns a client with the same settings that opens a connection for each call, so that no response to an earlier
+    /// call can be taken for the response to a later one.
+    ///
+    /// ```
+    /// let client = chestnutpick_client::client::Client::new();
+    /// let _single = client.without_reuse();
+    /// ```
+    #[must_use]
+    pub fn without_reuse(&self) -> Self {
+        Self::with_options(Options { reuse: false, ..self.options })
+    }
+
     /// Returns the current pool, after replacing it if it has reached the age limit. Calls in progress keep the old
     /// pool until they end.
     fn pool(&self) -> (awc::Client, connection::Record) {
@@ -103,10 +115,10 @@
                 request::parse_header(header).map_err(|reason| not_sent(address, reason))?;
             call.headers_mut().append(name, value);
         }
-        let sending = if request.body.is_empty() {
-            call.send()
-        } else {
-            call.send_body(request::sized_body(request.body, request.expiry))
+        let sending = match (request.expiry, request.body.is_empty()) {
+            (None, true) => call.send(),
+            (Some(expiry), true) => call.send_body(request::empty_body(expiry)),
+            (expiry, false) => call.send_body(request::sized_body(request.body, expiry)),
         };
         match tokio::time::timeout(timeout.to_duration(), sending).await {
             Ok(Ok(response)) => {
--- a/crates/chestnutpick_client/tests/client.rs
+++ b/crates/chestnutpick_client/tests/client.rs
@@ -9,6 +9,8 @@
 use chestnutpick_types::time::{Expiry, Millis};
 use common::Reply;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
 
 /// Time-out for steps that are expected to succeed.
 const LONG_TIMEOUT: Millis = Millis::from_secs(10);
@@ -78,6 +80,34 @@
     });
 }
 
+/// Guards against an order without a body that reaches the peer after its check has expired.
+#[rstest]
+#[case::valid(LONG_TIMEOUT, true)]
+#[case::expired(Millis::ZERO, false)]
+fn expired_request_without_body_does_not_reach_the_peer(
+    #[case] validity: Millis,
+    #[case] arrives: bool,
+) {
+    common::run(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut request = Request::new("POST", "/order");
+        request.expiry = Some(Expiry::after(validity));
+        let client = Client::new();
+        let calling = client.call(listener.local_addr().unwrap(), request, SHORT_TIMEOUT);
+        let receiving = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut text = String::new();
+            let _ = stream.read_to_string(&mut text).await;
+            text
+        };
+        let (_, text) = futures::join!(calling, receiving);
+        let is_whole = text.split_once("\r\n\r\n").is_some_and(|(head, body)| {
+            !head.contains("transfer-encoding: chunked") || body == "0\r\n\r\n"
+        });
+        assert_eq!(is_whole, arrives, "{text:?}");
+    });
+}
+
 /// Guards against the same faults on a pooled connection that the peer closes on the second request.
 #[test]
 fn response_lost_on_pooled_connection() {
@@ -251,3 +281,43 @@
         assert_eq!(kind(&error), "lost", "{error}");
     });
 }
+
+/// Guards against an empty body that passes for complete because the peer states the coding `identity`, which says
+/// nothing about the length.
+#[rstest]
+#[case::alone("transfer-encoding: identity\r\n")]
+#[case::upper_case("Transfer-Encoding: Identity\r\n")]
+fn body_of_identity_coding_ends_with_its_connection(#[case] header: &str) {
+    common::run(async move {
+        let sent = format!("HTTP/1.1 200 OK\r\n{header}\r\nthe whole body");
+        let peer = common::start(vec![Reply::SendAndClose(sent)]).await;
+        let mut response =
+            client_without_reuse().call(peer.address, get("/"), LONG_TIMEOUT).await.unwrap();
+        assert_eq!(response.read(BODY_LIMIT).await.unwrap(), "the whole body");
+    });
+}
+
+/// Guards against a body of the coding `identity` that passes for complete although its connection was reset.
+#[test]
+fn body_of_identity_coding_is_lost_on_reset() {
+    common::run(async move {
+        let sent = "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nthe wh";
+        let peer = common::start(vec![Reply::SendAndReset(sent.to_owned())]).await;
+        let mut response =
+            client_without_reuse().call(peer.address, get("/"), LONG_TIMEOUT).await.unwrap();
+        let error = response.read(BODY_LIMIT).await.unwrap_err();
+        assert_eq!(kind(&error), "lost", "{error}");
+    });
+}
+
+/// Guards against an empty body of the coding `identity` that passes for complete on a connection that is reused.
+#[test]
+fn body_of_identity_coding_is_lost_on_a_reused_connection() {
+    common::run(async move {
+        let sent = "HTTP/1.1 200 OK\r\nx-revision: 1\r\ntransfer-encoding: identity\r\n\r\n{}";
+        let peer = common::start(vec![Reply::SendAndClose(sent.to_owned())]).await;
+        let mut response = Client::new().call(peer.address, get("/"), LONG_TIMEOUT).await.unwrap();
+        let outcome = response.read(BODY_LIMIT).await;
+        assert!(!matches!(&outcome, Ok(body) if body.is_empty()), "{outcome:?}");
+    });
+}
