Count the age of a version from the last time without it

What callers saw: work ran on an outdated version.

Cause: each process took the time at which it learned of a version for the time of its declaration, and the earliest such time of all processes is shared. When the store is silent for a second, all of them learn late. Class: the time at which an observer notices an event taken for the time of the event.

Why the fix works: the store did not hold the version at the last time at which the router's view is known to have matched it, so the declaration is later than that. A router stops using the older versions, and cancels what waits, by the age since that time. It is limited by drain_ms, so that a router that was suspended does not require a version at once, and reports to others still name the time of learning. Engines stop aborting streams earlier by the interval between two reads of the store, since routers may require the version earlier by that.

request_must_begin_before_the_engine_is_outdated now confirms the view at the time of each declaration; what it demands of the limit is unchanged. Routers that have no evidence of their own (restarted after the declaration) count drain_ms more.

Logs: request_answered names both ages (declared_age_ms, declared_max_age_ms) and the time that was left to begin (begin_in_ms), version_declared the time since the store was known not to hold the version (absent).

--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -76,11 +76,10 @@
 }
 
 /// Percentage of the version bound after which requests go only to endpoints with the declared version. The
-/// rest covers the usual wait in an endpoint's queue and the delay until a process learns of the declaration.
+/// rest covers the usual wait in an endpoint's queue, and the pause of a sound endpoint that reads the request when it goes on.
 const VERSION_CUTOFF_PERCENT: u64 = 84;
 
-/// Part of the version bound that is reserved for the delay until the first process learns of a declaration, and for the
-/// transit time of a cancelled request's end.
+/// Part of the version bound that is reserved for the transit time of a cancelled request's end.
 const VERSION_MARGIN: time::Millis = time::Millis(250);
 
 /// Part of the configuration bound that is reserved for the transit time of a request to its endpoint.
@@ -148,6 +147,12 @@
     pub fn version_limit(&self) -> time::Millis {
         self.version.since(VERSION_MARGIN).max(self.version_cutoff())
     }
+
+    /// Returns the maximum time by which all processes may learn of a declared version late. Whoever cannot read the store
+    /// for longer does not learn of draining endpoints in time either.
+    pub fn version_delay(&self) -> time::Millis {
+        self.drain
+    }
 }
 
 /// Applies reloaded bounds. If the reload failed, the current bounds stay in force.
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -160,8 +160,9 @@
         version: u64,
         learned_at: Option<time::Millis>,
     ) -> bool {
+        let evidence = declared::Evidence::learned(learned_at);
         let newest =
-            self.declared.borrow_mut().entry(model).or_default().declare(version, learned_at);
+            self.declared.borrow_mut().entry(model).or_default().declare(version, evidence);
         if newest {
             self.version_declared.notify_waiters();
         }
@@ -224,7 +225,10 @@
         let resumable = services.all(|service| config.is_repeatable(&service.name));
         let learned_at =
             self.learned_at(version).filter(|_| resumable && self.loaded().is_some())?;
-        Some(schedule::resume_deadline(learned_at, self.bounds.get().version_cutoff()))
+        let bounds = self.bounds.get();
+        // Routers count the age of a version from their last read of the store before they learned of it.
+        let cutoff = bounds.version_cutoff().since(bounds.store_interval());
+        Some(schedule::resume_deadline(learned_at, cutoff))
     }
 
     /// Records the time at which another process learned of a version. Returns whether it is earlier than known before.
@@ -241,7 +245,7 @@
 
     /// Adds a version that another process reports. Returns whether it was unknown or younger before.
     pub(crate) fn on_reported(&self, model: &id::ModelId, version: u64, at: time::Millis) -> bool {
-        self.declared.borrow_mut().entry(model.clone()).or_default().on_reported(version, at)
+        self.declared.borrow_mut().entry(model.clone()).or_default().on_reported(version, at, None)
     }
 
     /// Returns the time at which a version was learned of, if known.
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -294,7 +294,8 @@
     context: &Context<'_>,
     request: &Request<'_>,
 ) -> Option<u64> {
-    declarations(view, request)?.required(now, context.bounds.version_cutoff())
+    let bounds = &context.bounds;
+    declarations(view, request)?.required(now, bounds.version_cutoff(), bounds.version_delay())
 }
 
 fn begin_by(
@@ -305,7 +306,12 @@
     endpoint_view: &view::EndpointView,
 ) -> Option<time::Millis> {
     let version = endpoint_view.weights(now)?;
-    declarations(view, request)?.outdated_at(version, context.bounds.version_limit())
+    let bounds = &context.bounds;
+    declarations(view, request)?.outdated_at(
+        version,
+        bounds.version_limit(),
+        bounds.version_delay(),
+    )
 }
 
 fn is_permitted(
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -103,12 +103,16 @@
             .with("load_age_ms", or_none(chosen.load_age.map(|age| age.0)));
         if let Some(weights) = chosen.weights {
             let (declared, age) = node.view.borrow().newest_declared(now);
+            let max_delay = node.bounds.get().version_delay();
+            let max_age = node.view.borrow().max_declared_age(now, max_delay);
             event = event
                 .with("weights", weights)
                 .with("served_by", or_none(tries.weights))
                 .with("required", or_none(chosen.required))
                 .with("declared", declared)
-                .with("declared_age_ms", or_none(age.map(|age| age.0)));
+                .with("declared_age_ms", or_none(age.map(|age| age.0)))
+                .with("declared_max_age_ms", or_none(max_age.map(|age| age.0)))
+                .with("begin_in_ms", or_none(chosen.begin_by.map(|at| at.since(now).0)));
         }
     }
     event.info();
--- a/crates/chestnutpick_router/src/read.rs
+++ b/crates/chestnutpick_router/src/read.rs
@@ -7,6 +7,7 @@
 use chestnutpick_types::time;
 
 use crate::node;
+use crate::outcome;
 use crate::relay;
 
 /// A response of the store, as received from the store or from another router.
@@ -79,6 +80,7 @@
                 .with("version", version)
                 .with("source", self.source())
                 .with("age", node.now().since(self.response.confirmed_at))
+                .with("absent", outcome::or_none(view.confirmed_at.map(|at| node.now().since(at))))
                 .info(),
             directory::Change::Unreadable { key, reason, .. } => {
                 event::Event::new("item_unreadable").with("key", key).with("reason", reason).warn();
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -107,8 +107,9 @@
 
     fn on_declared(&mut self, now: time::Millis, model: id::ModelId, version: u64) {
         // The age of a version declared before this router started is known only to other processes.
-        let learned_at = self.confirmed_at.is_some().then_some(now);
-        self.declared.entry(model).or_default().declare(version, learned_at);
+        let absent_at = self.confirmed_at;
+        let evidence = declared::Evidence { absent_at, learned_at: absent_at.map(|_| now) };
+        self.declared.entry(model).or_default().declare(version, evidence);
     }
 
     /// Returns whether an announcement is older than another one of the same run that is known. That of another run is
@@ -271,6 +272,23 @@
         self.declared.values().filter_map(newest).max().unwrap_or((0, None))
     }
 
+    /// Returns the maximum age of the newest declared version of any model, if its age is known. All processes may have
+    /// learned of it late, by up to `max_delay`.
+    pub fn max_declared_age(
+        &self,
+        now: time::Millis,
+        max_delay: time::Millis,
+    ) -> Option<time::Millis> {
+        let newest = |declared: &declared::Declarations| {
+            let version = declared.newest()?;
+            Some((
+                version,
+                declared.earliest(version, max_delay).map(|earliest| now.since(earliest)),
+            ))
+        };
+        self.declared.values().filter_map(newest).max().and_then(|(_, age)| age)
+    }
+
     /// Returns the addresses of the engines' hosts in a zone, in ascending order.
     pub fn engine_hosts_in(&self, zone: &id::ZoneId) -> collections::BTreeSet<std::net::IpAddr> {
         let near = self.engines().filter(|endpoint_view| endpoint_view.endpoint.zone == *zone);
--- a/crates/chestnutpick_router/src/view/report.rs
+++ b/crates/chestnutpick_router/src/view/report.rs
@@ -93,7 +93,7 @@
         // A version of unknown age would be required immediately, so it is not declared here. A loader that has just
         // started does not know the age, and the store reports the version as well.
         if let Some(age) = load.age {
-            declared.on_reported(load.declared, load::learned_at(now, age));
+            declared.on_reported(load.declared, load::learned_at(now, age), self.confirmed_at);
         }
         if load.required > 0 {
             declared.on_required(load.required);
@@ -112,7 +112,8 @@
         let declared = self.declared.entry(model).or_default();
         let mut is_news = false;
         for version in versions {
-            is_news |= declared.on_reported(version.version, version.learned_at(now));
+            is_news |=
+                declared.on_reported(version.version, version.learned_at(now), self.confirmed_at);
         }
         is_news
     }
--- a/crates/chestnutpick_router/tests/choice.rs
+++ b/crates/chestnutpick_router/tests/choice.rs
@@ -187,7 +187,9 @@
     #[case] declared_at: Option<u64>,
 ) {
     let mut view = common::view(1);
+    view.on_confirmed(Millis(1_000));
     view.apply(Millis(1_000), common::declared(2));
+    view.on_confirmed(Millis(4_000));
     view.apply(Millis(4_000), common::declared(3));
     set_load(&mut view, 1, load::Load { version, ..common::load(0) });
     let chosen = common::choose(&view, Millis(1_150), TARGET, 1).unwrap();
@@ -195,6 +197,53 @@
     assert_eq!(chosen.begin_by, declared_at.map(|declared_at| Millis(declared_at) + limit));
 }
 
+/// How a router learns of version 2.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    Store,
+    Loader,
+}
+
+/// Guards against counting a version's age from the time at which the first process learned of it: the version may have been
+/// declared at any time since the store was known not to hold it, at most the bound for draining earlier.
+#[rstest]
+#[case::late(1_000, 2_300, 1_000)]
+#[case::suspended_router(1_000, 9_000, 7_000)]
+fn version_is_as_old_as_the_store_permits(
+    #[case] confirmed_at: u64,
+    #[case] learned_at: u64,
+    #[case] earliest: u64,
+    #[values(Source::Store, Source::Loader)] source: Source,
+) {
+    let mut view = common::view(1);
+    view.on_confirmed(Millis(confirmed_at));
+    let learned_at = Millis(learned_at);
+    let load = match source {
+        Source::Store => {
+            view.apply(learned_at, common::declared(2));
+            common::load(0)
+        }
+        Source::Loader => load::Load { declared: 2, age: Some(0), ..common::load(0) },
+    };
+    view.on_load_report(learned_at, "10.0.0.1".parse().unwrap(), &load);
+    let chosen = common::choose(&view, learned_at, TARGET, 1).unwrap();
+    assert_eq!(chosen.begin_by, Some(Millis(earliest) + common::bounds().version_limit()));
+    let cutoff = Millis(earliest) + common::VERSION_CUTOFF;
+    view.on_load_report(cutoff, "10.0.0.1".parse().unwrap(), &common::load(0));
+    let refused = common::choose(&view, cutoff, TARGET, 1).unwrap_err();
+    assert_eq!(refused.required, Some(2));
+}
+
+/// Guards against a router that reports more than it knows: one that was suspended would make all others require a version
+/// early.
+#[test]
+fn router_reports_the_time_at_which_it_learned_of_a_version() {
+    let mut view = common::view(1);
+    view.on_confirmed(Millis(1_000));
+    view.apply(Millis(9_000), common::declared(2));
+    assert_eq!(view.newest_declared(Millis(9_500)), (2, Some(Millis(500))));
+}
+
 /// Guards against requests that leave their region although its engines can serve them: with five regions, four of five
 /// random candidates are in another one.
 #[rstest]
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -122,7 +122,9 @@
 
 pub fn required(view: &view::View, now: Millis) -> Option<u64> {
     let model: id::ModelId = "m".parse().unwrap();
-    view.declared.get(&model).and_then(|declared| declared.required(now, VERSION_CUTOFF))
+    view.declared
+        .get(&model)
+        .and_then(|declared| declared.required(now, VERSION_CUTOFF, Millis::ZERO))
 }
 
 pub fn regions() -> BTreeMap<id::ZoneId, id::RegionId> {
