End a router when its responses are written, not when they are made

Cause: the router counted a request as in flight until its response was returned by the handler. The process ended when that count was 0, 3.5 s after SIGTERM, and cut everything that its connections had not written: long responses, tails of streams, refusals. The server knew its open connections, but the router gave it a drain deadline of zero and did not wait for it.

Fix: the server records the activity of each connection in its socket and in the bodies of requests and responses. A connection is in use from the first byte of a request until the response has been flushed to the socket. When the server drains, the socket reports the end of the requests only if the connection is idle and the kernel holds no bytes of it (a peek, because the runtime may not know of them yet), so that idle connections close at once and no request that has begun to arrive is dropped. The router ends with its server, or at the grace period less a margin, and logs how many requests it cuts in which phase.

--- /dev/null
+++ b/crates/chestnutpick_http/src/activity.rs
@@ -0,0 +1,169 @@
+//! What the connections of a server are doing, so that a server that drains ends none that is in use.
+
+use std::cell;
+use std::collections;
+use std::rc;
+
+/// Phase of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// No request has begun to arrive.
+    Idle,
+    /// A request is arriving.
+    Reading,
+    /// A request has arrived whole, and its response has not begun.
+    Running,
+    /// A response is being written.
+    Writing,
+    /// The response to a request is written, and the rest of its body arrives and is discarded.
+    Discarding,
+}
+
+/// Number of open connections by phase.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Connections without a request in progress.
+    pub idle: usize,
+    /// Connections on which a request is arriving.
+    pub reading: usize,
+    /// Connections on which a request runs.
+    pub running: usize,
+    /// Connections on which a response is being written.
+    pub writing: usize,
+}
+
+impl Counts {
+    /// Returns the number of connections that are in use.
+    ///
+    /// ```
+    /// use chestnutpick_http::activity;
+    /// let counts = activity::Counts { idle: 4, reading: 1, running: 2, writing: 0 };
+    /// assert_eq!(counts.busy(), 3);
+    /// ```
+    pub fn busy(&self) -> usize {
+        self.reading + self.running + self.writing
+    }
+
+    fn add(&mut self, phase: Phase) {
+        let count = match phase {
+            Phase::Idle | Phase::Discarding => &mut self.idle,
+            Phase::Reading => &mut self.reading,
+            Phase::Running => &mut self.running,
+            Phase::Writing => &mut self.writing,
+        };
+        *count += 1;
+    }
+}
+
+/// Activity of one connection, shared by its socket, the bodies of its requests and those of its responses.
+#[derive(Debug)]
+pub(crate) struct Activity {
+    phase: cell::Cell<Phase>,
+    /// Whether the current request has been read to its end.
+    is_read: cell::Cell<bool>,
+    /// Whether the body of the current response has ended.
+    is_made: cell::Cell<bool>,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self {
+            phase: cell::Cell::new(Phase::Idle),
+            is_read: cell::Cell::new(true),
+            is_made: cell::Cell::new(false),
+        }
+    }
+
+    /// Returns the current phase.
+    pub(crate) fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Records that bytes have been received.
+    pub(crate) fn on_received(&self) {
+        if self.phase.get() == Phase::Idle {
+            self.phase.set(Phase::Reading);
+        }
+    }
+
+    /// Records that the head of a request has been read.
+    pub(crate) fn on_request(&self, has_body: bool) {
+        self.is_read.set(!has_body);
+        self.is_made.set(false);
+        self.phase.set(if has_body { Phase::Reading } else { Phase::Running });
+    }
+
+    /// Records that the body of the request has been read to its end.
+    pub(crate) fn on_body_read(&self) {
+        self.is_read.set(true);
+        if self.phase.get() == Phase::Reading {
+            self.phase.set(Phase::Running);
+        }
+    }
+
+    /// Records that the response has begun.
+    pub(crate) fn on_response(&self) {
+        self.phase.set(Phase::Writing);
+    }
+
+    /// Records that the body of the response has ended.
+    pub(crate) fn on_response_made(&self) {
+        self.is_made.set(true);
+    }
+
+    /// Records that everything has been written to the socket. Returns whether a response has ended with it.
+    pub(crate) fn on_flushed(&self) -> bool {
+        if self.phase.get() != Phase::Writing || !self.is_made.get() {
+            return false;
+        }
+        self.phase.set(if self.is_read.get() { Phase::Idle } else { Phase::Discarding });
+        true
+    }
+}
+
+/// Activities of the open connections of a server.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    next: cell::Cell<u64>,
+    open: cell::RefCell<collections::HashMap<u64, rc::Rc<Activity>>>,
+}
+
+impl Connections {
+    /// Registers a connection until the returned guard is dropped.
+    pub(crate) fn register(connections: &rc::Rc<Self>) -> Registration {
+        let number = connections.next.get();
+        connections.next.set(number + 1);
+        let activity = rc::Rc::new(Activity::new());
+        connections.open.borrow_mut().insert(number, rc::Rc::clone(&activity));
+        Registration { connections: rc::Rc::clone(connections), number, activity }
+    }
+
+    /// Returns whether no connection is open.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.open.borrow().is_empty()
+    }
+
+    /// Counts the open connections.
+    pub(crate) fn counts(&self) -> Counts {
+        let mut counts = Counts::default();
+        for activity in self.open.borrow().values() {
+            counts.add(activity.phase());
+        }
+        counts
+    }
+}
+
+/// Guard that registers a connection as open.
+#[derive(Debug)]
+pub(crate) struct Registration {
+    connections: rc::Rc<Connections>,
+    number: u64,
+    /// Activity of the connection.
+    pub(crate) activity: rc::Rc<Activity>,
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.connections.open.borrow_mut().remove(&self.number);
+    }
+}
--- /dev/null
+++ b/crates/chestnutpick_http/src/connection.rs
@@ -0,0 +1,184 @@
+//! Socket and bodies of a connection that record its activity.
+
+use std::io;
+use std::pin;
+use std::rc;
+use std::task;
+
+use actix_http as http;
+use actix_http::{body, error};
+use actix_rt::net;
+use bytes::Bytes;
+use futures::Stream;
+use rustix::net as socket;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio_util::sync;
+
+use crate::activity;
+use crate::respond;
+
+/// Socket of a connection. Once the server drains, it reports the end of the caller's requests while the connection is
+/// idle and no bytes have arrived, so that the connection closes after the last response.
+pub(crate) struct Socket {
+    stream: net::TcpStream,
+    activity: rc::Rc<activity::Activity>,
+    draining: pin::Pin<Box<sync::WaitForCancellationFutureOwned>>,
+    is_draining: bool,
+    /// Waker of the connection's task.
+    reader: Option<task::Waker>,
+}
+
+impl Socket {
+    /// Returns the socket of a connection that ends when it is idle after `draining` has been cancelled.
+    pub(crate) fn new(
+        stream: net::TcpStream,
+        activity: rc::Rc<activity::Activity>,
+        draining: sync::CancellationToken,
+    ) -> Self {
+        let draining = Box::pin(draining.cancelled_owned());
+        Self { stream, activity, draining, is_draining: false, reader: None }
+    }
+
+    /// Returns whether no further request is read.
+    fn is_ended(&mut self, cx: &mut task::Context<'_>) -> bool {
+        // A completed future must not be polled again.
+        self.is_draining = self.is_draining || self.draining.as_mut().poll(cx).is_ready();
+        let is_idle = self.is_draining && self.activity.phase() == activity::Phase::Idle;
+        is_idle && !self.has_unread_bytes()
+    }
+
+    /// Returns whether bytes have arrived that the runtime may not know of yet.
+    fn has_unread_bytes(&self) -> bool {
+        let peeked = socket::recv(&self.stream, &mut [0; 1], socket::RecvFlags::PEEK);
+        peeked.is_ok_and(|(received, _)| received > 0)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let polled = pin::Pin::new(&mut this.stream).poll_read(cx, buffer);
+        match &polled {
+            task::Poll::Ready(Ok(())) if buffer.filled().len() > before => {
+                this.activity.on_received();
+            }
+            task::Poll::Ready(_) => {}
+            // A read of zero bytes is the end of the requests.
+            task::Poll::Pending if this.is_ended(cx) => return task::Poll::Ready(Ok(())),
+            task::Poll::Pending => this.reader = Some(cx.waker().clone()),
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let polled = pin::Pin::new(&mut this.stream).poll_flush(cx);
+        if polled.is_ready()
+            && this.activity.on_flushed()
+            && let Some(reader) = this.reader.take()
+        {
+            // The connection may have become idle, and `poll_read` reports its end only then.
+            reader.wake();
+        }
+        polled
+    }
+
+    fn poll_shutdown(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+/// Records the arrival of a request, and returns it with a body that records its end.
+pub(crate) fn track_request(
+    request: http::Request,
+    activity: &rc::Rc<activity::Activity>,
+) -> http::Request {
+    let mut request = request;
+    let payload = request.take_payload();
+    if matches!(payload, http::Payload::None) {
+        activity.on_request(false);
+        return request;
+    }
+    activity.on_request(true);
+    let body: http::BoxedPayloadStream =
+        Box::pin(RequestBody { payload, activity: rc::Rc::clone(activity) });
+    request.replace_payload(http::Payload::Stream { payload: body }).0
+}
+
+/// Records the beginning of a response, and returns it with a body that records its end.
+pub(crate) fn track_response(
+    response: respond::Response,
+    activity: &rc::Rc<activity::Activity>,
+) -> respond::Response {
+    activity.on_response();
+    let activity = rc::Rc::clone(activity);
+    response.map_body(|_, body| body::BoxBody::new(ResponseBody { body, activity }))
+}
+
+struct RequestBody {
+    payload: http::Payload,
+    activity: rc::Rc<activity::Activity>,
+}
+
+impl Stream for RequestBody {
+    type Item = Result<Bytes, error::PayloadError>;
+
+    fn poll_next(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        let polled = pin::Pin::new(&mut this.payload).poll_next(cx);
+        if matches!(polled, task::Poll::Ready(None)) {
+            this.activity.on_body_read();
+        }
+        polled
+    }
+}
+
+struct ResponseBody {
+    body: body::BoxBody,
+    activity: rc::Rc<activity::Activity>,
+}
+
+impl body::MessageBody for ResponseBody {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> body::BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<Bytes, Self::Error>>> {
+        pin::Pin::new(&mut self.get_mut().body).poll_next(cx)
+    }
+}
+
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        self.activity.on_response_made();
+    }
+}
--- a/crates/chestnutpick_http/src/lib.rs
+++ b/crates/chestnutpick_http/src/lib.rs
@@ -3,7 +3,9 @@
 //! `actix-server` is not used: its worker threads would require locks on all state, and its shutdown cuts streams
 //! instead of waiting for them.
 
+pub mod activity;
 pub mod body;
+mod connection;
 pub mod request;
 pub mod respond;
 pub mod server;
--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -1,16 +1,18 @@
 //! Accept loop with graceful shutdown.
 
-use std::cell;
 use std::convert;
 use std::io;
+use std::pin;
 use std::rc;
 use std::time;
 
 use actix_http as http;
 use actix_rt::net;
-use actix_service::{IntoService, Service, ServiceFactory, fn_service};
+use actix_service::{Service, ServiceFactory, fn_service};
 use tokio_util::sync;
 
+use crate::activity;
+use crate::connection;
 use crate::respond;
 
 /// Idle time after which the server closes a kept-alive connection. `chestnutpick_client` keeps idle connections for
@@ -41,10 +43,11 @@
     /// Token whose cancellation makes every response carry `connection: close`. The server still accepts new
     /// connections.
     pub close_responses: sync::CancellationToken,
-    /// Token whose cancellation makes the server stop accepting connections and wait until the open ones have ended.
+    /// Token whose cancellation makes the server stop accepting connections, close idle ones and wait until the others
+    /// have ended.
     pub stop_accepting: sync::CancellationToken,
-    /// Time allowed for open connections to end after `stop_accepting` is cancelled.
-    pub drain_deadline: time::Duration,
+    /// Token whose cancellation ends the wait for open connections.
+    pub cut: sync::CancellationToken,
 }
 
 /// Result of draining a server.
@@ -52,14 +55,14 @@
 pub enum Drained {
     /// All connections ended before the drain deadline.
     Clean,
-    /// The drain deadline passed while this number of connections was still open.
-    Cut(usize),
+    /// The drain deadline passed while these connections were still open.
+    Cut(activity::Counts),
 }
 
 /// Serves connections until `stop` is cancelled, then lets open requests finish within `drain_deadline`.
 ///
 /// While draining, the server accepts no connections, its responses carry `connection: close`, and idle connections
-/// are closed after [`KEEP_ALIVE`].
+/// are closed.
 pub async fn serve<H, F>(
     listener: net::TcpListener,
     stop: sync::CancellationToken,
@@ -70,36 +73,50 @@
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
 {
+    let cut = sync::CancellationToken::new();
     let options = Options {
         keep_alive: KEEP_ALIVE,
         head_timeout: HEAD_TIMEOUT,
         close_responses: stop.clone(),
-        stop_accepting: stop,
-        drain_deadline,
+        stop_accepting: stop.clone(),
+        cut: cut.clone(),
     };
-    serve_with(listener, options, handler).await
+    let serving = serve_with(listener, options, handler);
+    let expiry = async {
+        stop.cancelled().await;
+        actix_rt::time::sleep(drain_deadline).await;
+        cut.cancel();
+    };
+    let mut serving = pin::pin!(serving);
+    tokio::select! {
+        drained = &mut serving => drained,
+        () = expiry => serving.await,
+    }
 }
 
-/// Serves connections until `options.stop_accepting` is cancelled, then lets open requests finish within
-/// `options.drain_deadline`.
+/// Serves connections until `options.stop_accepting` is cancelled, then lets open requests finish until `options.cut` is
+/// cancelled.
+///
+/// An idle connection is closed; one on which a request arrives, runs or is answered stays open until its response is
+/// written.
 pub async fn serve_with<H, F>(listener: net::TcpListener, options: Options, handler: H) -> Drained
 where
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
 {
-    let open = rc::Rc::new(cell::Cell::new(0_usize));
+    let connections = rc::Rc::default();
     loop {
         let accepted = tokio::select! {
             () = options.stop_accepting.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((connection, _)) => spawn_connection(connection, &options, &open, handler.clone()),
+            Ok((stream, _)) => spawn_connection(stream, &options, &connections, handler.clone()),
             Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
     drop(listener);
-    drain(&open, options.drain_deadline).await
+    drain(&connections, &options.cut).await
 }
 
 /// Binds a TCP listener to `address`.
@@ -111,54 +128,48 @@
     net::TcpListener::bind(address).await
 }
 
-struct ConnectionGuard(rc::Rc<cell::Cell<usize>>);
-
-impl ConnectionGuard {
-    fn new(open: &rc::Rc<cell::Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(rc::Rc::clone(open))
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 fn spawn_connection<H, F>(
-    connection: net::TcpStream,
+    stream: net::TcpStream,
     options: &Options,
-    open: &rc::Rc<cell::Cell<usize>>,
+    connections: &rc::Rc<activity::Connections>,
     handler: H,
 ) where
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
 {
-    let guard = ConnectionGuard::new(open);
+    let registration = activity::Connections::register(connections);
     let options = options.clone();
     actix_rt::spawn(async move {
-        let _guard = guard;
-        serve_connection(connection, options, handler).await;
+        serve_connection(stream, &registration.activity, options, handler).await;
     });
 }
 
-async fn serve_connection<H, F>(connection: net::TcpStream, options: Options, handler: H)
-where
+async fn serve_connection<H, F>(
+    stream: net::TcpStream,
+    activity: &rc::Rc<activity::Activity>,
+    options: Options,
+    handler: H,
+) where
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
 {
-    // If this fails, the operating system's default stays in effect, which only costs memory.
-    let _ = rustix::net::sockopt::set_socket_send_buffer_size(&connection, SEND_BUFFER);
+    // If one of these fails, the operating system's default stays in effect, which costs only memory or delay.
+    let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER);
+    let _ = stream.set_nodelay(true);
+    let peer = stream.peer_addr().ok();
+    let socket =
+        connection::Socket::new(stream, rc::Rc::clone(activity), options.stop_accepting.clone());
+    let activity = rc::Rc::clone(activity);
     let service = fn_service(move |request: http::Request| {
-        let response = handler(request);
+        let response = handler(connection::track_request(request, &activity));
         let close_responses = options.close_responses.clone();
+        let activity = rc::Rc::clone(&activity);
         async move {
             let mut response = response.await;
             if close_responses.is_cancelled() {
                 response.head_mut().set_connection_type(http::ConnectionType::Close);
             }
-            Ok::<_, convert::Infallible>(response)
+            Ok::<_, convert::Infallible>(connection::track_response(response, &activity))
         }
     });
     let factory = http::HttpService::build()
@@ -166,24 +177,21 @@
         .client_request_timeout(options.head_timeout)
         // A caller that closes its sending side is treated as gone, so that its request does not stay in a queue.
         .h1_allow_half_closed(false)
-        .tcp_nodelay(true)
         .h1_write_buffer_size(WRITE_BUFFER)
-        .finish(service)
-        .tcp();
+        .finish(service);
     if let Ok(service) = factory.new_service(()).await {
         // The error is ignored: it affects only this connection, and the peer notices it as well.
-        let _ = service.into_service().call(connection).await;
+        let _ = service.call((socket, http::Protocol::Http1, peer)).await;
     }
 }
 
-async fn drain(open: &rc::Rc<cell::Cell<usize>>, deadline: time::Duration) -> Drained {
+async fn drain(connections: &activity::Connections, cut: &sync::CancellationToken) -> Drained {
     const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
-    let start = time::Instant::now();
-    while open.get() > 0 {
-        if start.elapsed() >= deadline {
-            return Drained::Cut(open.get());
+    while !connections.is_empty() {
+        tokio::select! {
+            () = cut.cancelled() => return Drained::Cut(connections.counts()),
+            () = actix_rt::time::sleep(POLL_INTERVAL) => {}
         }
-        actix_rt::time::sleep(POLL_INTERVAL).await;
     }
     Drained::Clean
 }
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -7,7 +7,7 @@
 
 use actix_http as http;
 use chestnutpick_fleet::{codec, directory, host};
-use chestnutpick_http::{respond, server};
+use chestnutpick_http::{activity, respond, server};
 use chestnutpick_process::{page, signal};
 use chestnutpick_telemetry::{event, metric};
 use chestnutpick_types::time as instant;
@@ -48,9 +48,6 @@
 /// Part of the grace period that is reserved for the end of the process itself.
 const SHUTDOWN_MARGIN: instant::Millis = instant::Millis(400);
 
-/// Interval at which a draining process checks for requests in flight.
-const DRAIN_POLL: time::Duration = time::Duration::from_millis(50);
-
 /// Addresses on which the router listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -110,39 +107,60 @@
     let relay_handler = move |request| relay::serve(rc::Rc::clone(&relaying), request);
     actix_rt::spawn(server::serve_with(relay, options(&stop, &stop), relay_handler));
     let accepting = sync::CancellationToken::new();
-    let serving = server::serve_with(front, options(&closing, &accepting), request_handler(&node));
-    actix_rt::spawn(serving);
+    let front_options = options(&closing, &accepting);
+    let cut = front_options.cut.clone();
+    let serving = server::serve_with(front, front_options, request_handler(&node));
+    let serving = actix_rt::spawn(serving);
     signal.cancelled().await;
     node.leave();
     closing.cancel();
     event::Event::new("leaving").with("in_flight", node.in_flight()).info();
-    drain(&node, &accepting).await;
+    actix_rt::spawn(drain(rc::Rc::clone(&node), accepting, cut));
+    let drained = serving.await.map_err(io::Error::other)?;
     stop.cancel();
-    event::Event::new("stopped").with("in_flight", node.in_flight()).info();
+    log_stopped(drained);
     Ok(())
 }
 
+fn log_stopped(drained: server::Drained) {
+    let (reason, counts) = match drained {
+        server::Drained::Clean => ("ended", activity::Counts::default()),
+        server::Drained::Cut(counts) => ("deadline", counts),
+    };
+    event::Event::new("stopped")
+        .with("reason", reason)
+        .with("cut", counts.busy())
+        .with("reading", counts.reading)
+        .with("running", counts.running)
+        .with("writing", counts.writing)
+        .with("idle", counts.idle)
+        .info();
+}
+
 fn options(closing: &sync::CancellationToken, stop: &sync::CancellationToken) -> server::Options {
     server::Options {
         keep_alive: KEEP_ALIVE,
         head_timeout: HEAD_TIMEOUT,
         close_responses: closing.clone(),
         stop_accepting: stop.clone(),
-        drain_deadline: time::Duration::ZERO,
+        cut: sync::CancellationToken::new(),
     }
 }
 
-/// Accepts connections until the load balancer sends none, then waits for the requests in flight.
-async fn drain<C>(node: &node::Node<C>, accepting: &sync::CancellationToken) {
+/// Accepts connections until the load balancer sends none. Cuts the rest of the requests when the grace period ends.
+async fn drain<C>(
+    node: rc::Rc<node::Node<C>>,
+    accepting: sync::CancellationToken,
+    cut: sync::CancellationToken,
+) {
     let start = node.now();
     let deadline = start + node.bounds.get().grace.since(SHUTDOWN_MARGIN);
     actix_rt::time::sleep(ACCEPT_TIME.to_duration()).await;
     node.close();
     actix_rt::time::sleep(REFUSE_TIME.to_duration()).await;
     accepting.cancel();
-    while node.in_flight() > 0 && node.now() < deadline {
-        actix_rt::time::sleep(DRAIN_POLL).await;
-    }
+    actix_rt::time::sleep(deadline.since(node.now()).to_duration()).await;
+    cut.cancel();
 }
 
 type ResponseFuture = future::LocalBoxFuture<'static, respond::Response>;
