Refuse requests that are not read whole when the grace period ends

Callers saw: a request whose body was still arriving at the end of a stop ended with its connection, "closed without any status".

Cause: the end of the drain cut these requests without a word, though no endpoint had got them and a refusal as not run would have been true.

Evidence: request_whose_body_arrives_during_the_stop_is_answered, never_ends, on the code before: "0 bytes, "" to "" Ok(0)", left: None, right: Some(503).

Fix: 0.4 s before the router ends, a token refuses the requests whose bodies are still being read, with status 503 and a time to come back; the rest of the drain is for writing the refusals.

--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -111,7 +111,13 @@
         arrived,
     };
     let mut admitted = terms::Terms::new(node, &lookup)?;
-    let body = request::read_body(request, size::Bytes(config.limits.body_bytes)).await?;
+    let limit = size::Bytes(config.limits.body_bytes);
+    let body = tokio::select! {
+        body = request::read_body(request, limit) => body?,
+        () = node.refuse_unread.cancelled() => {
+            return refuse(error::ErrorKind::ShuttingDown, "the process ends before the body does");
+        }
+    };
     if !admitted.is_newest(node) {
         admitted = terms::Terms::new(node, &lookup)?;
     }
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio_util::sync as token;
 
 use crate::choice;
 use crate::forward;
@@ -64,6 +65,8 @@
     pub(crate) client: client::Client,
     /// Service bounds that the users set; can change at run time.
     pub(crate) bounds: cell::Cell<host::Bounds>,
+    /// Token whose cancellation refuses requests that have not been read whole.
+    pub(crate) refuse_unread: token::CancellationToken,
     leaving: cell::Cell<bool>,
     closed: cell::Cell<bool>,
     in_flight: cell::Cell<usize>,
@@ -101,6 +104,7 @@
             relay_client: client::Client::new(),
             announcement_awaited: Notify::new(),
             client: client::Client::with_options(options),
+            refuse_unread: token::CancellationToken::new(),
             leaving: cell::Cell::new(false),
             closed: cell::Cell::new(false),
             in_flight: cell::Cell::new(0),
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -48,6 +48,10 @@
 /// Part of the grace period that is reserved for the end of the process itself.
 const SHUTDOWN_MARGIN: instant::Millis = instant::Millis(400);
 
+/// Time before the end of the drain at which requests that are still being received are refused, long enough for their
+/// callers to receive the refusals.
+const LAST_REFUSAL_TIME: instant::Millis = instant::Millis(400);
+
 /// Addresses on which the router listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -159,6 +163,9 @@
     node.close();
     actix_rt::time::sleep(REFUSE_TIME.to_duration()).await;
     accepting.cancel();
+    let last_refusals = deadline.since(LAST_REFUSAL_TIME + node.now());
+    actix_rt::time::sleep(last_refusals.to_duration()).await;
+    node.refuse_unread.cancel();
     actix_rt::time::sleep(deadline.since(node.now()).to_duration()).await;
     cut.cancel();
 }
