End the wait for an engine to begin by the newest age of a version

Cause: the time-out for a response was computed once, when the request was sent. A version that the router learned of while the request waited, or an earlier time of its declaration, did not shorten the wait. The head of a response ended the limit as well, although it is no evidence that the engine has begun. Class: a limit that is computed once from what may change.

The connection to the engine is closed at once. A stream of which the caller has the head is not continued on another version, as before, so it may end without an answer in that case.

--- a/crates/chestnutpick_client/src/client/response.rs
+++ b/crates/chestnutpick_client/src/client/response.rs
@@ -6,6 +6,7 @@
 use std::task;
 use std::time;
 
+use actix_http::HttpMessage;
 use awc::error;
 use bytes::{Bytes, BytesMut};
 use chestnutpick_types::size;
@@ -237,6 +238,33 @@
         self.next(self.timeout.min(time_left)).await
     }
 
+    /// Closes the connection. The rest of the body does not arrive.
+    ///
+    /// ```
+    /// use std::io::{Read, Write};
+    ///
+    /// use chestnutpick_client::client;
+    /// use chestnutpick_types::time;
+    ///
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let address = listener.local_addr().unwrap();
+    /// let server = std::thread::spawn(move || {
+    ///     let (mut connection, _) = listener.accept().unwrap();
+    ///     connection.read(&mut [0; 1024]).unwrap();
+    ///     connection.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n").unwrap();
+    ///     connection.read(&mut [0; 1024]).unwrap_or(0)
+    /// });
+    /// actix_rt::System::new().block_on(async {
+    ///     let (request, timeout) = (client::Request::new("GET", "/"), time::Millis(5_000));
+    ///     let mut response = client::Client::new().call(address, request, timeout).await.unwrap();
+    ///     response.close();
+    ///     assert_eq!(server.join().unwrap(), 0);
+    /// });
+    /// ```
+    pub fn close(&mut self) {
+        drop(self.body.take_payload());
+    }
+
     /// Counts `len` bytes of this response that the caller keeps until it is complete, in place of any earlier number.
     ///
     /// # Errors
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -99,7 +99,7 @@
     /// Oldest version on which the request may start.
     pub required: Option<u64>,
     /// Time by which the request must begin at the endpoint, before the endpoint's version is outdated. `None` if no newer
-    /// version is known.
+    /// version was known at the time of the choice.
     pub begin_by: Option<time::Millis>,
 }
 
@@ -216,17 +216,19 @@
         return Err(none(Reason::Late, Some(best.expected)));
     }
     let endpoint_view = best.endpoint_view;
+    let weights = endpoint_view.weights(now);
+    let begin_by = |version| begin_by(view, &context.bounds, request.service, version);
     Ok(Chosen {
         endpoint: endpoint_view.endpoint.clone(),
         // The endpoint may restart with an older version, or load a newer one, before the request arrives. Because of
         // the pin, it then refuses the request.
-        version: request.version.or_else(|| required.and(endpoint_view.weights(now))),
+        version: request.version.or_else(|| required.and(weights)),
         expected: time::Millis(best.expected as u64),
         occupied: occupied(now, view, endpoint_view),
         load_age: endpoint_view.load_received_at.map(|at| now.since(at)),
-        weights: endpoint_view.weights(now),
+        weights,
         required,
-        begin_by: begin_by(now, view, context, request, endpoint_view),
+        begin_by: weights.and_then(begin_by),
     })
 }
 
@@ -278,12 +280,12 @@
     f64::from(rng.next_u32()) / f64::from(u32::MAX)
 }
 
-/// Returns the declared versions of the model that serves the request.
+/// Returns the declared versions of the model of a service.
 fn declarations<'a>(
     view: &'a view::View,
-    request: &Request<'_>,
+    service: &config::Service,
 ) -> Option<&'a declared::Declarations> {
-    let engine = request.service.engine.as_ref()?;
+    let engine = service.engine.as_ref()?;
     engine.models.iter().find_map(|model| view.declared.get(model))
 }
 
@@ -295,23 +297,23 @@
     request: &Request<'_>,
 ) -> Option<u64> {
     let bounds = &context.bounds;
-    declarations(view, request)?.required(now, bounds.version_cutoff(), bounds.version_delay())
+    declarations(view, request.service)?.required(
+        now,
+        bounds.version_cutoff(),
+        bounds.version_delay(),
+    )
 }
 
-fn begin_by(
-    now: time::Millis,
+/// Returns the time by which a request must begin at an endpoint of `service` that holds `version`, before that is outdated.
+/// Returns `None` if no newer version is known.
+pub(crate) fn begin_by(
     view: &view::View,
-    context: &Context<'_>,
-    request: &Request<'_>,
-    endpoint_view: &view::EndpointView,
+    bounds: &host::Bounds,
+    service: &config::Service,
+    version: u64,
 ) -> Option<time::Millis> {
-    let version = endpoint_view.weights(now)?;
-    let bounds = &context.bounds;
-    declarations(view, request)?.outdated_at(
-        version,
-        bounds.version_limit(),
-        bounds.version_delay(),
-    )
+    let declared = declarations(view, service)?;
+    declared.outdated_at(version, bounds.version_limit(), bounds.version_delay())
 }
 
 fn is_permitted(
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::rc;
+use std::sync;
 
 use chestnutpick_client::client;
 use chestnutpick_fleet::{codec, config, endpoint};
@@ -16,6 +17,7 @@
 use crate::liveness;
 use crate::node;
 use crate::outcome;
+use crate::outdated;
 use crate::silence;
 use crate::slot;
 use crate::stream;
@@ -58,6 +60,8 @@
     pub(crate) head: codec::ResponseHead,
     /// Endpoint that sent the response.
     pub(crate) endpoint: id::EndpointId,
+    /// Weights on which the request begins.
+    pub(crate) weights: outdated::Weights,
     /// Guard that counts the request at the endpoint.
     pub(crate) slot: slot::Slot<C>,
 }
@@ -288,9 +292,14 @@
     tries.config = placement.terms.version;
     let slot = slot::Slot::new(node, &endpoint.id, &call.head.request_id, call.tokens());
     let request = request(node, call, placement, time_left, last_event);
-    let timeout = begin_timeout(node, placement, time_left);
+    let mut weights = outdated::Weights {
+        service: sync::Arc::clone(&placement.terms.service),
+        version: placement.chosen.weights,
+    };
     let outcome = tokio::select! {
-        outcome = node.client.call(endpoint.address, request, timeout) => outcome,
+        outcome = node.client.call(endpoint.address, request, time_left) => outcome,
+        // A request that may be repeated is sent elsewhere; another one ends as lost, because it may have run.
+        reason = outdated::wait(node, &weights) => Err(silent(endpoint.address, reason)),
         reason = silence::wait(node, call, tries, &slot, placement.version) => {
             Err(silent(endpoint.address, reason))
         }
@@ -304,8 +313,9 @@
                 Ok(()) => {
                     slot.on_response_started(response.status);
                     tries.weights = head.version;
+                    weights.version = weights.version.max(head.version);
                     let endpoint = endpoint.id.clone();
-                    return Ok(Opened { response, head, endpoint, slot });
+                    return Ok(Opened { response, head, endpoint, weights, slot });
                 }
                 Err(failed) => failed,
             }
@@ -317,20 +327,7 @@
     Err(failed)
 }
 
-/// Returns the time within which a request must begin at its endpoint. Engines respond when they begin. A request that may
-/// be repeated is sent elsewhere after this time; another one ends as lost, because it may have run.
-fn begin_timeout<C>(
-    node: &node::Node<C>,
-    placement: &Placement,
-    time_left: time::Millis,
-) -> time::Millis {
-    match placement.chosen.begin_by {
-        Some(begin_by) => time_left.min(begin_by.since(node.now())),
-        None => time_left,
-    }
-}
-
-/// Returns the outcome of a call that is given up because its endpoint shows no sign of life.
+/// Returns the outcome of a call that is given up because its endpoint does not begin, or shows no sign of life.
 fn silent(address: net::SocketAddr, reason: String) -> client::CallError {
     client::CallError::Timeout { address, reason: reason.into() }
 }
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -31,6 +31,7 @@
 mod loads;
 mod node;
 mod outcome;
+mod outdated;
 mod read;
 mod relay;
 mod resumption;
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -139,6 +139,12 @@
         choice::choose(now, &view, &context, request, &mut *self.rng.borrow_mut())
     }
 
+    /// Returns the time by which a request must begin at an endpoint of `service` that holds `version`, if a newer version is
+    /// known.
+    pub(crate) fn begin_by(&self, service: &config::Service, version: u64) -> Option<time::Millis> {
+        choice::begin_by(&self.view.borrow(), &self.bounds.get(), service, version)
+    }
+
     /// Counts the first try of a request to a service.
     pub(crate) fn on_first_try(&self, service: &id::ServiceId) {
         let now = self.now();
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -22,6 +22,7 @@
 use crate::handle;
 use crate::node;
 use crate::outcome;
+use crate::outdated;
 use crate::resumption;
 use crate::silence;
 
@@ -51,6 +52,7 @@
         call,
         tries,
         opened,
+        answered: false,
         framer: events::Framer::default(),
         padding: 0,
         ready: collections::VecDeque::new(),
@@ -79,6 +81,8 @@
     call: handle::Call,
     tries: forward::Tries,
     opened: forward::Opened<C>,
+    /// Whether the endpoint has sent an event. The head of its response is no evidence that it has begun.
+    answered: bool,
     framer: events::Framer,
     /// Length of the comments, blank lines and repeated events since the last event.
     padding: usize,
@@ -161,6 +165,10 @@
                     silence::Departure::GiveUp(reason) => Interruption::GivenUp(reason),
                 });
             }
+            reason = outdated::wait(node, &self.opened.weights), if !self.answered => {
+                self.opened.response.close();
+                return Err(Interruption::Lost(reason));
+            }
         };
         self.on_piece(piece)
     }
@@ -212,7 +220,9 @@
     fn queue_events(&mut self, new_events: Vec<events::Event>) {
         for event in new_events {
             let is_repeated = event.id.is_some() && event.id <= self.last_event_id;
-            if is_repeated || event.id.is_none() && !event.has_data {
+            let is_padding = event.id.is_none() && !event.has_data;
+            self.answered |= !is_padding;
+            if is_repeated || is_padding {
                 self.padding += event.bytes.len();
             } else {
                 self.padding = 0;
@@ -263,7 +273,10 @@
     ) -> Result<bool, Interruption> {
         self.on_endpoint_failed();
         let sends = self.tries.sends;
-        let waiting_time = self.tries.wait_limit(&self.call).since(self.node.now());
+        let begin_by = self.opened.weights.begin_by(&self.node).filter(|_| !self.answered);
+        let wait_limit = self.tries.wait_limit(&self.call);
+        let wait_limit = begin_by.map_or(wait_limit, |begin_by| begin_by.min(wait_limit));
+        let waiting_time = wait_limit.since(self.node.now());
         let (response, resumption) = self.split();
         let opening = resumption.open(reason);
         match resumption::race(response.next(time_left), opening, waiting_time).await {
@@ -312,6 +325,7 @@
         self.log("stream_resumed", reason);
         self.framer = events::Framer::default();
         self.padding = 0;
+        self.answered = false;
         self.opened = opened;
     }
 
