Cancel waiting requests before a silent engine could begin them too late

Cause: a request that waited at an engine with an older version was cancelled 0.25 s before the bound. A sound engine may fall silent for a second, and begin what it has read before it notices the cancellation. Class: another process's silence taken for its end.

Why the fix works: the limit leaves one second for the pause besides the transit. It is 6.75 s at a bound of 8 s, just above the age at which older versions get no new requests (6.72 s), so an engine does not get a request that it is not expected to begin by then. The 1.28 s from there to the bound cover a pause of "a second or so", not one of two seconds.

--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -82,6 +82,9 @@
 /// Part of the version bound that is reserved for the transit time of a cancelled request's end.
 const VERSION_MARGIN: time::Millis = time::Millis(250);
 
+/// Time for which a sound endpoint may fall silent. When it goes on, it may begin a request that was cancelled meanwhile.
+const ENDPOINT_PAUSE: time::Millis = time::Millis(1_000);
+
 /// Part of the configuration bound that is reserved for the transit time of a request to its endpoint.
 const CONFIG_MARGIN: time::Millis = time::Millis(100);
 
@@ -145,7 +148,7 @@
     /// assert!(bounds.version_cutoff() < bounds.version_limit());
     /// ```
     pub fn version_limit(&self) -> time::Millis {
-        self.version.since(VERSION_MARGIN).max(self.version_cutoff())
+        self.version.since(VERSION_MARGIN + ENDPOINT_PAUSE).max(self.version_cutoff())
     }
 
     /// Returns the maximum time by which all processes may learn of a declared version late. Whoever cannot read the store
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -178,6 +178,9 @@
     let mut reason = Reason::NoEndpoint;
     let mut candidates = Vec::new();
     let mut capacity = Capacity::default();
+    let begin_by = |endpoint_view: &view::EndpointView| {
+        begin_by(view, &context.bounds, request.service, endpoint_view.weights(now)?)
+    };
     for endpoint_view in view.endpoints.values() {
         if !is_permitted(view, context, request, endpoint_view) {
             continue;
@@ -196,6 +199,11 @@
             continue;
         }
         let expected = expected_ms(now, view, request, endpoint_view);
+        let expected_at = now + time::Millis(expected as u64);
+        if begin_by(endpoint_view).is_some_and(|begin_by| begin_by <= expected_at) {
+            reason = reason.max_with(Reason::NoVersion);
+            continue;
+        }
         let is_local = context.local.includes(&endpoint_view.endpoint.zone);
         let rank = expected
             + penalty(now, is_local, endpoint_view)
@@ -217,7 +225,6 @@
     }
     let endpoint_view = best.endpoint_view;
     let weights = endpoint_view.weights(now);
-    let begin_by = |version| begin_by(view, &context.bounds, request.service, version);
     Ok(Chosen {
         endpoint: endpoint_view.endpoint.clone(),
         // The endpoint may restart with an older version, or load a newer one, before the request arrives. Because of
@@ -228,7 +235,7 @@
         load_age: endpoint_view.load_received_at.map(|at| now.since(at)),
         weights,
         required,
-        begin_by: weights.and_then(begin_by),
+        begin_by: begin_by(endpoint_view),
     })
 }
 
--- a/crates/chestnutpick_router/tests/choice.rs
+++ b/crates/chestnutpick_router/tests/choice.rs
@@ -234,6 +234,21 @@
     assert_eq!(refused.required, Some(2));
 }
 
+/// Guards against a request that is sent to an engine only to be cancelled there: it is not expected to begin before the
+/// engine's version is outdated.
+#[rstest]
+#[case::empty(0, true)]
+#[case::busy(60, false)]
+fn request_is_sent_only_where_it_begins_in_time(#[case] occupied: u32, #[case] is_sent: bool) {
+    let mut view = common::view(1);
+    view.apply(Millis(0), common::declared(2));
+    let bounds = common::bounds();
+    let now = Millis(bounds.version_cutoff().0 - 300);
+    view.on_load_report(now, "10.0.0.1".parse().unwrap(), &common::load(occupied));
+    assert!(now < bounds.version_limit());
+    assert_eq!(common::choose(&view, now, Millis(60_000), 1).is_ok(), is_sent);
+}
+
 /// Guards against a router that reports more than it knows: one that was suspended would make all others require a version
 /// early.
 #[test]
