Close a drained connection whose unread body has ended

Operators would see: a router that stays for its whole grace period, because a kept connection was once answered without its chunked body having been read.

Cause: the socket cannot tell whether actix_http has discarded such a body to its end, and took the connection for one on which bytes are still due, until the deadline of the drain.

Evidence: idle_connection_after_an_unread_body_is_closed without the change: left: Err(Elapsed(())), right: Ok(Clean).

Fix: while the server drains, such a connection ends after one second without bytes. A caller that goes on sending still gets its refusal, until the deadline.

--- a/crates/chestnutpick_http/src/connection.rs
+++ b/crates/chestnutpick_http/src/connection.rs
@@ -4,6 +4,7 @@
 use std::pin;
 use std::rc;
 use std::task;
+use std::time;
 
 use actix_http as http;
 use actix_http::{body, error};
@@ -17,6 +18,10 @@
 use crate::activity;
 use crate::respond;
 
+/// Time without bytes after which no more of an unread request is expected. Whether the connection has discarded it to
+/// its end is not known here.
+const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// Socket of a connection. Once the server drains, it reports the end of the caller's requests while the connection is
 /// idle and no bytes have arrived, so that the connection closes after the last response.
 pub(crate) struct Socket {
@@ -24,6 +29,8 @@
     activity: rc::Rc<activity::Activity>,
     draining: pin::Pin<Box<sync::WaitForCancellationFutureOwned>>,
     is_draining: bool,
+    /// Timer for the rest of an unread request, while the server drains.
+    discard: Option<pin::Pin<Box<actix_rt::time::Sleep>>>,
     /// Waker of the connection's task.
     reader: Option<task::Waker>,
 }
@@ -36,17 +43,30 @@
         draining: sync::CancellationToken,
     ) -> Self {
         let draining = Box::pin(draining.cancelled_owned());
-        Self { stream, activity, draining, is_draining: false, reader: None }
+        Self { stream, activity, draining, is_draining: false, discard: None, reader: None }
     }
 
     /// Returns whether no further request is read.
     fn is_ended(&mut self, cx: &mut task::Context<'_>) -> bool {
         // A completed future must not be polled again.
         self.is_draining = self.is_draining || self.draining.as_mut().poll(cx).is_ready();
-        let is_idle = self.is_draining && self.activity.phase() == activity::Phase::Idle;
+        if !self.is_draining {
+            return false;
+        }
+        let is_idle = match self.activity.phase() {
+            activity::Phase::Idle => true,
+            activity::Phase::Discarding => self.is_discarded(cx),
+            activity::Phase::Reading | activity::Phase::Running | activity::Phase::Writing => false,
+        };
         is_idle && !self.has_unread_bytes()
     }
 
+    /// Returns whether no bytes of an unread request have come for [`DISCARD_TIMEOUT`].
+    fn is_discarded(&mut self, cx: &mut task::Context<'_>) -> bool {
+        let sleep = || Box::pin(actix_rt::time::sleep(DISCARD_TIMEOUT));
+        self.discard.get_or_insert_with(sleep).as_mut().poll(cx).is_ready()
+    }
+
     /// Returns whether bytes have arrived that the runtime may not know of yet.
     fn has_unread_bytes(&self) -> bool {
         let peeked = socket::recv(&self.stream, &mut [0; 1], socket::RecvFlags::PEEK);
@@ -66,6 +86,7 @@
         match &polled {
             task::Poll::Ready(Ok(())) if buffer.filled().len() > before => {
                 this.activity.on_received();
+                this.discard = None;
             }
             task::Poll::Ready(_) => {}
             // A read of zero bytes is the end of the requests.
--- a/crates/chestnutpick_http/tests/drain.rs
+++ b/crates/chestnutpick_http/tests/drain.rs
@@ -15,8 +15,11 @@
 /// Length of a response that does not fit into the buffers of a connection.
 const LONG: usize = 8 << 20;
 
-/// Answers a request with its body, or with a long body if it has none.
+/// Answers a request with its body, or with a long body if it has none. Refuses one of another path unread.
 async fn echo(mut http_request: Request) -> respond::Response {
+    if http_request.path() != "/" {
+        return respond::refusal(&request::not_found(&http_request));
+    }
     match request::read_body(&mut http_request, size::Bytes::from_mib(1)).await {
         Ok(body) if body.is_empty() => respond::bytes(200, "text/plain", vec![b'x'; LONG]),
         Ok(body) => respond::bytes(200, "text/plain", body),
@@ -105,6 +108,23 @@
     });
 }
 
+/// Guards against an idle connection that holds the server because its last request was refused unread.
+#[test]
+fn idle_connection_after_an_unread_body_is_closed() {
+    actix_rt::System::new().block_on(async {
+        let server = Server::start(DEADLINE).await;
+        let request = "POST /unknown HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n\
+                       4\r\ngold\r\n0\r\n\r\n";
+        let caller = connect_and_send(server.address, request);
+        settle().await;
+        server.stop.cancel();
+        let drained = tokio::time::timeout(server::KEEP_ALIVE / 2, server.wait_for_end()).await;
+        assert_eq!(drained, Ok(server::Drained::Clean));
+        let (response, end) = read_to_end(caller).await;
+        assert!(response.starts_with("HTTP/1.1 404") && end.is_ok(), "{response} {end:?}");
+    });
+}
+
 /// Guards against closing a connection while its request arrives: in the head, and in the body.
 #[test]
 fn request_that_arrives_while_the_server_drains_is_answered() {
