--- a/crates/chestnutpick_router/src/ending.rs
+++ b/crates/chestnutpick_router/src/ending.rs
@@ -6,9 +6,6 @@
 use crate::handle;
 use crate::outcome;
 
-/// Prompt tokens that take an engine as long as one output token.
-const PROMPT_PER_OUTPUT: u64 = 10;
-
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -40,13 +37,13 @@
     Streaming,
 }
 
-/// Size of a request, compared with the mean of its service.
+/// Size of a request's prompt, compared with the mean of its service.
 ///
 /// ```
 /// use chestnutpick_router::ending;
-/// assert_eq!(ending::Class::of(Some((4_000, 100)), Some((900, 90))), ending::Class::Largest);
-/// assert_eq!(ending::Class::of(Some((900, 60)), Some((900, 90))), ending::Class::Medium);
-/// assert_eq!(ending::Class::of(None, Some((900, 90))), ending::Class::Unknown);
+/// assert_eq!(ending::Class::of(Some(1_800), Some(900)), ending::Class::Largest);
+/// assert_eq!(ending::Class::of(Some(600), Some(900)), ending::Class::Medium);
+/// assert_eq!(ending::Class::of(None, Some(900)), ending::Class::Unknown);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -64,30 +61,25 @@
 }
 
 impl Class {
-    /// Returns the class of a request with the given prompt and output tokens at a service with the given means.
+    /// Returns the class of a request with `prompt` tokens at a service with the given mean.
     ///
     /// ```
     /// use chestnutpick_router::ending;
-    /// assert_eq!(ending::Class::of(Some((100, 10)), Some((900, 90))), ending::Class::Small);
+    /// assert_eq!(ending::Class::of(Some(100), Some(900)), ending::Class::Small);
     /// ```
-    pub fn of(tokens: Option<(u32, u32)>, mean: Option<(u32, u32)>) -> Self {
-        let (Some(tokens), Some(mean)) = (tokens.map(weight), mean.map(weight)) else {
+    pub fn of(prompt: Option<u32>, mean: Option<u32>) -> Self {
+        let (Some(prompt), Some(mean)) = (prompt.map(u64::from), mean.map(u64::from)) else {
             return Self::Unknown;
         };
-        match tokens {
-            _ if tokens * 2 < mean => Self::Small,
-            _ if tokens < mean => Self::Medium,
-            _ if tokens < mean * 2 => Self::Large,
+        match prompt {
+            _ if prompt * 2 < mean => Self::Small,
+            _ if prompt < mean => Self::Medium,
+            _ if prompt < mean * 2 => Self::Large,
             _ => Self::Largest,
         }
     }
 }
 
-/// Returns the tokens of a request as the number of prompt tokens that take as long.
-fn weight((prompt, output): (u32, u32)) -> u64 {
-    u64::from(prompt) + PROMPT_PER_OUTPUT * u64::from(output)
-}
-
 /// Size of a request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Size {
@@ -106,7 +98,10 @@
         Self {
             tokens: call.head.tokens,
             body: Some(size::Bytes::of_len(call.body.len())),
-            class: Class::of(call.head.tokens, engine.map(|engine| engine.mean_tokens)),
+            class: Class::of(
+                call.head.tokens.map(|(prompt, _)| prompt),
+                engine.map(|engine| engine.mean_tokens.0),
+            ),
         }
     }
 
