Break off a stream of the coding identity without an event

Callers got a complete, empty stream when an endpoint answered with `Transfer-Encoding: identity` and its connection ended before the first event, as when the engine crashes.

Cause: the router took any transfer coding for a sign that the response shows its own end.

Why it works: the client's response says whether it ends with its connection, by the rule by which it reads the body.

--- a/crates/chestnutpick_client/src/client/response.rs
+++ b/crates/chestnutpick_client/src/client/response.rs
@@ -142,6 +142,33 @@
         self.headers.iter().find(|(key, _)| &**key == name).map(|(_, value)| &**value)
     }
 
+    /// Returns whether the headers state neither a length nor chunks, so that the body ends with its connection.
+    ///
+    /// ```
+    /// use std::io::{Read, Write};
+    ///
+    /// use chestnutpick_client::client;
+    /// use chestnutpick_types::time;
+    ///
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let address = listener.local_addr().unwrap();
+    /// std::thread::spawn(move || {
+    ///     let (mut connection, _) = listener.accept().unwrap();
+    ///     connection.read(&mut [0; 1024]).unwrap();
+    ///     connection.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nok").unwrap();
+    /// });
+    /// actix_rt::System::new().block_on(async {
+    ///     let (request, timeout) = (client::Request::new("GET", "/"), time::Millis(5_000));
+    ///     let client = client::Client::new().without_reuse();
+    ///     assert!(client.call(address, request, timeout).await.unwrap().is_unframed());
+    /// });
+    /// ```
+    pub fn is_unframed(&self) -> bool {
+        let coding = self.header("transfer-encoding");
+        let is_coded = coding.is_some_and(|coding| !head::is_identity(coding.as_bytes()));
+        !is_coded && self.header("content-length").is_none()
+    }
+
     /// Returns the next piece of the body, or `None` at its end.
     ///
     /// # Errors
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -190,10 +190,8 @@
     /// Returns whether a stream whose end only the connection marks has ended without an event, as when its engine
     /// crashes. The rest of a resumed stream may be empty.
     fn ended_before_first_event(&self) -> bool {
-        let response = &self.opened.response;
-        let is_framed = response.header("content-length").is_some()
-            || response.header("transfer-encoding").is_some();
-        !is_framed && !self.tries.begun && self.call.head.last_event.is_none()
+        let is_unframed = self.opened.response.is_unframed();
+        is_unframed && !self.tries.begun && self.call.head.last_event.is_none()
     }
 
     /// Queues the events that `bytes` complete. Returns a reason to give up the endpoint.
