Show two requests that a draining server misjudges

A part of a kept connection's next request that comes during a response is not counted, so the connection is closed as idle; an empty line after a request counts as the beginning of another, so the connection stays open until the deadline.

--- a/crates/chestnutpick_http/tests/drain.rs
+++ b/crates/chestnutpick_http/tests/drain.rs
@@ -174,3 +174,42 @@
         drop((reading, writing));
     });
 }
+
+/// Guards against closing a kept connection while its next request arrives, of which a part came during a response.
+#[test]
+fn request_that_began_to_arrive_during_a_response_is_answered() {
+    actix_rt::System::new().block_on(async {
+        let server = Server::start(DEADLINE).await;
+        let mut caller = connect_and_send(server.address, "GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+        settle().await;
+        let (first, rest) = GOLD.split_at(10);
+        caller.write_all(first.as_bytes()).unwrap();
+        settle().await;
+        server.stop.cancel();
+        let mut rest_sender = caller.try_clone().unwrap();
+        let reading = actix_rt::spawn(read_to_end(caller));
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        // The server may have closed the connection.
+        let _ = rest_sender.write_all(rest.as_bytes());
+        drop(rest_sender);
+        let (response, _) = reading.await.unwrap();
+        assert!(response.ends_with("gold"), "the second request got no response");
+        assert_eq!(server.wait_for_end().await, server::Drained::Clean);
+    });
+}
+
+/// Guards against an idle connection that holds the server because its caller ended a request with an empty line.
+#[test]
+fn idle_connection_after_an_empty_line_is_closed() {
+    actix_rt::System::new().block_on(async {
+        let server = Server::start(DEADLINE).await;
+        let mut caller = connect_and_send(server.address, GOLD);
+        settle().await;
+        caller.write_all(b"\r\n").unwrap();
+        settle().await;
+        server.stop.cancel();
+        let drained = tokio::time::timeout(server::KEEP_ALIVE / 2, server.wait_for_end()).await;
+        assert_eq!(drained, Ok(server::Drained::Clean));
+        drop(caller);
+    });
+}
