Wait for a pausing endpoint that takes the rest of a lost stream

Beside planned work this breaks LOST: an endpoint's silence is no reason to end an answer sooner.

Cause: a request that waits for its head is given up after a silence, because its caller can repeat it. The rest of a stream waits for a head as well, but its caller has a part of the answer and would lose the rest. The same class as the streams cut in their pauses.

Evidence: rest_of_a_lost_stream_waits_for_a_pausing_endpoint failed on (1 run); with the fix it and the other 21 tests of the file pass.

Why it works: such a request leaves only for an endpoint that can take it, or when its caller would leave; what waits is bounded as before by the patience of the route and the deadline.

--- a/crates/chestnutpick_router/src/silence.rs
+++ b/crates/chestnutpick_router/src/silence.rs
@@ -80,10 +80,11 @@
 }
 
 /// Waits until the request, which `tries` describe, must leave the endpoint of `slot`. It leaves a silent endpoint if it can
-/// move to another one. If it cannot, it is given up after a longer silence. A request that may still run at an endpoint that
-/// it left is given up before its caller leaves, as nobody would wait for that run. In both cases the caller gets a response
-/// and can repeat it. `version` is that of the weights on which a stream started. A request that may not be repeated stays:
-/// the endpoint may still answer it. Returns the reason for leaving the endpoint.
+/// move to another one. If it cannot, it is given up after a longer silence, unless its caller has a part of a stream and
+/// would lose the rest. A request that may still run at an endpoint that it left is given up before its caller leaves, as
+/// nobody would wait for that run. A caller without a part of the answer gets a response and can repeat its request.
+/// `version` is that of the weights on which a stream started. A request that may not be repeated stays: the endpoint may
+/// still answer it. Returns the reason for leaving the endpoint.
 pub(crate) async fn wait<C>(
     node: &node::Node<C>,
     call: &handle::Call,
@@ -104,7 +105,7 @@
         let silence = node.view.borrow().silence(now, endpoint, slot.heard_at());
         let is_silent = silence >= liveness::timeout(target);
         let is_left = is_silent
-            && (silence >= liveness::give_up_timeout(target)
+            && (!tries.begun && silence >= liveness::give_up_timeout(target)
                 || can_move(node, call, tries, endpoint, version));
         if is_left {
             node.view.borrow_mut().on_left(now, endpoint);
