Tell a head that arrives on a drained connection from an idle or a busy one

Callers could see their next request closed half-sent: its first bytes came while an earlier response was still written, and the connection counted as idle after that. Operators could see a router that stays for its whole grace period because of an empty line after a request's body.

Cause: the activity of a connection did not know of bytes after a whole request, and took any byte on an idle connection for a request. Class: bytes taken for what they are not.

Why it works: the head of a request is a phase of its own. While the server drains, it has 1.5 s to arrive, so that neither an empty line nor single bytes hold the process.

--- a/crates/chestnutpick_http/src/activity.rs
+++ b/crates/chestnutpick_http/src/activity.rs
@@ -9,7 +9,9 @@
 pub(crate) enum Phase {
     /// No request has begun to arrive.
     Idle,
-    /// A request is arriving.
+    /// The head of a request is arriving.
+    Starting,
+    /// The body of a request is arriving.
     Reading,
     /// A request has arrived whole, and its response has not begun.
     Running,
@@ -47,7 +49,7 @@
     fn add(&mut self, phase: Phase) {
         let count = match phase {
             Phase::Idle | Phase::Discarding => &mut self.idle,
-            Phase::Reading => &mut self.reading,
+            Phase::Starting | Phase::Reading => &mut self.reading,
             Phase::Running => &mut self.running,
             Phase::Writing => &mut self.writing,
         };
@@ -63,6 +65,8 @@
     is_read: cell::Cell<bool>,
     /// Whether the body of the current response has ended.
     is_made: cell::Cell<bool>,
+    /// Whether the next request has begun to arrive.
+    has_next: cell::Cell<bool>,
 }
 
 impl Activity {
@@ -71,6 +75,7 @@
             phase: cell::Cell::new(Phase::Idle),
             is_read: cell::Cell::new(true),
             is_made: cell::Cell::new(false),
+            has_next: cell::Cell::new(false),
         }
     }
 
@@ -81,8 +86,10 @@
 
     /// Records that bytes have been received.
     pub(crate) fn on_received(&self) {
-        if self.phase.get() == Phase::Idle {
-            self.phase.set(Phase::Reading);
+        match self.phase.get() {
+            Phase::Idle => self.phase.set(Phase::Starting),
+            Phase::Running | Phase::Writing => self.has_next.set(self.is_read.get()),
+            Phase::Starting | Phase::Reading | Phase::Discarding => {}
         }
     }
 
@@ -90,6 +97,7 @@
     pub(crate) fn on_request(&self, has_body: bool) {
         self.is_read.set(!has_body);
         self.is_made.set(false);
+        self.has_next.set(false);
         self.phase.set(if has_body { Phase::Reading } else { Phase::Running });
     }
 
@@ -116,7 +124,11 @@
         if self.phase.get() != Phase::Writing || !self.is_made.get() {
             return false;
         }
-        self.phase.set(if self.is_read.get() { Phase::Idle } else { Phase::Discarding });
+        self.phase.set(match (self.is_read.get(), self.has_next.get()) {
+            (false, _) => Phase::Discarding,
+            (true, true) => Phase::Starting,
+            (true, false) => Phase::Idle,
+        });
         true
     }
 }
--- a/crates/chestnutpick_http/src/connection.rs
+++ b/crates/chestnutpick_http/src/connection.rs
@@ -22,6 +22,9 @@
 /// its end is not known here.
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Time for the rest of a head that has begun to arrive. What has arrived may also be no request, such as an empty line.
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
 /// Socket of a connection. Once the server drains, it reports the end of the caller's requests while the connection is
 /// idle and no bytes have arrived, so that the connection closes after the last response.
 pub(crate) struct Socket {
@@ -29,8 +32,8 @@
     activity: rc::Rc<activity::Activity>,
     draining: pin::Pin<Box<sync::WaitForCancellationFutureOwned>>,
     is_draining: bool,
-    /// Timer for the rest of an unread request, while the server drains.
-    discard: Option<pin::Pin<Box<actix_rt::time::Sleep>>>,
+    /// Timer for the rest of a head or of an unread request, while the server drains.
+    timer: Option<pin::Pin<Box<actix_rt::time::Sleep>>>,
     /// Waker of the connection's task.
     reader: Option<task::Waker>,
 }
@@ -43,7 +46,7 @@
         draining: sync::CancellationToken,
     ) -> Self {
         let draining = Box::pin(draining.cancelled_owned());
-        Self { stream, activity, draining, is_draining: false, discard: None, reader: None }
+        Self { stream, activity, draining, is_draining: false, timer: None, reader: None }
     }
 
     /// Returns whether no further request is read.
@@ -53,18 +56,17 @@
         if !self.is_draining {
             return false;
         }
-        let is_idle = match self.activity.phase() {
-            activity::Phase::Idle => true,
-            activity::Phase::Discarding => self.is_discarded(cx),
-            activity::Phase::Reading | activity::Phase::Running | activity::Phase::Writing => false,
+        let timeout = match self.activity.phase() {
+            activity::Phase::Idle => return !self.has_unread_bytes(),
+            activity::Phase::Starting => HEAD_TIMEOUT,
+            activity::Phase::Discarding => DISCARD_TIMEOUT,
+            activity::Phase::Reading | activity::Phase::Running | activity::Phase::Writing => {
+                self.timer = None;
+                return false;
+            }
         };
-        is_idle && !self.has_unread_bytes()
-    }
-
-    /// Returns whether no bytes of an unread request have come for [`DISCARD_TIMEOUT`].
-    fn is_discarded(&mut self, cx: &mut task::Context<'_>) -> bool {
-        let sleep = || Box::pin(actix_rt::time::sleep(DISCARD_TIMEOUT));
-        self.discard.get_or_insert_with(sleep).as_mut().poll(cx).is_ready()
+        let timer = self.timer.get_or_insert_with(|| Box::pin(actix_rt::time::sleep(timeout)));
+        timer.as_mut().poll(cx).is_ready() && !self.has_unread_bytes()
     }
 
     /// Returns whether bytes have arrived that the runtime may not know of yet.
@@ -86,7 +88,9 @@
         match &polled {
             task::Poll::Ready(Ok(())) if buffer.filled().len() > before => {
                 this.activity.on_received();
-                this.discard = None;
+                if this.activity.phase() == activity::Phase::Discarding {
+                    this.timer = None;
+                }
             }
             task::Poll::Ready(_) => {}
             // A read of zero bytes is the end of the requests.
--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -53,9 +53,9 @@
 /// Result of draining a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Drained {
-    /// All connections ended before the drain deadline.
+    /// All connections ended before they were to be cut.
     Clean,
-    /// The drain deadline passed while these connections were still open.
+    /// These connections were still open when they were to be cut.
     Cut(activity::Counts),
 }
 
