Read what an endpoint has sent before a limit ends the wait for it

Callers could see a 502 for an answer that had come in time: their router was suspended between the answer and its reading, and the limit of an outdated version had passed when it went on. Requests could also wait at an engine of an outdated version without a limit, or lose an opening elsewhere.

Causes: the wait and its limit were polled in random order, and a limit found first after a suspension says nothing of what lies in the socket; the version of a loader's report outweighed the version that the response itself names; a stream that moves looked its limit up once.

The move of a stream has no test of its own.

Why it works: responses are polled first, and have 10 ms to be read after the limit; what a response names counts before a report; reading and moving a stream look the same limit up anew.

--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -304,6 +304,7 @@
         version: placement.chosen.weights,
     };
     let outcome = tokio::select! {
+        biased;
         outcome = node.client.call(endpoint.address, request, time_left) => outcome,
         // A request that may be repeated is sent elsewhere; another one ends as lost, because it may have run.
         reason = outdated::wait(node, &weights) => Err(silent(endpoint.address, reason)),
@@ -320,7 +321,7 @@
                 Ok(()) => {
                     slot.on_response_started(response.status);
                     tries.weights = head.version;
-                    weights.version = weights.version.max(head.version);
+                    weights.version = head.version.or(weights.version);
                     let endpoint = endpoint.id.clone();
                     return Ok(Opened { response, head, endpoint, weights, slot });
                 }
@@ -445,6 +446,7 @@
     let status = opened.response.status;
     let address = opened.response.address();
     let outcome = tokio::select! {
+        biased;
         outcome = answer::read(node, call, &mut opened.response) => outcome,
         reason = silence::wait(node, call, tries, &opened.slot, None) => Err(silent(address, reason)),
     };
--- a/crates/chestnutpick_router/src/outdated.rs
+++ b/crates/chestnutpick_router/src/outdated.rs
@@ -2,14 +2,19 @@
 
 use std::sync;
 
+use chestnutpick_client::client;
 use chestnutpick_fleet::config;
 use chestnutpick_types::time;
 
 use crate::node;
+use crate::resumption;
 
 /// Interval at which the limit is looked up again: a version, or an earlier time of its declaration, may have been learned.
 const CHECK_INTERVAL: time::Millis = time::Millis(100);
 
+/// Time to read a response that has arrived while this process was suspended, before the limit ends the wait for it.
+const READ_TIME: time::Millis = time::Millis(10);
+
 /// Weights on which a request begins at its endpoint.
 #[derive(Debug, Clone)]
 pub(crate) struct Weights {
@@ -32,9 +37,28 @@
         let begin_by = weights.begin_by(node);
         let time_left = begin_by.map(|begin_by| begin_by.since(node.now()));
         if time_left == Some(time::Millis::ZERO) {
+            actix_rt::time::sleep(READ_TIME.to_duration()).await;
             return "not begun before its version is outdated".to_owned();
         }
         let pause = time_left.map_or(CHECK_INTERVAL, |time_left| time_left.min(CHECK_INTERVAL));
         actix_rt::time::sleep(pause.to_duration()).await;
     }
 }
+
+/// Returns the next piece of a response on `weights`. Unless the endpoint has `answered`, the wait ends, and with it the
+/// connection, when the request must not begin any more.
+pub(crate) async fn read<C>(
+    node: &node::Node<C>,
+    weights: &Weights,
+    answered: bool,
+    response: &mut client::Response,
+    time_left: time::Millis,
+) -> resumption::Piece {
+    let reason = tokio::select! {
+        biased;
+        piece = response.next(time_left) => return piece,
+        reason = wait(node, weights), if !answered => reason,
+    };
+    response.close();
+    Err(client::CallError::Timeout { address: response.address(), reason: reason.into() })
+}
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -157,19 +157,18 @@
     async fn read(&mut self, time_left: time::Millis) -> Result<bool, Interruption> {
         let slot = &self.opened.slot;
         let (node, call, tries) = (&self.node, &self.call, &self.tries);
+        let weights = &self.opened.weights;
+        let reading =
+            outdated::read(node, weights, self.answered, &mut self.opened.response, time_left);
         let piece = tokio::select! {
             biased;
-            piece = self.opened.response.next(time_left) => piece,
+            piece = reading => piece,
             departure = silence::wait_in_stream(node, call, tries, slot, self.version) => {
                 return Err(match departure {
                     silence::Departure::Move(reason) => Interruption::Paused(reason),
                     silence::Departure::GiveUp(reason) => Interruption::GivenUp(reason),
                 });
             }
-            reason = outdated::wait(node, &self.opened.weights), if !self.answered => {
-                self.opened.response.close();
-                return Err(Interruption::Lost(reason));
-            }
         };
         self.on_piece(piece)
     }
@@ -273,13 +272,13 @@
     ) -> Result<bool, Interruption> {
         self.on_endpoint_failed();
         let sends = self.tries.sends;
-        let begin_by = self.opened.weights.begin_by(&self.node).filter(|_| !self.answered);
-        let wait_limit = self.tries.wait_limit(&self.call);
-        let wait_limit = begin_by.map_or(wait_limit, |begin_by| begin_by.min(wait_limit));
-        let waiting_time = wait_limit.since(self.node.now());
+        let waiting_time = self.tries.wait_limit(&self.call).since(self.node.now());
+        let (node, answered) = (rc::Rc::clone(&self.node), self.answered);
+        let weights = self.opened.weights.clone();
         let (response, resumption) = self.split();
+        let reading = outdated::read(&node, &weights, answered, response, time_left);
         let opening = resumption.open(reason);
-        match resumption::race(response.next(time_left), opening, waiting_time).await {
+        match resumption::race(reading, opening, waiting_time).await {
             resumption::First::Own(piece) => {
                 // The other endpoint may have run the request.
                 self.tries.runs += u32::from(self.tries.sends > sends);
