--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -1,8 +1,10 @@
 //! Choice of an endpoint for a request, including whether to refuse the request instead.
 
+mod estimate;
+
 use std::fmt;
 
-use chestnutpick_fleet::{config, declared, endpoint, host, load};
+use chestnutpick_fleet::{config, declared, endpoint, host};
 use chestnutpick_types::{id, time};
 use rand_core::Rng;
 
@@ -10,32 +12,6 @@
 use crate::region;
 use crate::view;
 
-/// Added to the expected wait at an endpoint of another region, in milliseconds. Covers the round trip and the cost of
-/// using the narrow link between regions.
-const REGION_PENALTY_MS: f64 = 25.0;
-
-/// Added for an engine whose loader sends this router only periodic reports, in milliseconds: its load is less certain.
-const PASSIVE_PENALTY_MS: f64 = 35.0;
-
-/// Added for each consecutive failure, in milliseconds.
-const FAILURE_PENALTY_MS: f64 = 200.0;
-
-/// Added for an endpoint whose last load report is stale, in milliseconds.
-const STALE_LOAD_PENALTY_MS: f64 = 150.0;
-
-/// Added for an endpoint that has been silent and has not shown a sign of life since, in milliseconds.
-const SILENT_PENALTY_MS: f64 = 1_000.0;
-
-/// Added for an engine that is scheduled to load weights before the request would end, in milliseconds. The engine
-/// loads them only after its requests have finished and serves nothing while it waits for the last one.
-const WEIGHTS_LOAD_PENALTY_MS: f64 = 400.0;
-
-/// Time by which a request may end after the scheduled start of a weight load without a penalty, in milliseconds.
-const WEIGHTS_LOAD_SLACK_MS: f64 = 250.0;
-
-/// Factor by which a token step takes longer while the engine also processes prompts.
-const PREFILL_SLOWDOWN: f64 = 2.0;
-
 /// Upper bound of the random part of the rank, in milliseconds. Keeps routers with the same view from all choosing the
 /// same endpoint.
 const JITTER_MS: f64 = 30.0;
@@ -46,23 +22,6 @@
 /// Mean number of candidates of other regions that are compared with them.
 const REMOTE_SAMPLE_SIZE: f64 = 2.0;
 
-/// Unreported requests assumed for each other router, per recent request of this router. The other routers receive the
-/// same load reports and tend to choose the same engines.
-const UNREPORTED_PER_RECENT: f64 = 0.6;
-
-/// Maximum number of other routers assumed to choose the same engine; more routers spread over more engines.
-const MAX_OTHER_ROUTERS: u32 = 15;
-
-/// Time for which a request counts as recent; afterwards the load reports include it.
-const RECENT_SPAN: time::Millis = time::Millis(120);
-
-/// Factor applied to the expected time to get the time within which most responses start.
-const LATENCY_SPREAD: f64 = 1.4;
-
-/// Part of the difference between a request's prompt and the mean prompt that counts when it is decided whether the response
-/// would be late. If all of it counted, engines would fill up to where only small requests are on time.
-const COUNTED_DIFFERENCE: f64 = 0.25;
-
 /// Properties of a request that determine the choice of an endpoint.
 #[derive(Debug, Clone)]
 pub struct Request<'a> {
@@ -202,7 +161,7 @@
             reason = reason.max_with(Reason::Full);
             continue;
         }
-        let expected = expected_ms(now, view, request, endpoint_view);
+        let expected = estimate::expected_ms(now, view, request, endpoint_view);
         let expected_at = now + time::Millis(expected as u64);
         if begin_by(endpoint_view).is_some_and(|begin_by| begin_by <= expected_at) {
             reason = reason.max_with(Reason::NoVersion);
@@ -210,8 +169,8 @@
         }
         let is_local = context.local.includes(&endpoint_view.endpoint.zone);
         let rank = expected
-            + penalty(now, is_local, endpoint_view)
-            + weights_load_penalty(now, request, endpoint_view)
+            + estimate::penalty(now, is_local, endpoint_view)
+            + estimate::weights_load_penalty(now, request, endpoint_view)
             + JITTER_MS * random_unit(rng);
         candidates.push(Candidate { rank, expected, is_local, endpoint_view });
     }
@@ -224,7 +183,7 @@
         required,
     };
     let best = best_of_sample(&candidates, request, rng).ok_or_else(|| none(reason, None))?;
-    if !capacity.is_mostly_free() && is_late(request, best.expected) {
+    if !capacity.is_mostly_free() && estimate::is_late(request, best.expected) {
         return Err(none(Reason::Late, Some(best.expected)));
     }
     let endpoint_view = best.endpoint_view;
@@ -235,7 +194,7 @@
         // the pin, it then refuses the request.
         version: request.version.or_else(|| required.and(weights)),
         expected: time::Millis(best.expected as u64),
-        occupied: occupied(now, view, endpoint_view),
+        occupied: estimate::occupied(now, view, endpoint_view),
         load_age: endpoint_view.load_received_at.map(|at| now.since(at)),
         weights,
         required,
@@ -274,7 +233,7 @@
     });
     let found = sample.min_by(|a, b| a.rank.total_cmp(&b.rank));
     found
-        .filter(|candidate| !is_late(request, candidate.expected))
+        .filter(|candidate| !estimate::is_late(request, candidate.expected))
         .or_else(|| candidates.iter().min_by(|a, b| a.rank.total_cmp(&b.rank)))
 }
 
@@ -389,109 +348,6 @@
     cold.is_none_or(|limit| limit.allows(now, view, endpoint_view, has_loader))
 }
 
-/// Returns the expected time until an endpoint starts to respond, in milliseconds.
-fn expected_ms(
-    now: time::Millis,
-    view: &view::View,
-    request: &Request<'_>,
-    endpoint_view: &view::EndpointView,
-) -> f64 {
-    let occupied = occupied(now, view, endpoint_view);
-    let Some(engine) = &request.service.engine else {
-        // Without an engine, the expected time grows linearly and reaches a fifth of the route's target when all slots
-        // are occupied.
-        let occupancy = f64::from(occupied) / f64::from(endpoint_view.endpoint.slots.max(1));
-        return request.target.0 as f64 * 0.2 * occupancy;
-    };
-    let slots = f64::from(engine.slots.max(1));
-    let running = f64::from(occupied.min(engine.slots));
-    let step = engine.step_ms + engine.per_request_ms * running;
-    let recent = endpoint_view.window.count(now, RECENT_SPAN) as f64;
-    let other_routers = view.routers.count(now).saturating_sub(1).min(MAX_OTHER_ROUTERS);
-    let unreported = recent * f64::from(other_routers) * UNREPORTED_PER_RECENT;
-    let pending_tokens =
-        f64::from(endpoint_view.pending_tokens) + f64::from(endpoint_view.other_tokens);
-    let pending_tokens =
-        pending_tokens + unreported * f64::from(engine.mean_tokens.0) + f64::from(request.tokens);
-    let prefill_ms = pending_tokens / engine.prefill_rate;
-    let queued_ahead = (f64::from(occupied + 1) + unreported - slots).max(0.0);
-    let slot_interval_ms = f64::from(engine.mean_tokens.1) * step * PREFILL_SLOWDOWN / slots;
-    f64::from(engine.prefill_stride) * step + prefill_ms + queued_ahead * slot_interval_ms
-}
-
-fn occupied(now: time::Millis, view: &view::View, endpoint_view: &view::EndpointView) -> u32 {
-    if endpoint_view.has_recent_load(now) {
-        return endpoint_view.occupied.max(endpoint_view.in_flight);
-    }
-    // Without a recent load report, the other routers are assumed to have as many requests in flight as this one. The
-    // cap of 4 limits the effect of a stale number of routers, which is deliberately overestimated.
-    endpoint_view.in_flight * view.routers.count(now).clamp(1, 4)
-}
-
-fn penalty(now: time::Millis, is_local: bool, endpoint_view: &view::EndpointView) -> f64 {
-    let region = if is_local { 0.0 } else { REGION_PENALTY_MS };
-    let stale_load =
-        if endpoint_view.load_received_at.is_some() && !endpoint_view.has_recent_load(now) {
-            STALE_LOAD_PENALTY_MS
-        } else {
-            0.0
-        };
-    let passive = match endpoint_view.interest {
-        load::Interest::Passive if endpoint_view.load_received_at.is_some() && !is_local => {
-            PASSIVE_PENALTY_MS
-        }
-        _ => 0.0,
-    };
-    region
-        + passive
-        + stale_load
-        + silence_penalty(now, endpoint_view)
-        + FAILURE_PENALTY_MS * f64::from(endpoint_view.failures.count(now))
-}
-
-/// Returns the penalty of an endpoint that shows no sign of life.
-fn silence_penalty(now: time::Millis, endpoint_view: &view::EndpointView) -> f64 {
-    if endpoint_view.liveness.is_silent() {
-        SILENT_PENALTY_MS
-    } else if endpoint_view.liveness.is_suspicious(now, endpoint_view.in_flight) {
-        endpoint_view.silence(now).0 as f64
-    } else {
-        0.0
-    }
-}
-
-/// Returns the penalty of an engine whose scheduled weight load the request would delay.
-fn weights_load_penalty(
-    now: time::Millis,
-    request: &Request<'_>,
-    endpoint_view: &view::EndpointView,
-) -> f64 {
-    let (Some(engine), Some(weights_load_at)) =
-        (&request.service.engine, endpoint_view.weights_load_at)
-    else {
-        return 0.0;
-    };
-    let tokens = request.output_tokens.unwrap_or(engine.mean_tokens.1);
-    let step = engine.step_ms + engine.per_request_ms * f64::from(engine.slots);
-    let duration = f64::from(tokens) * step * PREFILL_SLOWDOWN;
-    if duration > weights_load_at.since(now).0 as f64 + WEIGHTS_LOAD_SLACK_MS {
-        WEIGHTS_LOAD_PENALTY_MS
-    } else {
-        0.0
-    }
-}
-
-/// Returns whether the response would probably be late at the best endpoint. The own prompt counts like one closer to the mean:
-/// large requests would otherwise be refused first.
-fn is_late(request: &Request<'_>, expected: f64) -> bool {
-    let (Some(engine), Some(time_left)) = (&request.service.engine, request.time_left) else {
-        return false;
-    };
-    let difference = f64::from(request.tokens) - f64::from(engine.mean_tokens.0);
-    let uncounted_ms = difference * (1.0 - COUNTED_DIFFERENCE) / engine.prefill_rate;
-    (expected - uncounted_ms) * LATENCY_SPREAD > time_left.0 as f64
-}
-
 /// Slots of the endpoints that may serve a request.
 #[derive(Debug, Default)]
 struct Capacity {
