--- a/crates/chestnutpick_router/src/ending.rs
+++ b/crates/chestnutpick_router/src/ending.rs
@@ -111,7 +111,7 @@
     }
 
     /// Adds the size to a log line.
-    pub(crate) fn log(&self, event: event::Event) -> event::Event {
+    pub(crate) fn add_to(&self, event: event::Event) -> event::Event {
         event
             .with("prompt_tokens", outcome::or_none(self.tokens.map(|(prompt, _)| prompt)))
             .with("output_tokens", outcome::or_none(self.tokens.map(|(_, output)| output)))
--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -83,7 +83,7 @@
             metrics::counter!("requests_rejected", "kind" => <&str>::from(refusal.kind))
                 .increment(1);
             ending::count(ending::Outcome::Rejected, ending::Phase::Reading, size.class);
-            size.log(event::Event::new("request_rejected"))
+            size.add_to(event::Event::new("request_rejected"))
                 .with("request", outcome::or_none(request_id))
                 .with("path", request.path())
                 .with("phase", ending::Phase::Reading)
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -36,7 +36,7 @@
     metrics::counter!("requests_refused", "kind" => <&str>::from(refusal.kind)).increment(1);
     let size = ending::Size::of(call);
     ending::count(ending::Outcome::Refused, tries.phase, size.class);
-    size.log(event::Event::new("request_refused"))
+    size.add_to(event::Event::new("request_refused"))
         .with("request", &call.head.request_id)
         .with("route", &call.admitted.route.name)
         .with("kind", refusal.kind)
@@ -90,7 +90,7 @@
     metrics::histogram!("first_byte_ms").record(took.0 as f64);
     metrics::counter!("requests_answered").increment(1);
     let mut event = ending::Size::of(call)
-        .log(event::Event::new("request_answered"))
+        .add_to(event::Event::new("request_answered"))
         .with("request", &call.head.request_id)
         .with("route", &call.admitted.route.name)
         .with("endpoint", endpoint)
--- a/crates/chestnutpick_router/src/slot.rs
+++ b/crates/chestnutpick_router/src/slot.rs
@@ -96,7 +96,7 @@
         let load_received_at = endpoint_view.and_then(|found| found.load_received_at);
         let load_age = load_received_at.map(|at| now.since(at));
         self.size
-            .log(event::Event::new("caller_left"))
+            .add_to(event::Event::new("caller_left"))
             .with("request", &self.request_id)
             .with("endpoint", &self.endpoint)
             .with("started", self.started.get())
--- a/crates/chestnutpick_router/src/stream.rs
+++ b/crates/chestnutpick_router/src/stream.rs
@@ -343,7 +343,7 @@
 
     fn log(&self, name: &'static str, reason: &str) {
         ending::Size::of(&self.call)
-            .log(event::Event::new(name))
+            .add_to(event::Event::new(name))
             .with("request", &self.call.head.request_id)
             .with("endpoint", &self.opened.endpoint)
             .with("admitted", self.call.admitted.version)
