--- a/crates/chestnutpick_entry/tests/copies.rs
+++ b/crates/chestnutpick_entry/tests/copies.rs
@@ -1,11 +1,11 @@
 //! The entry against an agent whose connection carries a late second copy of an earlier response.
 
+mod common;
+
 use std::net::SocketAddr;
-use std::path::Path;
 
 use chestnutpick_client::client::Request;
-use chestnutpick_entry::{completions, node, settings};
-use chestnutpick_settings::file;
+use chestnutpick_entry::{completions, node};
 use chestnutpick_types::error::Ran;
 use chestnutpick_types::id::AttemptId;
 use chestnutpick_types::time::Millis;
@@ -14,17 +14,6 @@
 
 const TIMEOUT: Millis = Millis::from_secs(5);
 
-const SETTINGS: &str = r#"
-    host = "h1"
-    zone = "lima"
-    region = "coast"
-    listen = "127.0.0.1:0"
-    control = "127.0.0.1:0"
-    [platform]
-    store = "127.0.0.1:1"
-    hosts = "127.0.0.1:1"
-"#;
-
 /// Starts an agent that refuses the first request. On the connection of the first request, the second gets a copy of the
 /// refusal; on any other connection, the outcome of a request is unknown.
 async fn start_agent() -> SocketAddr {
@@ -69,8 +58,7 @@
 #[test]
 fn copy_of_a_refusal_does_not_refuse_the_next_call() {
     actix_rt::System::new().block_on(async move {
-        let settings = file::parse::<settings::Settings>(Path::new("entry.toml"), SETTINGS);
-        let node = node::Node::new(settings.unwrap(), None);
+        let node = common::start_entry();
         let agent = start_agent().await;
         assert_eq!(ran(&node, agent).await, Ran::NotRun);
         assert_eq!(ran(&node, agent).await, Ran::Unknown);
--- a/crates/chestnutpick_entry/tests/settlement.rs
+++ b/crates/chestnutpick_entry/tests/settlement.rs
@@ -1,8 +1,9 @@
 //! Settlement of a claim by an entry that was suspended meanwhile.
 
+mod common;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
@@ -10,9 +11,8 @@
 use bytes::Bytes;
 use chestnutpick_claims::event::Verdict;
 use chestnutpick_client::hosts::{HostRecord, Role, State};
-use chestnutpick_entry::{claims, node, settings};
+use chestnutpick_entry::{claims, node};
 use chestnutpick_rpc::{message, server};
-use chestnutpick_settings::file;
 use chestnutpick_types::id::AttemptId;
 use chestnutpick_types::time::{self, Millis};
 use rstest::rstest;
@@ -21,17 +21,6 @@
 /// Longer than an entry waits for an agent.
 const SUSPENSION: Duration = Duration::from_secs(3);
 
-const SETTINGS: &str = r#"
-    host = "h1"
-    zone = "lima"
-    region = "coast"
-    listen = "127.0.0.1:0"
-    control = "127.0.0.1:0"
-    [platform]
-    store = "127.0.0.1:1"
-    hosts = "127.0.0.1:1"
-"#;
-
 /// Agent that says of every attempt that it has not run.
 #[derive(Default)]
 struct Agent {
@@ -63,8 +52,7 @@
 }
 
 fn start_entry(control: SocketAddr) -> node::Node {
-    let settings = file::parse::<settings::Settings>(Path::new("entry.toml"), SETTINGS);
-    let node = node::Node::new(settings.unwrap(), None);
+    let node = common::start_entry();
     let record = HostRecord {
         host: "h2".parse().unwrap(),
         zone: "lima".parse().unwrap(),
