Usage reports by one router at a time

Cause: the control service wants one report per window from one holder with a fencing token, and does not check the token itself. Change: a lease and a record in the store, counts exchanged by datagram, and decisions without clock or socket. Switched on only by [cloud].

--- a/crates/chestnutpick_client/src/client/options.rs
+++ b/crates/chestnutpick_client/src/client/options.rs
@@ -22,6 +22,9 @@
     pub reuse: bool,
     /// Maximum number of bytes that the unfinished responses of one peer may take, or `None` for no limit.
     pub peer_limit: Option<size::Bytes>,
+    /// Whether a connection is reset when it is closed, so that the operating system does not deliver later what it has not
+    /// delivered by then.
+    pub reset: bool,
 }
 
 impl Default for Options {
@@ -31,6 +34,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             reuse: true,
             peer_limit: None,
+            reset: false,
         }
     }
 }
--- a/crates/chestnutpick_client/src/client/pool.rs
+++ b/crates/chestnutpick_client/src/client/pool.rs
@@ -23,7 +23,7 @@
         // neither sent nor refused.
         let record = connection::Record::default();
         let connector = awc::Connector::new()
-            .connector(connection::Connector::new(record.clone(), options.reuse))
+            .connector(connection::Connector::new(record.clone(), options))
             .timeout(options.connect_timeout.to_duration())
             .conn_keep_alive(IDLE_LIMIT)
             .conn_lifetime(options.age_limit.to_duration())
--- a/crates/chestnutpick_client/src/connection.rs
+++ b/crates/chestnutpick_client/src/connection.rs
@@ -24,6 +24,7 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::client;
 use crate::head;
 
 /// Number of bytes per read until the head of a response is complete.
@@ -62,11 +63,14 @@
     record: Record,
     /// Whether connections are reused and can therefore carry more than one response.
     reuse: bool,
+    /// Whether connections are reset when they are closed.
+    reset: bool,
 }
 
 impl Connector {
-    pub(crate) fn new(record: Record, reuse: bool) -> Self {
-        Self { inner: connect::Connector::default().service(), record, reuse }
+    pub(crate) fn new(record: Record, options: client::Options) -> Self {
+        let client::Options { reuse, reset, .. } = options;
+        Self { inner: connect::Connector::default().service(), record, reuse, reset }
     }
 }
 
@@ -85,9 +89,12 @@
     fn call(&self, info: connect::ConnectInfo<R>) -> Self::Future {
         let connecting = self.inner.call(info);
         let record = self.record.clone();
-        let reuse = self.reuse;
+        let (reuse, reset) = (self.reuse, self.reset);
         async move {
             let (inner, request) = connecting.await?.into_parts();
+            if reset {
+                inner.set_zero_linger().map_err(connect::ConnectError::Io)?;
+            }
             let stream = Stream { inner, record, reuse, head: None, unread: BytesMut::new() };
             Ok(connect::Connection::new(request, stream))
         }
--- a/crates/chestnutpick_fleet/src/directory.rs
+++ b/crates/chestnutpick_fleet/src/directory.rs
@@ -8,6 +8,7 @@
 use snafu::Snafu;
 
 use crate::config;
+use crate::duty;
 use crate::endpoint;
 use crate::position;
 use crate::progress;
@@ -41,6 +42,8 @@
     Restored(id::ZoneId),
     /// Version of the weights that every endpoint with this model must load.
     Declared(id::ModelId, u64),
+    /// An item that a duty keeps in the store was written or removed.
+    Duty(duty::Item),
     /// An item that cannot be parsed.
     Unreadable {
         /// Key of the item.
--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -8,6 +8,8 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, rate, size, time};
 
+use crate::duty;
+
 /// Reading of a process's clock at its start. Ages that other processes report are subtracted from the current reading,
 /// so ages up to this one are exact in a process that has just started. It far exceeds the users' bounds.
 pub const CLOCK_START: time::Millis = time::Millis::from_secs(3_600);
@@ -33,6 +35,8 @@
     pub store: net::SocketAddr,
     /// Service bounds that the users set.
     pub bounds: Bounds,
+    /// Settings of the duties that one router performs at a time, if there are any.
+    pub cloud: Option<duty::Cloud>,
 }
 
 impl Host {
--- a/crates/chestnutpick_fleet/src/lib.rs
+++ b/crates/chestnutpick_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod declared;
 pub mod directory;
+pub mod duty;
 pub mod endpoint;
 pub mod engine;
 pub mod host;
--- a/crates/chestnutpick_fleet/src/load.rs
+++ b/crates/chestnutpick_fleet/src/load.rs
@@ -60,6 +60,33 @@
     Versions(Vec<Version>),
     /// Asks for the origin of weights in the router's configuration.
     OriginQuery,
+    /// Counts of requests, from a router to the holder of the usage reports and to routers that keep a copy.
+    Counts(Counts),
+    /// True time according to a router, as Unix time in milliseconds, from a router to the holder of the usage reports.
+    Time(u64),
+    /// True time according to most routers, as Unix time in milliseconds, from the holder of the usage reports.
+    MedianTime(u64),
+}
+
+/// One run of a router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Source {
+    /// Address of the router.
+    pub ip: net::IpAddr,
+    /// Unix time of the start of the run in milliseconds, by the wall clock of the host.
+    pub started_at: u64,
+}
+
+/// Requests that endpoints began to run in a window for one run of a router. Counts are cumulative within the window; a
+/// message may hold those of some workspaces only.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Router that sent the requests.
+    pub source: Source,
+    /// Number of the window.
+    pub window: u64,
+    /// Requests of each workspace.
+    pub counts: Vec<(String, u64)>,
 }
 
 /// Origin of weights according to a router's configuration.
--- /dev/null
+++ b/crates/chestnutpick_router/src/duties/act.rs
@@ -0,0 +1,306 @@
+//! The tenure of a duty and the calls that it permits.
+
+use std::cell;
+
+use chestnutpick_fleet::duty::{Control, Ledger};
+use chestnutpick_fleet::{directory, duty, position};
+use chestnutpick_telemetry::event;
+use chestnutpick_types::time;
+
+use super::{State, TICK, is_candidate, take_delay};
+use crate::duty::{reports, tenure};
+use crate::node;
+
+/// Time-out of a call to the control service. A call is made only if the lease runs for longer.
+const CALL_TIMEOUT: time::Millis = time::Millis(500);
+
+/// Pause after a failed call to the control service.
+const CALL_PAUSE: time::Millis = time::Millis(500);
+
+/// Pause after the control service has rejected a call for now.
+const REFUSAL_PAUSE: time::Millis = time::Millis(1_000);
+
+/// Keeps the lease while the duty is held.
+pub(super) async fn renew_until_stopped<C, L>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    ledger: &L,
+) where
+    L: Ledger,
+{
+    loop {
+        let start = node.now();
+        let due = state.borrow().tenure.due_renewal(start);
+        if let Some(lease) = due {
+            let outcome = ledger.keep(lease).await;
+            count_write("keep", outcome.is_ok());
+            let (mut state, now) = (state.borrow_mut(), node.now());
+            let loss = match outcome {
+                Ok(era) => state.tenure.on_renewed(now, start, lease, era),
+                Err(duty::WriteError::LeaseEnded) => state.tenure.lose(now, tenure::Loss::Ended),
+                Err(_) => None,
+            };
+            state.on_loss(loss);
+        }
+        let loss = state.borrow_mut().tenure.expire(node.now());
+        state.borrow_mut().on_loss(loss);
+        actix_rt::time::sleep(TICK.to_duration()).await;
+    }
+}
+
+/// Takes the duty while it is free, and performs it while it is held.
+pub(super) async fn act_until_stopped<C, L, K>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    ledger: &L,
+    control: &K,
+) where
+    L: Ledger,
+    K: Control,
+{
+    loop {
+        let held = state.borrow().tenure.held().cloned();
+        match held {
+            Some(held) if node.is_leaving() => release(node, state, ledger, &held).await,
+            Some(held) => perform(node, state, ledger, control, &held).await,
+            None if may_take(node, state) => take(node, state, ledger).await,
+            None => {}
+        }
+        actix_rt::time::sleep(TICK.to_duration()).await;
+    }
+}
+
+/// Returns whether the duty has been free for this router's random delay.
+fn may_take<C>(node: &node::Node<C>, state: &cell::RefCell<State>) -> bool {
+    let (mut state, now) = (state.borrow_mut(), node.now());
+    if !is_candidate(node) || !state.tenure.may_take(now) {
+        state.take_at = None;
+        return false;
+    }
+    let take_at = *state.take_at.get_or_insert_with(|| now + take_delay(node));
+    now >= take_at
+}
+
+async fn take<C, L>(node: &node::Node<C>, state: &cell::RefCell<State>, ledger: &L)
+where
+    L: Ledger,
+{
+    let start = node.now();
+    let lease_time = state.borrow().tenure.lease_time();
+    state.borrow_mut().take_at = None;
+    let granted = ledger.grant(lease_time).await;
+    count_write("lease", granted.is_ok());
+    let Ok((_, lease)) = granted else {
+        return state.borrow_mut().tenure.on_failed(node.now());
+    };
+    let Some((attempt, transaction)) = ({
+        let mut state = state.borrow_mut();
+        let is_free = state.tenure.may_take(node.now());
+        let attempt = if is_free { state.tenure.attempt() } else { None };
+        attempt.map(|attempt| {
+            let transaction = state.tenure.transaction(&attempt, lease);
+            (attempt, transaction)
+        })
+    }) else {
+        return end(ledger, lease).await;
+    };
+    let outcome = ledger.write(transaction).await;
+    count_write("txn", outcome.is_ok());
+    let is_taken = on_taken(node, state, &attempt, (start, lease), outcome);
+    if !is_taken {
+        end(ledger, lease).await;
+    }
+}
+
+fn on_taken<C>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    attempt: &tenure::Attempt,
+    (start, lease): (time::Millis, duty::LeaseId),
+    outcome: Result<position::Position, duty::WriteError>,
+) -> bool {
+    let (mut state, now) = (state.borrow_mut(), node.now());
+    let is_taken = match outcome {
+        Ok(at) => state.tenure.on_taken(now, start, attempt, lease, at),
+        Err(reason) => {
+            if let duty::WriteError::Conflict { era, items } = &reason {
+                let loss = state.tenure.on_items(now, *era, false, items);
+                state.on_loss(loss);
+            }
+            state.tenure.on_failed(now);
+            event::Event::new("duty_not_taken").with("reason", reason).info();
+            false
+        }
+    };
+    if is_taken {
+        event::Event::new("duty_taken")
+            .with("duty", duty::Duty::UsageReport)
+            .with("token", attempt.token)
+            .info();
+        metrics::counter!("duty_takings").increment(1);
+    }
+    is_taken
+}
+
+/// Gives the duty up, so that another router can take it at once.
+async fn release<C, L>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    ledger: &L,
+    held: &tenure::Held,
+) where
+    L: Ledger,
+{
+    {
+        let mut state = state.borrow_mut();
+        let loss = state.tenure.lose(node.now(), tenure::Loss::Released);
+        state.on_loss(loss);
+    }
+    end(ledger, held.lease).await;
+}
+
+/// Ends a lease. If the call fails, the lease ends by itself.
+async fn end<L>(ledger: &L, lease: duty::LeaseId)
+where
+    L: Ledger,
+{
+    let outcome = ledger.end(lease).await;
+    count_write("end", outcome.is_ok());
+}
+
+/// Makes the next call that is due.
+async fn perform<C, L, K>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    ledger: &L,
+    control: &K,
+    held: &tenure::Held,
+) where
+    L: Ledger,
+    K: Control,
+{
+    let step = next_step(node, state, held);
+    match step {
+        reports::Step::Wait => {}
+        reports::Step::Write(window) => write(node, state, ledger, window).await,
+        reports::Step::Send(report) => send(node, state, control, held, report).await,
+    }
+}
+
+fn next_step<C>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    held: &tenure::Held,
+) -> reports::Step {
+    let (state, now) = (state.borrow(), node.now());
+    let (Some(unix), Some(started_in)) = (state.clock.at(now), state.first_window) else {
+        return reports::Step::Wait;
+    };
+    if now < state.call_at {
+        return reports::Step::Wait;
+    }
+    let recorded = state.tenure.report();
+    let unknown_until = state.tenure.unknown_until().and_then(|at| state.clock.at(at));
+    let first = unknown_until.map_or(0, |unix| state.reports.first_not_due(unix));
+    // Before the first record, nobody has counted the windows before this router's start.
+    let first = if recorded.is_none() { first.max(started_in) } else { first };
+    let situation = reports::Situation { unix, held: now.since(held.since), recorded, first };
+    state.reports.next(&situation)
+}
+
+/// Writes the report of a window to the record. A report that may have been written is repeated with the same counts.
+async fn write<C, L>(node: &node::Node<C>, state: &cell::RefCell<State>, ledger: &L, window: u64)
+where
+    L: Ledger,
+{
+    let (report, transaction) = {
+        let mut state = state.borrow_mut();
+        let pending = state.pending.take().filter(|report| report.window == window);
+        let report =
+            pending.unwrap_or_else(|| reports::Report::new(window, &state.counts.total(window)));
+        state.pending = Some(report.clone());
+        (report.clone(), state.tenure.write(&report))
+    };
+    let Some(transaction) = transaction else { return };
+    let outcome = ledger.write(transaction).await;
+    count_write("txn", outcome.is_ok());
+    let (mut state, now) = (state.borrow_mut(), node.now());
+    let loss = match outcome {
+        Ok(at) => state.tenure.on_written(now, report, at),
+        Err(duty::WriteError::Conflict { era, items }) => {
+            state.tenure.on_conflict(now, era, &items)
+        }
+        Err(duty::WriteError::LeaseEnded) => state.tenure.lose(now, tenure::Loss::Ended),
+        Err(duty::WriteError::Failed { reason }) => {
+            state.call_at = now + CALL_PAUSE;
+            log_write_failed(&reason);
+            None
+        }
+    };
+    state.on_loss(loss);
+}
+
+fn log_write_failed(reason: &directory::Error) {
+    event::Event::new("duty_write_failed").with("reason", reason).warn();
+}
+
+/// Sends a report, unless the lease may end before the call.
+async fn send<C, K>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    control: &K,
+    held: &tenure::Held,
+    report: reports::Report,
+) where
+    K: Control,
+{
+    let counts = report.counts();
+    if !state.borrow().tenure.may_act(node.now(), CALL_TIMEOUT) {
+        return;
+    }
+    let performer = duty::Performer {
+        name: node.host.name.clone(),
+        token: held.token,
+        expiry: time::Expiry::after(CALL_TIMEOUT),
+        timeout: CALL_TIMEOUT,
+    };
+    let outcome = control.report(&performer, report.window, &counts).await;
+    let (mut state, now) = (state.borrow_mut(), node.now());
+    let result = match &outcome {
+        Ok(()) => "sent",
+        Err(duty::CallError::Rejected { .. }) => "rejected",
+        Err(duty::CallError::Unavailable { .. }) => "unavailable",
+        Err(duty::CallError::Unknown { .. }) => "unknown",
+    };
+    metrics::counter!("duty_calls", "result" => result).increment(1);
+    let logged = event::Event::new("usage_reported")
+        .with("window", report.window)
+        .with("token", held.token)
+        .with("requests", counts.values().sum::<u64>())
+        .with("result", result);
+    match outcome {
+        Ok(()) => {
+            // A holder that has lost the duty meanwhile repeats the report if it takes it again.
+            if state.tenure.held().is_some_and(|current| current.token == held.token) {
+                state.reports.on_settled(report.window);
+            }
+            logged.info();
+        }
+        Err(reason) => {
+            let pause = match &reason {
+                duty::CallError::Rejected { .. } => {
+                    state.reports.on_settled(report.window);
+                    time::Millis::ZERO
+                }
+                duty::CallError::Unavailable { .. } => REFUSAL_PAUSE,
+                duty::CallError::Unknown { .. } => CALL_PAUSE,
+            };
+            state.call_at = now + pause;
+            logged.with("reason", reason).warn();
+        }
+    }
+}
+
+fn count_write(kind: &'static str, ok: bool) {
+    metrics::counter!("store_writes", "kind" => kind, "ok" => ok.to_string()).increment(1);
+}
--- /dev/null
+++ b/crates/chestnutpick_router/src/duty.rs
@@ -0,0 +1,6 @@
+//! Duties that one router performs at a time: decisions without clock or socket. The design is in `docs/design/duties.md`.
+
+pub mod counts;
+pub mod reports;
+pub mod tenure;
+pub mod truetime;
--- /dev/null
+++ b/crates/chestnutpick_router/src/duty/tenure.rs
@@ -0,0 +1,386 @@
+//! Who holds a duty: the lease and the fencing token of a router, and what it knows of the other holders.
+//!
+//! The holder's item is bound to a lease of the store. A router acts only while its lease surely runs, counted from before the
+//! call that took or renewed it. The record is not bound to a lease: it holds the last token and the last report.
+
+use std::net;
+
+use bytes::Bytes;
+use chestnutpick_fleet::{duty, position};
+use chestnutpick_types::{id, time};
+use serde::{Deserialize, Serialize};
+
+use super::reports;
+
+/// Margin of the lease for differences of clock rates, and for a call that is still on its way when it is given up.
+const MARGIN: time::Millis = time::Millis(250);
+
+/// Part of the lease that remains when it is renewed, in percent.
+const RENEWAL_PERCENT: u64 = 70;
+
+/// Time after a failed attempt to take the duty.
+const RETRY_TIME: time::Millis = time::Millis(1_000);
+
+/// Holder of a duty, as its item in the store states it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Name of the router.
+    pub name: id::HostId,
+    /// Address of the router.
+    pub ip: net::IpAddr,
+    /// Fencing token of the router.
+    pub token: duty::Token,
+}
+
+/// Last token that was taken, and the last report that may have been sent.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Token of the holder that wrote the record.
+    pub token: duty::Token,
+    /// Report, if there has been any.
+    pub report: Option<reports::Report>,
+}
+
+/// A duty that this router holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// Lease to which the holder's item is bound.
+    pub lease: duty::LeaseId,
+    /// Token of this router.
+    pub token: duty::Token,
+    /// Time at which the duty was taken.
+    pub since: time::Millis,
+    /// Era in which the lease runs.
+    era: position::Era,
+    /// Time until which the lease surely runs.
+    until: time::Millis,
+    holder_revision: position::Revision,
+}
+
+/// Reason why a duty was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Loss {
+    /// The lease may have ended before it could be renewed.
+    Expired,
+    /// The store has ended the lease.
+    Ended,
+    /// The store was restored from a copy, which has no leases.
+    Restored,
+    /// Another router holds the duty.
+    Replaced,
+    /// This router has given it up.
+    Released,
+}
+
+/// An attempt to take the duty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Attempt {
+    /// Token of this router if the attempt succeeds.
+    pub token: duty::Token,
+    /// Record that the attempt writes.
+    pub record: Record,
+    era: position::Era,
+    expected: position::Revision,
+}
+
+/// What a router knows of a duty.
+#[derive(Debug, Clone)]
+pub struct Tenure {
+    lease: time::Millis,
+    own: (id::HostId, net::IpAddr),
+    /// Era of the store and the time at which this router learned of it.
+    era: Option<(position::Era, time::Millis)>,
+    /// Whether this router held the duty when it learned of the era, so that nobody else has reported anything meanwhile.
+    held_across: bool,
+    holder: Option<Holder>,
+    record_revision: position::Revision,
+    /// Newest known record of all eras.
+    record: Record,
+    /// Highest known token of all eras.
+    highest: duty::Token,
+    held: Option<Held>,
+    /// Time before which this router does not take the duty.
+    rest_until: time::Millis,
+}
+
+impl Tenure {
+    /// Returns the knowledge of a router that has just started. Leases last `lease`.
+    pub fn new(name: id::HostId, ip: net::IpAddr, lease: time::Millis) -> Self {
+        Self {
+            lease,
+            own: (name, ip),
+            era: None,
+            held_across: false,
+            holder: None,
+            record_revision: position::Revision(0),
+            record: Record::default(),
+            highest: duty::Token::default(),
+            held: None,
+            rest_until: time::Millis::ZERO,
+        }
+    }
+
+    /// Applies items that the store has returned; a listing contains all that exist. Returns why the duty was lost, if so.
+    pub fn on_items(
+        &mut self,
+        now: time::Millis,
+        era: position::Era,
+        is_listing: bool,
+        items: &[duty::Item],
+    ) -> Option<Loss> {
+        if self.era.is_some_and(|(known, _)| era < known) {
+            return None;
+        }
+        let restored = self.on_era(now, era);
+        if is_listing {
+            self.holder = None;
+            if !items.iter().any(|item| item.key == duty::Key::UsageRecord) {
+                self.record_revision = position::Revision(0);
+            }
+        }
+        for item in items {
+            match item.key {
+                duty::Key::UsageHolder => self.on_holder(item),
+                duty::Key::UsageRecord => self.on_record(item),
+            }
+        }
+        let own = self.held.as_ref().map(|held| held.token);
+        let is_replaced =
+            own.is_some_and(|own| self.holder.as_ref().is_some_and(|other| other.token > own));
+        if restored.is_none() && is_replaced {
+            return self.lose(now, Loss::Replaced);
+        }
+        restored
+    }
+
+    fn on_era(&mut self, now: time::Millis, era: position::Era) -> Option<Loss> {
+        if self.era.is_some_and(|(known, _)| known >= era) {
+            return None;
+        }
+        self.held_across = self.may_act(now, time::Millis::ZERO);
+        self.era = Some((era, now));
+        (self.holder, self.record_revision) = (None, position::Revision(0));
+        if self.held.is_some() { self.lose(now, Loss::Restored) } else { None }
+    }
+
+    fn on_holder(&mut self, item: &duty::Item) {
+        let value = item.value.as_deref();
+        self.holder = value.and_then(|value| serde_json::from_slice(value).ok());
+        if let Some(holder) = &self.holder {
+            self.highest = self.highest.max(holder.token);
+        }
+    }
+
+    fn on_record(&mut self, item: &duty::Item) {
+        self.record_revision = self.record_revision.max(item.revision);
+        let Some(value) = item.value.as_deref() else { return };
+        let Ok(record) = serde_json::from_slice::<Record>(value) else { return };
+        self.highest = self.highest.max(record.token);
+        let window = |record: &Record| record.report.as_ref().map(|report| report.window);
+        // A copy of the store may have an older record.
+        if (window(&record), record.token) > (window(&self.record), self.record.token) {
+            self.record = record;
+        }
+    }
+
+    /// Returns the length of a lease.
+    pub fn lease_time(&self) -> time::Millis {
+        self.lease
+    }
+
+    /// Returns whether this router may take the duty. Nobody else may still act on a lease that a restored store has lost,
+    /// and this router may not act again shortly after another one.
+    pub fn may_take(&self, now: time::Millis) -> bool {
+        let Some((_, learned_at)) = self.era else { return false };
+        let is_settled = now.since(learned_at) >= self.lease + MARGIN;
+        self.held.is_none() && self.holder.is_none() && is_settled && now >= self.rest_until
+    }
+
+    /// Returns an attempt to take the duty. Its token is not used again.
+    pub fn attempt(&mut self) -> Option<Attempt> {
+        let (era, _) = self.era?;
+        let token = self.highest.max(duty::Token::first_of(era)).next();
+        self.highest = token;
+        let record = Record { token, report: self.record.report.clone() };
+        Some(Attempt { token, record, era, expected: self.record_revision })
+    }
+
+    /// Returns the transaction of an attempt.
+    pub fn transaction(&self, attempt: &Attempt, lease: duty::LeaseId) -> duty::Transaction {
+        let (name, ip) = self.own.clone();
+        let holder = Holder { name, ip, token: attempt.token };
+        let none = position::Revision(0);
+        duty::Transaction {
+            expected: vec![
+                (duty::Key::UsageHolder, none),
+                (duty::Key::UsageRecord, attempt.expected),
+            ],
+            puts: vec![
+                (duty::Key::UsageHolder, encode(&holder), Some(lease)),
+                (duty::Key::UsageRecord, encode(&attempt.record), None),
+            ],
+        }
+    }
+
+    /// Applies the success of an attempt whose lease was requested at `start`. Returns whether the duty is held. It is not if
+    /// the store was restored meanwhile: the token may have been used in the replaced history.
+    pub fn on_taken(
+        &mut self,
+        now: time::Millis,
+        start: time::Millis,
+        attempt: &Attempt,
+        lease: duty::LeaseId,
+        at: position::Position,
+    ) -> bool {
+        self.on_era(now, at.era);
+        if self.era.map(|(era, _)| era) != Some(attempt.era) || at.era != attempt.era {
+            self.on_failed(now);
+            return false;
+        }
+        self.record_revision = at.revision;
+        self.record = attempt.record.clone();
+        self.held = Some(Held {
+            lease,
+            token: attempt.token,
+            since: now,
+            era: attempt.era,
+            until: start + self.lease,
+            holder_revision: at.revision,
+        });
+        true
+    }
+
+    /// Applies the failure of an attempt.
+    pub fn on_failed(&mut self, now: time::Millis) {
+        self.rest_until = self.rest_until.max(now + RETRY_TIME);
+    }
+
+    /// Returns the lease if it should be renewed now.
+    pub fn due_renewal(&self, now: time::Millis) -> Option<duty::LeaseId> {
+        let held = self.held.as_ref()?;
+        let remaining = time::Millis(self.lease.0 * RENEWAL_PERCENT / 100);
+        (held.until.since(now) <= remaining).then_some(held.lease)
+    }
+
+    /// Applies a renewal that was requested at `start`. Returns why the duty was lost, if so.
+    pub fn on_renewed(
+        &mut self,
+        now: time::Millis,
+        start: time::Millis,
+        lease: duty::LeaseId,
+        era: position::Era,
+    ) -> Option<Loss> {
+        let restored = self.on_era(now, era);
+        let length = self.lease;
+        let held = self.held.as_mut().filter(|held| held.lease == lease && held.era == era);
+        if let Some(held) = held {
+            held.until = held.until.max(start + length);
+        }
+        restored.or_else(|| self.expire(now))
+    }
+
+    /// Gives the duty up if the lease may have ended. Returns the reason, if so.
+    pub fn expire(&mut self, now: time::Millis) -> Option<Loss> {
+        let is_over = self.held.as_ref().is_some_and(|held| now + MARGIN >= held.until);
+        if is_over { self.lose(now, Loss::Expired) } else { None }
+    }
+
+    /// Gives the duty up. Returns the reason if it was held.
+    pub fn lose(&mut self, now: time::Millis, loss: Loss) -> Option<Loss> {
+        self.held.take()?;
+        self.rest_until = now + self.lease + MARGIN;
+        Some(loss)
+    }
+
+    /// Returns whether this router may make a call that is given up after `span`.
+    pub fn may_act(&self, now: time::Millis, span: time::Millis) -> bool {
+        let era = self.era.map(|(era, _)| era);
+        self.held
+            .as_ref()
+            .is_some_and(|held| now + span + MARGIN < held.until && Some(held.era) == era)
+    }
+
+    /// Returns the transaction that writes the report of a window to the record.
+    pub fn write(&self, report: &reports::Report) -> Option<duty::Transaction> {
+        let held = self.held.as_ref()?;
+        let record = Record { token: held.token, report: Some(report.clone()) };
+        Some(duty::Transaction {
+            expected: vec![
+                (duty::Key::UsageHolder, held.holder_revision),
+                (duty::Key::UsageRecord, self.record_revision),
+            ],
+            puts: vec![(duty::Key::UsageRecord, encode(&record), None)],
+        })
+    }
+
+    /// Applies the success of a write. Returns why the duty was lost, if so.
+    pub fn on_written(
+        &mut self,
+        now: time::Millis,
+        report: reports::Report,
+        at: position::Position,
+    ) -> Option<Loss> {
+        let restored = self.on_era(now, at.era);
+        if let Some(held) = self.held.as_ref().filter(|held| held.era == at.era) {
+            let token = held.token;
+            self.record_revision = self.record_revision.max(at.revision);
+            self.record = Record { token, report: Some(report) };
+        }
+        restored
+    }
+
+    /// Applies the current items after a write was not executed. An earlier write without an answer may have been. Returns why
+    /// the duty was lost, if so.
+    pub fn on_conflict(
+        &mut self,
+        now: time::Millis,
+        era: position::Era,
+        items: &[duty::Item],
+    ) -> Option<Loss> {
+        let restored = self.on_items(now, era, false, items);
+        let own = self.held.as_ref().map(|held| held.token);
+        let holder = items.iter().find(|item| item.key == duty::Key::UsageHolder);
+        let is_own = own.is_some() && self.holder.as_ref().map(|holder| holder.token) == own;
+        if restored.is_some() || own.is_none() {
+            return restored;
+        }
+        match (holder, &mut self.held) {
+            (Some(item), Some(held)) if is_own => {
+                held.holder_revision = item.revision;
+                None
+            }
+            _ => self.lose(now, Loss::Replaced),
+        }
+    }
+
+    /// Returns the known holder.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// Returns the duty that this router holds.
+    pub fn held(&self) -> Option<&Held> {
+        self.held.as_ref()
+    }
+
+    /// Returns the newest known report that may have been sent.
+    pub fn report(&self) -> Option<&reports::Report> {
+        self.record.report.as_ref()
+    }
+
+    /// Returns the time at which this router learned of the store's history, if a holder in the history before may have
+    /// sent reports that this router does not know.
+    pub fn unknown_until(&self) -> Option<time::Millis> {
+        let (era, learned_at) = self.era?;
+        (self.record.token.era() < era && !self.held_across && self.record != Record::default())
+            .then_some(learned_at)
+    }
+}
+
+fn encode<T>(value: &T) -> Bytes
+where
+    T: Serialize,
+{
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,6 +1,6 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`bodies`], [`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`],
+//! The policies ([`bodies`], [`choice`], [`departed`], [`duty`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`],
 //! [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an
 //! argument and do no I/O; the other modules connect them to sockets and clocks.
 
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod compression;
 pub mod departed;
+pub mod duty;
 pub mod ending;
 pub mod events;
 pub mod failures;
@@ -28,6 +29,7 @@
 mod answer;
 mod calls;
 mod crash;
+mod duties;
 mod expiry;
 mod forward;
 mod handle;
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync;
 
 use crate::crash;
+use crate::duties;
 use crate::lease;
 use crate::node;
 use crate::outcome;
@@ -119,6 +120,9 @@
                 crash::on_cleared(node, &fingerprint);
             }
             Some(load::ToRouter::OriginQuery) => name_origin(node, from),
+            Some(load::ToRouter::Counts(counts)) => duties::on_counts(node, from.ip(), &counts),
+            Some(load::ToRouter::Time(unix)) => duties::on_time(node, from, unix),
+            Some(load::ToRouter::MedianTime(unix)) => duties::on_median_time(node, unix),
             Some(load::ToRouter::EngineDown(started_at)) => {
                 node.view.borrow_mut().on_engine_down(node.now(), from.ip(), started_at);
                 crash::confirm(node);
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -18,6 +18,7 @@
 
 use crate::bodies;
 use crate::choice;
+use crate::duties;
 use crate::forward;
 use crate::lease;
 use crate::region;
@@ -68,6 +69,8 @@
     pub(crate) bodies: bodies::Budget,
     /// Service bounds that the users set; can change at run time.
     pub(crate) bounds: cell::Cell<host::Bounds>,
+    /// State of the duties that one router performs at a time, if there are any.
+    pub(crate) duties: Option<cell::RefCell<duties::State>>,
     /// Token whose cancellation refuses requests that have not been read whole.
     pub(crate) refuse_unread: token::CancellationToken,
     leaving: cell::Cell<bool>,
@@ -92,6 +95,7 @@
         Self {
             bodies: bodies::Budget::of_memory(host.memory),
             bounds: cell::Cell::new(host.bounds),
+            duties: duties::State::new(&host).map(cell::RefCell::new),
             host,
             codec,
             clock,
@@ -203,6 +207,11 @@
         self.leaving.set(true);
     }
 
+    /// Returns whether the readiness check fails because the process is shutting down.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// Starts to refuse requests.
     pub(crate) fn close(&self) {
         self.closed.set(true);
@@ -264,6 +273,7 @@
             "confirmed_age_ms": view.confirmed_at.map(|at| now.since(at)),
             "evacuated": view.evacuated().collect::<Vec<_>>(),
             "suspects": self.suspicion.borrow().dump(),
+            "duties": duties::dump(self, now),
             "endpoints": endpoints.collect::<Vec<_>>(),
         })
     }
--- a/crates/chestnutpick_router/src/read.rs
+++ b/crates/chestnutpick_router/src/read.rs
@@ -82,6 +82,7 @@
                 .with("age", node.now().since(self.response.confirmed_at))
                 .with("absent", outcome::or_none(view.confirmed_at.map(|at| node.now().since(at))))
                 .info(),
+            directory::Change::Duty(_) => {}
             directory::Change::Unreadable { key, reason, .. } => {
                 event::Event::new("item_unreadable").with("key", key).with("reason", reason).warn();
             }
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use actix_http as http;
-use chestnutpick_fleet::{codec, directory, host};
+use chestnutpick_fleet::{codec, directory, duty, host};
 use chestnutpick_http::{activity, respond, server};
 use chestnutpick_process::{page, signal};
 use chestnutpick_telemetry::{event, metric};
@@ -16,6 +16,7 @@
 use tokio_util::sync;
 
 use crate::crash;
+use crate::duties;
 use crate::expiry;
 use crate::handle;
 use crate::loads;
@@ -66,17 +67,19 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound or the metrics cannot be installed.
-pub async fn run<C, D, F>(
+pub async fn run<C, D, K, F>(
     host: host::Host,
     addresses: Addresses,
     store: D,
+    control: Option<K>,
     codec: C,
     reload_signal: signal::Reload,
     reload: F,
 ) -> io::Result<()>
 where
     C: codec::Codec + 'static,
-    D: directory::Directory + 'static,
+    D: directory::Directory + duty::Ledger + Clone + 'static,
+    K: duty::Control + 'static,
     F: Fn() -> Result<host::Bounds, String> + 'static,
 {
     let metrics = metric::Exporter::install().map_err(io::Error::other)?;
@@ -96,6 +99,10 @@
     let reloading = rc::Rc::clone(&node);
     reload_signal
         .spawn_handler(stop.clone(), move || host::apply_bounds(&reloading.bounds, reload()))?;
+    if let Some(control) = control {
+        let ledger = store.clone();
+        actix_rt::spawn(duties::perform(rc::Rc::clone(&node), ledger, control, stop.clone()));
+    }
     actix_rt::spawn(watch::follow(rc::Rc::clone(&node), store, stop.clone()));
     actix_rt::spawn(loads::exchange(rc::Rc::clone(&node), stop.clone()));
     actix_rt::spawn(crash::probe(rc::Rc::clone(&node), stop.clone()));
@@ -121,6 +128,7 @@
     event::Event::new("leaving").with("in_flight", node.in_flight()).info();
     actix_rt::spawn(drain(rc::Rc::clone(&node), accepting, cut));
     let drained = serving.await.map_err(io::Error::other)?;
+    duties::send_all(&node);
     stop.cancel();
     log_stopped(drained);
     Ok(())
--- a/crates/chestnutpick_router/src/sending.rs
+++ b/crates/chestnutpick_router/src/sending.rs
@@ -98,7 +98,7 @@
     tries.phase = ending::Phase::Waiting;
     tries.chosen = Some(placement.chosen.clone());
     tries.config = placement.terms.version;
-    let slot = slot::Slot::new(node, &endpoint.id, call);
+    let slot = slot::Slot::new(node, &endpoint.id, call, &placement.terms);
     let request = request(node, call, placement, time_left, last_event);
     let mut weights = outdated::Weights {
         service: sync::Arc::clone(&placement.terms.service),
@@ -165,6 +165,9 @@
     let failed = match outcome {
         Ok(Arrived { response, head }) => {
             slot.on_response_started(response.status);
+            if !(head.is_stream && response.status == 200) {
+                slot.on_whole();
+            }
             tries.weights = head.version;
             weights.version = head.version.or(weights.version);
             let endpoint = endpoint.id.clone();
--- a/crates/chestnutpick_router/src/slot.rs
+++ b/crates/chestnutpick_router/src/slot.rs
@@ -7,11 +7,13 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{id, time};
 
+use crate::duties;
 use crate::ending;
 use crate::handle;
 use crate::loads;
 use crate::node;
 use crate::outcome;
+use crate::terms;
 
 /// Guard that counts a request as sent to an endpoint until it is dropped. Logs that the caller has left if it is dropped
 /// before the request has ended.
@@ -29,6 +31,8 @@
     pending_tokens: cell::Cell<u32>,
     /// Whether the endpoint has started to respond.
     started: cell::Cell<bool>,
+    /// Workspace in whose count the request is included once the endpoint has begun to run it.
+    workspace: cell::RefCell<Option<sync::Arc<str>>>,
     /// Whether this process drops the request at the endpoint because it goes on at another one.
     is_dropped: rc::Rc<cell::Cell<bool>>,
     /// Whether the request has ended at the endpoint, or this process has given it up there.
@@ -41,6 +45,7 @@
         node: &rc::Rc<node::Node<C>>,
         endpoint: &id::EndpointId,
         call: &handle::Call,
+        terms: &terms::Terms,
     ) -> Self {
         let (sent_at, tokens) = (node.now(), call.tokens());
         node.view.borrow_mut().on_sent(sent_at, endpoint, tokens);
@@ -54,6 +59,9 @@
             heard_at: cell::Cell::new(sent_at),
             event_at: cell::Cell::new(sent_at),
             pending_tokens: cell::Cell::new(tokens),
+            workspace: cell::RefCell::new(
+                terms.workspace.as_ref().map(|workspace| sync::Arc::clone(&workspace.name)),
+            ),
             is_dropped: rc::Rc::clone(&call.drops_try),
             started: cell::Cell::new(false),
             ended: cell::Cell::new(false),
@@ -70,6 +78,19 @@
     /// Records that an event of a stream has arrived.
     pub(crate) fn on_event(&self) {
         self.event_at.set(self.node.now());
+        self.count(self.event_at.get());
+    }
+
+    /// Records that the response is not a stream, and that the endpoint therefore ran the request since it was sent.
+    pub(crate) fn on_whole(&self) {
+        self.count(self.sent_at);
+    }
+
+    /// Includes the request in the count of its workspace, unless it already is.
+    fn count(&self, begun_at: time::Millis) {
+        if let Some(workspace) = self.workspace.take() {
+            duties::on_begun(&self.node, begun_at, &workspace);
+        }
     }
 
     /// Returns the time of the last event of a stream, or of sending the request.
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -86,6 +86,7 @@
                 self.evacuated.remove(&zone);
             }
             directory::Change::Declared(model, version) => self.on_declared(now, model, version),
+            directory::Change::Duty(_) => {}
             directory::Change::Unreadable { endpoint, .. } => {
                 if let Some(id) = endpoint {
                     self.on_removed(now, &id);
--- a/crates/chestnutpick_router/src/watch.rs
+++ b/crates/chestnutpick_router/src/watch.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync;
 
 use crate::calls;
+use crate::duties;
 use crate::node;
 use crate::read;
 use crate::readers;
@@ -360,6 +361,7 @@
     fn apply_changes(&self, read: &read::Read, changes: Vec<directory::Change>) {
         let now = self.node.now();
         let new_endpoint = self.has_new_endpoint(&changes);
+        duties::on_changes(&self.node, self.position.get().era, &read.response, &changes);
         if read.response.content.is_listing() {
             changes.iter().for_each(|change| read.log(&self.node, change));
             self.node.view.borrow_mut().replace(now, changes);
