Treat a response without a valid status as lost

A response with a status from 600 to 999 was taken for an answer. The router passed it on to the caller, the agent reported an attempt of an engine as endpoint_full, not run, and the entry took it for the agent's refusal. 000, 099 and statuses that are not three digits were already lost, because awc and httparse decline them; the tests keep that.

The client now checks the status where it reads the head of a response, after interim ones. A status outside 200 to 599 is reported as CallError::Lost, like bytes that are no response, so router, relay, loader, agent and entry treat it alike.

--- a/crates/chestnutpick_client/src/head.rs
+++ b/crates/chestnutpick_client/src/head.rs
@@ -28,6 +28,8 @@
     Interim,
     #[snafu(display("an upgrade that was not requested"))]
     Upgrade,
+    #[snafu(display("the status {status:03} is no status"))]
+    Status { status: u16 },
 }
 
 /// Received part of the head of a response.
@@ -75,7 +77,8 @@
             match response.code {
                 Some(101) => return UpgradeSnafu.fail(),
                 Some(100..200) => self.bytes.advance(len),
-                _ => return Ok(true),
+                Some(200..600) => return Ok(true),
+                status => return StatusSnafu { status: status.unwrap_or_default() }.fail(),
             }
             self.interim += 1;
             if self.interim > MAX_INTERIM {
