Serve urgent requests first when engines are short

A router refuses a request that is expected to begin later than its route's target. Under overload, engines therefore fill up to the loosest target, and requests with a tighter one are refused whatever their priority.

Each router now records its recent decisions by service and priority. While more urgent requests are refused as late, or begin late, the limit on the expected wait of less urgent ones moves towards a part of the urgent target, unless they would be starved. Messages are not needed. Where all priorities are equal, limits are the targets as before. The rank of a request is now computed in terms.rs.

With the limit equal to the target, urgent_requests_are_served_first fails with the shares as the message.

--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,7 +1,7 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
 //! The policies ([`bodies`], [`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`],
-//! [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an
+//! [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`urgency`], [`view`], [`window`]) take the current time as an
 //! argument and do no I/O; the other modules connect them to sockets and clocks.
 
 pub mod bodies;
@@ -22,6 +22,7 @@
 pub mod run;
 pub mod suspicion;
 pub mod timeout;
+pub mod urgency;
 pub mod view;
 pub mod window;
 
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -24,6 +24,7 @@
 use crate::relay;
 use crate::routers;
 use crate::suspicion;
+use crate::urgency;
 use crate::view;
 
 /// Time-out for connecting to an endpoint. Healthy hosts accept within milliseconds. A host that takes longer is
@@ -42,6 +43,8 @@
     pub(crate) view: cell::RefCell<view::View>,
     /// Retry budget of each service.
     budgets: cell::RefCell<collections::HashMap<id::ServiceId, retry::Budget>>,
+    /// Recent decisions about requests of each priority.
+    pub(crate) urgency: cell::RefCell<urgency::Urgency>,
     /// Requests, and parts of prompts, that may crash endpoints.
     pub(crate) suspicion: cell::RefCell<suspicion::Suspicion>,
     /// Notified when the endpoints have been checked for signs of life.
@@ -97,6 +100,7 @@
             clock,
             view: cell::RefCell::new(view),
             budgets: cell::RefCell::default(),
+            urgency: cell::RefCell::default(),
             suspicion: cell::RefCell::default(),
             silence_checked: Notify::new(),
             probe_due: Notify::new(),
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -94,6 +94,7 @@
     let took = now.since(call.arrived);
     metrics::histogram!("first_byte_ms").record(took.0 as f64);
     metrics::counter!("requests_answered").increment(1);
+    note_late(node, call, tries);
     let mut event = ending::Size::of(call)
         .add_to(event::Event::new("request_answered"))
         .with("request", &call.head.request_id)
@@ -128,6 +129,16 @@
     event.info();
 }
 
+/// Notes that a response began later than its target, unless the request had to leave an endpoint.
+fn note_late<C>(node: &node::Node<C>, call: &handle::Call, tries: &forward::Tries) {
+    let (now, terms) = (node.now(), &call.admitted);
+    let target = terms.route.target;
+    if tries.sends == 1 && now.since(call.received) > target {
+        let mut urgency = node.urgency.borrow_mut();
+        urgency.on_begun_late(now, &terms.service.name, terms.rank(), target);
+    }
+}
+
 /// Returns the text of a value for a log, or `none`.
 pub(crate) fn or_none<T>(value: Option<T>) -> String
 where
--- a/crates/chestnutpick_router/src/placement.rs
+++ b/crates/chestnutpick_router/src/placement.rs
@@ -1,12 +1,13 @@
 //! Placement of a request at an endpoint, under the terms on its arrival and the newest ones.
 
-use chestnutpick_types::error;
+use chestnutpick_types::{error, time};
 
 use crate::choice;
 use crate::forward;
 use crate::handle;
 use crate::node;
 use crate::terms;
+use crate::urgency;
 
 /// Decision to send a request to an endpoint.
 #[derive(Debug)]
@@ -48,11 +49,13 @@
     let terms = renew_terms(node, call, tries).map_err(Unplaced::Denied)?;
     let now = node.now();
     let route = &call.admitted.route;
+    let (service, rank) = (&terms.service.name, terms.rank());
+    let limit = node.urgency.borrow().limit(now, service, rank, route.target);
     // Refusing a request that may have partly run counts as a failure. A late response is better, if the caller still
     // waits for it.
     let time_left = match tries.runs {
         // A body that arrived slowly would arrive as slowly again after a refusal.
-        0 => Some(route.target.since(now.since(call.received))),
+        0 => Some(limit.since(now.since(call.received))),
         _ if tries.begun => None,
         _ => Some(route.patience.since(now.since(call.received))),
     };
@@ -67,6 +70,9 @@
         tried: &tries.failed,
         version,
     });
+    if let (0, Some(decision)) = (tries.sends, decision(&chosen, limit)) {
+        node.urgency.borrow_mut().on_decision(now, service, rank, route.target, decision);
+    }
     let chosen = chosen.map_err(|none| {
         let refusal = no_choice(tries, &terms, &none);
         match none.reason {
@@ -77,6 +83,25 @@
     Ok(Placement { chosen, terms, version })
 }
 
+/// Returns the decision about a request that must be expected to begin within `limit`, or `None` if it is refused for
+/// another reason than the lack of room.
+fn decision(
+    chosen: &Result<choice::Chosen, choice::NoChoice>,
+    limit: time::Millis,
+) -> Option<urgency::Decision> {
+    match chosen {
+        Ok(_) => Some(urgency::Decision::Accepted),
+        Err(none) => match none.reason {
+            choice::Reason::NoEndpoint | choice::Reason::NoVersion => None,
+            choice::Reason::Full => Some(urgency::Decision::Full),
+            choice::Reason::Late => {
+                let excess = none.expected.unwrap_or_default().since(limit);
+                Some(urgency::Decision::Late { excess })
+            }
+        },
+    }
+}
+
 /// Renews the terms of a request. They must also permit a repetition if the request may have run.
 fn renew_terms<C>(
     node: &node::Node<C>,
--- a/crates/chestnutpick_router/src/sending.rs
+++ b/crates/chestnutpick_router/src/sending.rs
@@ -270,8 +270,7 @@
     C: codec::Codec,
 {
     let placement::Placement { chosen, terms, .. } = placement;
-    let rank = terms.workspace.as_deref().and_then(|workspace| workspace.priority);
-    let rank = rank.unwrap_or(terms.route.priority).min(codec::LEAST_URGENT.into());
+    let rank = terms.rank().min(codec::LEAST_URGENT.into());
     let forward = codec::Forward {
         endpoint: &chosen.endpoint,
         deadline: time_left,
--- a/crates/chestnutpick_router/src/terms.rs
+++ b/crates/chestnutpick_router/src/terms.rs
@@ -91,6 +91,12 @@
         [&self.route.regions, workspace.unwrap_or_default(), &self.confined]
     }
 
+    /// Returns the priority of the request; 0 is the highest.
+    pub(crate) fn rank(&self) -> u32 {
+        let rank = self.workspace.as_deref().and_then(|workspace| workspace.priority);
+        rank.unwrap_or(self.route.priority)
+    }
+
     /// Returns whether the request is confined because the lease of the configuration has expired.
     pub(crate) fn is_confined(&self) -> bool {
         !self.confined.is_empty()
