Use the pace and the load that endpoints state in responses

Cause: the load header's third and fourth figure were not read. The estimate for a plain service grew with the target of the route instead of the work, and an endpoint of a plain service whose last response was older than 1.2 s got a penalty of 150 ms, although no loader reports its load. A router with few requests therefore preferred the endpoints that it had used last.

Router::pace keeps the last value (weight 1/e after 200 ms) and the mean (1/e after 2 s), and the expected time of an engine or plain endpoint is multiplied by the resulting factor, 1 if nothing is known. For plain services, the wait is derived from running, waiting and slots with their age, own requests since, and the work time learned from responses. Refusals carry the header too and are used.

--- a/crates/chestnutpick_fleet/src/codec.rs
+++ b/crates/chestnutpick_fleet/src/codec.rs
@@ -7,6 +7,7 @@
 use chestnutpick_types::{id, rate, time};
 
 use crate::endpoint;
+use crate::pace;
 
 /// Fields of a caller's request headers.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -47,6 +48,19 @@
     pub last_event: Option<u64>,
 }
 
+/// Load that an endpoint states in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Running requests.
+    pub running: u32,
+    /// Waiting requests.
+    pub waiting: u32,
+    /// Requests that can run at the same time, if stated.
+    pub slots: Option<u32>,
+    /// Pace of the endpoint's host at the time of the response, if stated.
+    pub pace: Option<pace::Pace>,
+}
+
 /// Fields of an endpoint's response headers.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct ResponseHead {
@@ -56,8 +70,8 @@
     pub sealed: bool,
     /// Whether the endpoint states that it did not run the request.
     pub not_run: bool,
-    /// Running and waiting requests at the endpoint.
-    pub load: Option<(u32, u32)>,
+    /// Load of the endpoint.
+    pub load: Option<Load>,
     /// Remaining time of the endpoint's cold start.
     pub cold: Option<time::Millis>,
     /// Version of the weights that served the request.
--- a/crates/chestnutpick_fleet/src/lib.rs
+++ b/crates/chestnutpick_fleet/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod engine;
 pub mod host;
 pub mod load;
+pub mod pace;
 pub mod position;
 pub mod progress;
--- a/crates/chestnutpick_router/src/answer.rs
+++ b/crates/chestnutpick_router/src/answer.rs
@@ -13,21 +13,28 @@
 use crate::node;
 use crate::sending;
 use crate::slot;
+use crate::view;
 
 /// Maximum size of a response that is not a stream.
 const RESPONSE_LIMIT: size::Bytes = size::Bytes::from_mib(8);
 
-/// Records what the sender of a response states about itself in the headers.
+/// Records what the sender of a response that took `took` states about itself in the headers.
 pub(crate) fn on_head<C>(
     node: &node::Node<C>,
     endpoint: &endpoint::Endpoint,
     response: &client::Response,
     head: &codec::ResponseHead,
+    took: time::Millis,
 ) where
     C: codec::Codec,
 {
     let (now, mut view) = (node.now(), node.view.borrow_mut());
     let responder = node.codec.endpoint_id(&response.headers);
+    if let Some(load) = head.load {
+        let took = (!head.not_run && response.status < 500).then_some(took);
+        let stated = view::StatedLoad { load, took };
+        view.on_stated_load(now, endpoint, responder.as_ref(), &stated);
+    }
     let sender = responder.as_ref().unwrap_or(&endpoint.id);
     if head.draining && view.on_draining(now, endpoint, responder.as_ref()) {
         event::Event::new("endpoint_draining").with("endpoint", sender).info();
--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -1,6 +1,7 @@
 //! Choice of an endpoint for a request, including whether to refuse the request instead.
 
 mod estimate;
+mod plain;
 
 use std::fmt;
 
@@ -144,6 +145,10 @@
     let begin_by = |endpoint_view: &view::EndpointView| {
         begin_by(view, &context.bounds, request.service, endpoint_view.weights(now)?)
     };
+    let jitter_ms = match request.service.engine {
+        Some(_) => JITTER_MS,
+        None => plain::jitter_ms(view, request),
+    };
     for endpoint_view in view.endpoints.values() {
         if !is_permitted(view, context, request, endpoint_view) {
             continue;
@@ -169,9 +174,9 @@
         }
         let is_local = context.local.includes(&endpoint_view.endpoint.zone);
         let rank = expected
-            + estimate::penalty(now, is_local, endpoint_view)
+            + estimate::penalty(now, request, is_local, endpoint_view)
             + estimate::weights_load_penalty(now, request, endpoint_view)
-            + JITTER_MS * random_unit(rng);
+            + jitter_ms * random_unit(rng);
         candidates.push(Candidate { rank, expected, is_local, endpoint_view });
     }
     let none = |reason, expected: Option<f64>| NoChoice {
--- a/crates/chestnutpick_router/src/choice/estimate.rs
+++ b/crates/chestnutpick_router/src/choice/estimate.rs
@@ -4,6 +4,7 @@
 use chestnutpick_types::time;
 
 use crate::choice;
+use crate::choice::plain;
 use crate::view;
 
 /// Added to the expected wait at an endpoint of another region, in milliseconds. Covers the round trip and the cost of
@@ -16,7 +17,7 @@
 /// Added for each consecutive failure, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 200.0;
 
-/// Added for an endpoint whose last load report is stale, in milliseconds.
+/// Added for an engine whose last load report is stale, in milliseconds. Endpoints of plain services send no reports.
 const STALE_LOAD_PENALTY_MS: f64 = 150.0;
 
 /// Added for an endpoint that has been silent and has not shown a sign of life since, in milliseconds.
@@ -56,13 +57,10 @@
     request: &choice::Request<'_>,
     endpoint_view: &view::EndpointView,
 ) -> f64 {
-    let occupied = occupied(now, view, endpoint_view);
     let Some(engine) = &request.service.engine else {
-        // Without an engine, the expected time grows linearly and reaches a fifth of the route's target when all slots
-        // are occupied.
-        let occupancy = f64::from(occupied) / f64::from(endpoint_view.endpoint.slots.max(1));
-        return request.target.0 as f64 * 0.2 * occupancy;
+        return plain::expected_ms(now, view, request, endpoint_view);
     };
+    let occupied = occupied(now, view, endpoint_view);
     let slots = f64::from(engine.slots.max(1));
     let running = f64::from(occupied.min(engine.slots));
     let step = engine.step_ms + engine.per_request_ms * running;
@@ -76,7 +74,9 @@
     let prefill_ms = pending_tokens / engine.prefill_rate;
     let queued_ahead = (f64::from(occupied + 1) + unreported - slots).max(0.0);
     let slot_interval_ms = f64::from(engine.mean_tokens.1) * step * PREFILL_SLOWDOWN / slots;
-    f64::from(engine.prefill_stride) * step + prefill_ms + queued_ahead * slot_interval_ms
+    let usual_ms =
+        f64::from(engine.prefill_stride) * step + prefill_ms + queued_ahead * slot_interval_ms;
+    usual_ms * endpoint_view.pace.factor(now)
 }
 
 pub(super) fn occupied(
@@ -94,20 +94,19 @@
 
 pub(super) fn penalty(
     now: time::Millis,
+    request: &choice::Request<'_>,
     is_local: bool,
     endpoint_view: &view::EndpointView,
 ) -> f64 {
     let region = if is_local { 0.0 } else { REGION_PENALTY_MS };
-    let stale_load =
-        if endpoint_view.load_received_at.is_some() && !endpoint_view.has_recent_load(now) {
-            STALE_LOAD_PENALTY_MS
-        } else {
-            0.0
-        };
+    let is_reported = request.service.engine.is_some() && endpoint_view.load_received_at.is_some();
+    let stale_load = if is_reported && !endpoint_view.has_recent_load(now) {
+        STALE_LOAD_PENALTY_MS
+    } else {
+        0.0
+    };
     let passive = match endpoint_view.interest {
-        load::Interest::Passive if endpoint_view.load_received_at.is_some() && !is_local => {
-            PASSIVE_PENALTY_MS
-        }
+        load::Interest::Passive if is_reported && !is_local => PASSIVE_PENALTY_MS,
         _ => 0.0,
     };
     region
--- a/crates/chestnutpick_router/src/forward.rs
+++ b/crates/chestnutpick_router/src/forward.rs
@@ -272,10 +272,6 @@
     if (200..300).contains(&status) {
         crash::on_answered(node, call);
     }
-    // Load reports of engines arrive by datagram and are more recent.
-    if let (Some((running, waiting)), None) = (opened.head.load, &call.admitted.service.engine) {
-        node.view.borrow_mut().on_response_load(node.now(), &opened.endpoint, running, waiting);
-    }
     let response = answer::build(node, status, &opened.response.headers, body);
     Served::Whole(response, opened.endpoint)
 }
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod liveness;
 pub mod notices;
 pub mod outage;
+pub mod pace;
 pub mod readers;
 pub mod region;
 pub mod routers;
@@ -24,6 +25,7 @@
 pub mod timeout;
 pub mod view;
 pub mod window;
+pub mod work;
 
 mod answer;
 mod calls;
--- a/crates/chestnutpick_router/src/sending.rs
+++ b/crates/chestnutpick_router/src/sending.rs
@@ -200,7 +200,7 @@
     let response = outcome?;
     slot.on_heard();
     let head = node.codec.response_head(&response.headers);
-    answer::on_head(node, endpoint, &response, &head);
+    answer::on_head(node, endpoint, &response, &head, slot.age());
     answer::check(node, call, endpoint, &response, &head)?;
     Ok(Arrived { response, head })
 }
--- a/crates/chestnutpick_router/src/slot.rs
+++ b/crates/chestnutpick_router/src/slot.rs
@@ -77,6 +77,11 @@
         self.event_at.get()
     }
 
+    /// Returns the time since the request was sent.
+    pub(crate) fn age(&self) -> time::Millis {
+        self.node.now().since(self.sent_at)
+    }
+
     /// Returns the endpoint.
     pub(crate) fn endpoint(&self) -> &id::EndpointId {
         &self.endpoint
--- a/crates/chestnutpick_router/src/view.rs
+++ b/crates/chestnutpick_router/src/view.rs
@@ -17,7 +17,9 @@
 use crate::outage;
 use crate::region;
 use crate::routers;
+use crate::work;
 
+pub use self::response::StatedLoad;
 pub use self::state::EndpointView;
 
 /// State of the deployment, as known to one router.
@@ -47,6 +49,8 @@
     pub salt: u64,
     /// Estimated number of routers that share the engines.
     pub routers: routers::Estimate,
+    /// Usual work time of each plain service.
+    pub work: collections::BTreeMap<id::ServiceId, work::Usual>,
 }
 
 impl View {
--- a/crates/chestnutpick_router/src/view/response.rs
+++ b/crates/chestnutpick_router/src/view/response.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use chestnutpick_fleet::endpoint;
+use chestnutpick_fleet::{codec, endpoint, pace};
 use chestnutpick_types::{id, rate, time};
 
 use crate::view;
@@ -23,18 +23,45 @@
 /// Time for which an endpoint is blocked after it reported that it is full.
 const FULL_PAUSE: time::Millis = time::Millis(100);
 
+/// Load that a response states.
+#[derive(Debug, Clone, Copy)]
+pub struct StatedLoad {
+    /// The load.
+    pub load: codec::Load,
+    /// Time from the request to the response; `None` if the endpoint refused the request.
+    pub took: Option<time::Millis>,
+}
+
 impl view::View {
-    /// Applies the load that an endpoint reports in a response.
-    pub fn on_response_load(
+    /// Applies the load that a response to a request to `endpoint` states. The sender is `responder` if the response names
+    /// it. Of an engine, only the pace is used: its loader's reports are more recent for the rest.
+    pub fn on_stated_load(
         &mut self,
         now: time::Millis,
-        id: &id::EndpointId,
-        running: u32,
-        waiting: u32,
+        endpoint: &endpoint::Endpoint,
+        responder: Option<&id::EndpointId>,
+        response: &StatedLoad,
     ) {
-        if let Some(endpoint_view) = self.endpoints.get_mut(id) {
-            endpoint_view.occupied = running + waiting;
-            endpoint_view.load_received_at = Some(now);
+        let sender = responder.unwrap_or(&endpoint.id);
+        let is_plain = !self.is_engine_id(sender);
+        let Some(endpoint_view) = self.endpoints.get_mut(sender) else { return };
+        let load = &response.load;
+        if let Some(pace) = load.pace {
+            endpoint_view.pace.on_stated(now, pace);
+        }
+        if !is_plain {
+            return;
+        }
+        // The end of the request will be deducted, and a refused request is not in the stated load.
+        let refused = u32::from(response.took.is_none());
+        endpoint_view.occupied = load.running.saturating_add(load.waiting).saturating_add(refused);
+        endpoint_view.load_received_at = Some(now);
+        endpoint_view.stated.on_load(load);
+        let usual = self.work.entry(endpoint_view.endpoint.service.clone()).or_default();
+        usual.on_load(load);
+        if let Some(took) = response.took.filter(|_| load.waiting == 0) {
+            let factor = load.pace.map_or(1.0, pace::Pace::factor);
+            usual.on_response(took, factor);
         }
     }
 
--- a/crates/chestnutpick_router/src/view/state.rs
+++ b/crates/chestnutpick_router/src/view/state.rs
@@ -5,8 +5,10 @@
 
 use crate::failures;
 use crate::liveness;
+use crate::pace;
 use crate::region;
 use crate::window;
+use crate::work;
 
 /// Age at which a load report becomes stale and is ignored.
 const MAX_LOAD_AGE: time::Millis = liveness::TIMEOUT;
@@ -64,6 +66,10 @@
     pub blocked_until: time::Millis,
     /// Requests that this router sent in the last second.
     pub window: window::Window,
+    /// Pace of the endpoint's host, as its responses state it.
+    pub pace: pace::Recent,
+    /// Load that responses state, if the endpoint is not an engine.
+    pub stated: work::Stated,
 }
 
 impl EndpointView {
@@ -91,6 +97,8 @@
             failures: failures::Failures::default(),
             blocked_until: time::Millis::ZERO,
             window: window::Window::default(),
+            pace: pace::Recent::default(),
+            stated: work::Stated::default(),
         }
     }
 
