Count the requests at an engine without those that its report does not show yet being lost

Cause: a loader took the number in the engine's report, read every 100 ms, and added the change of the routers' requests since the report arrived. The report is some 200 ms old. Requests that routers had sent in these 200 ms were in neither number, so an engine looked emptier to all routers the more requests it had just got.

Change: the routers' count, which is current, is the base. No message is added. A first subscription after a restart of the loader and an expired one move requests between the two parts.

--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -2,6 +2,7 @@
 //! to routers.
 
 pub mod chunks;
+pub mod count;
 pub mod lookup;
 pub mod pace;
 pub mod run;
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -98,10 +98,11 @@
                 if !before {
                     event::Event::new("engine_reports").with("running", report.running).info();
                 }
-                self.subscribers.on_report(report.running + report.waiting);
                 if self.started_at != report.started_at {
+                    self.subscribers.on_engine_started();
                     self.limit = load::Limit::Unknown;
                 }
+                self.subscribers.on_report(now, report.running + report.waiting);
                 self.started_at = report.started_at;
                 self.down_sent_at = None;
                 *self.node.report.borrow_mut() = Some((report, now));
--- a/crates/chestnutpick_loader/src/subscribers.rs
+++ b/crates/chestnutpick_loader/src/subscribers.rs
@@ -6,6 +6,8 @@
 use chestnutpick_fleet::load;
 use chestnutpick_types::{id, time};
 
+use crate::count;
+
 /// Time after which a subscription expires; several times the interval at which routers renew it.
 const SUBSCRIPTION_TTL: time::Millis = time::Millis(3_500);
 
@@ -69,9 +71,8 @@
 #[derive(Debug, Default)]
 pub struct Subscribers {
     subscribers: collections::BTreeMap<net::SocketAddr, Subscriber>,
-    /// Requests at the engine according to its last report, and requests in flight according to the routers' reports
-    /// when that report arrived.
-    at_last_report: (u32, u32),
+    /// Requests at the engine that the routers do not report.
+    unaccounted: count::Unaccounted,
     /// Arrival times of the routers' reports in the last second, and the new requests in each.
     recent: collections::VecDeque<(time::Millis, u32)>,
     /// Zone of each router, and the time of the router's last query for the routers of its zone.
@@ -101,6 +102,9 @@
         let load::Usage { in_flight, total, .. } = usage;
         let subscriber = Subscriber { last_report_at: now, usage, interest };
         let before = self.subscribers.insert(from, subscriber);
+        if before.is_none() {
+            self.unaccounted.on_accounted(in_flight);
+        }
         // If the router had no subscription, only its requests in flight count as new. A restarted router counts from 0
         // again.
         let before = before.map_or(total.saturating_sub(in_flight), |before| before.usage.total);
@@ -165,13 +169,22 @@
 
     /// Removes routers that have not renewed their subscription.
     pub fn expire(&mut self, now: time::Millis) {
-        self.subscribers
-            .retain(|_, subscriber| now.since(subscriber.last_report_at) < SUBSCRIPTION_TTL);
+        let is_expired = |_: &net::SocketAddr, subscriber: &mut Subscriber| {
+            now.since(subscriber.last_report_at) >= SUBSCRIPTION_TTL
+        };
+        for (_, subscriber) in self.subscribers.extract_if(.., is_expired) {
+            self.unaccounted.on_dropped(subscriber.usage.in_flight);
+        }
+    }
+
+    /// Records that another run of the engine reports.
+    pub fn on_engine_started(&mut self) {
+        self.unaccounted = count::Unaccounted::default();
     }
 
     /// Applies the number of requests in the engine's own report.
-    pub fn on_report(&mut self, occupied: u32) {
-        self.at_last_report = (occupied, self.in_flight());
+    pub fn on_report(&mut self, now: time::Millis, occupied: u32) {
+        self.unaccounted.on_report(now, occupied, self.in_flight());
     }
 
     /// Returns the addresses of the subscribed routers.
@@ -200,27 +213,27 @@
         self.subscribers.values().map(|subscriber| subscriber.usage.pending_tokens).sum()
     }
 
-    fn in_flight(&self) -> u32 {
+    /// Returns the requests in flight of all routers.
+    pub fn in_flight(&self) -> u32 {
         self.subscribers.values().map(|subscriber| subscriber.usage.in_flight).sum()
     }
 
-    /// Returns the number of requests at the engine: those of its last report, corrected by the change of the routers'
-    /// requests in flight since then. The last reported requests of a router that has stopped remain in both sums of
-    /// requests in flight and cancel out.
+    /// Returns the number of requests at the engine: those in flight according to the routers, and those that only the
+    /// engine's reports show.
     ///
     /// ```
     /// use chestnutpick_fleet::load;
     /// use chestnutpick_loader::subscribers;
     /// use chestnutpick_types::time::Millis;
     /// let mut subscribers = subscribers::Subscribers::default();
-    /// subscribers.on_report(5);
+    /// let (router, interest) = ("10.0.0.1:7700".parse().unwrap(), load::Interest::Active);
+    /// subscribers.on_usage(Millis(0), router, load::Usage::default(), interest);
+    /// subscribers.on_report(Millis(0), 5);
     /// let usage = load::Usage { pending_tokens: 977, in_flight: 1, total: 1 };
-    /// let interest = load::Interest::Active;
-    /// subscribers.on_usage(Millis(0), "10.0.0.1:7700".parse().unwrap(), usage, interest);
+    /// subscribers.on_usage(Millis(0), router, usage, interest);
     /// assert_eq!(subscribers.occupied(), 6);
     /// ```
     pub fn occupied(&self) -> u32 {
-        let (reported, reported_in_flight) = self.at_last_report;
-        (reported + self.in_flight()).saturating_sub(reported_in_flight)
+        self.unaccounted.occupied(self.in_flight())
     }
 }
