--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod liveness;
 pub mod notices;
 pub mod outage;
+pub mod pace;
 pub mod readers;
 pub mod region;
 pub mod routers;
@@ -25,6 +26,7 @@
 pub mod urgency;
 pub mod view;
 pub mod window;
+pub mod work;
 
 mod answer;
 mod calls;
