--- a/crates/chestnutpick_router/src/duties.rs
+++ b/crates/chestnutpick_router/src/duties.rs
@@ -101,6 +101,12 @@
         Some(self.reports.window_at(self.clock.at(now)?))
     }
 
+    /// Returns an attempt to take the usage reports.
+    fn attempt(&mut self) -> Option<tenure::Attempt> {
+        let Self { tenure, clock, reports, .. } = self;
+        tenure.attempt(|at| clock.at(at).map_or(0, |unix| reports.first_not_due(unix)))
+    }
+
     /// Handles the end of this router's tenure.
     fn on_loss(&mut self, loss: Option<tenure::Loss>) {
         let Some(loss) = loss else { return };
--- a/crates/chestnutpick_router/src/duties/act.rs
+++ b/crates/chestnutpick_router/src/duties/act.rs
@@ -96,7 +96,7 @@
     let Some((attempt, transaction)) = ({
         let mut state = state.borrow_mut();
         let is_free = state.tenure.may_take(node.now());
-        let attempt = if is_free { state.tenure.attempt() } else { None };
+        let attempt = if is_free { state.attempt() } else { None };
         attempt.map(|attempt| {
             let transaction = state.tenure.transaction(&attempt, lease);
             (attempt, transaction)
@@ -200,8 +200,7 @@
         return reports::Step::Wait;
     }
     let recorded = state.tenure.report();
-    let unknown_until = state.tenure.unknown_until().and_then(|at| state.clock.at(at));
-    let first = unknown_until.map_or(0, |unix| state.reports.first_not_due(unix));
+    let first = state.tenure.first_window();
     // Before the first record, nobody has counted the windows before this router's start.
     let first = if recorded.is_none() { first.max(started_in) } else { first };
     let situation = reports::Situation { unix, held: now.since(held.since), recorded, first };
--- a/crates/chestnutpick_router/src/duty/tenure.rs
+++ b/crates/chestnutpick_router/src/duty/tenure.rs
@@ -39,6 +39,10 @@
     pub token: duty::Token,
     /// Report, if there has been any.
     pub report: Option<reports::Report>,
+    /// First window that may be reported after that. A report of an earlier one may have been sent by a holder whose record
+    /// was lost when the store was restored.
+    #[serde(default)]
+    pub first: u64,
 }
 
 /// A duty that this router holds.
@@ -93,10 +97,14 @@
     era: Option<(position::Era, time::Millis)>,
     /// Whether this router held the duty when it learned of the era, so that nobody else has reported anything meanwhile.
     held_across: bool,
+    /// Whether the store was restored since this router started.
+    is_restored: bool,
     holder: Option<Holder>,
     record_revision: position::Revision,
     /// Newest known record of all eras.
     record: Record,
+    /// First window that may be reported, according to all known records.
+    first: u64,
     /// Highest known token of all eras.
     highest: duty::Token,
     held: Option<Held>,
@@ -112,9 +120,11 @@
             own: (name, ip),
             era: None,
             held_across: false,
+            is_restored: false,
             holder: None,
             record_revision: position::Revision(0),
             record: Record::default(),
+            first: 0,
             highest: duty::Token::default(),
             held: None,
             rest_until: time::Millis::ZERO,
@@ -145,13 +155,21 @@
                 duty::Key::UsageRecord => self.on_record(item),
             }
         }
-        let own = self.held.as_ref().map(|held| held.token);
-        let is_replaced =
-            own.is_some_and(|own| self.holder.as_ref().is_some_and(|other| other.token > own));
-        if restored.is_none() && is_replaced {
+        restored.or_else(|| self.check_holder(now, items))
+    }
+
+    /// Gives the duty up if the items show that this router's holder item is gone. Returns the reason, if so.
+    fn check_holder(&mut self, now: time::Millis, items: &[duty::Item]) -> Option<Loss> {
+        let held = self.held.as_ref()?;
+        if self.holder.as_ref().is_some_and(|other| other.token > held.token) {
             return self.lose(now, Loss::Replaced);
         }
-        restored
+        let is_removed = |item: &duty::Item| {
+            item.key == duty::Key::UsageHolder
+                && item.value.is_none()
+                && item.revision > held.holder_revision
+        };
+        if items.iter().any(is_removed) { self.lose(now, Loss::Ended) } else { None }
     }
 
     fn on_era(&mut self, now: time::Millis, era: position::Era) -> Option<Loss> {
@@ -159,6 +177,7 @@
             return None;
         }
         self.held_across = self.may_act(now, time::Millis::ZERO);
+        self.is_restored |= self.era.is_some();
         self.era = Some((era, now));
         (self.holder, self.record_revision) = (None, position::Revision(0));
         if self.held.is_some() { self.lose(now, Loss::Restored) } else { None }
@@ -177,6 +196,7 @@
         let Some(value) = item.value.as_deref() else { return };
         let Ok(record) = serde_json::from_slice::<Record>(value) else { return };
         self.highest = self.highest.max(record.token);
+        self.first = self.first.max(record.first);
         let window = |record: &Record| record.report.as_ref().map(|report| report.window);
         // A copy of the store may have an older record.
         if (window(&record), record.token) > (window(&self.record), self.record.token) {
@@ -197,12 +217,19 @@
         self.held.is_none() && self.holder.is_none() && is_settled && now >= self.rest_until
     }
 
-    /// Returns an attempt to take the duty. Its token is not used again.
-    pub fn attempt(&mut self) -> Option<Attempt> {
+    /// Returns an attempt to take the duty. Its token is not used again. `first_since` returns the first window whose report
+    /// was not due at a time.
+    pub fn attempt<F>(&mut self, first_since: F) -> Option<Attempt>
+    where
+        F: FnOnce(time::Millis) -> u64,
+    {
         let (era, _) = self.era?;
+        if let Some(at) = self.unknown_until() {
+            self.first = self.first.max(first_since(at));
+        }
         let token = self.highest.max(duty::Token::first_of(era)).next();
         self.highest = token;
-        let record = Record { token, report: self.record.report.clone() };
+        let record = Record { token, report: self.record.report.clone(), first: self.first };
         Some(Attempt { token, record, era, expected: self.record_revision })
     }
 
@@ -234,7 +261,10 @@
         at: position::Position,
     ) -> bool {
         self.on_era(now, at.era);
-        if self.era.map(|(era, _)| era) != Some(attempt.era) || at.era != attempt.era {
+        let is_same_era =
+            self.era.map(|(era, _)| era) == Some(attempt.era) && at.era == attempt.era;
+        // A later record is of a successor: the answer came late.
+        if !is_same_era || self.record_revision > at.revision {
             self.on_failed(now);
             return false;
         }
@@ -304,7 +334,8 @@
     /// Returns the transaction that writes the report of a window to the record.
     pub fn write(&self, report: &reports::Report) -> Option<duty::Transaction> {
         let held = self.held.as_ref()?;
-        let record = Record { token: held.token, report: Some(report.clone()) };
+        let report = Some(report.clone());
+        let record = Record { token: held.token, report, first: self.first };
         Some(duty::Transaction {
             expected: vec![
                 (duty::Key::UsageHolder, held.holder_revision),
@@ -322,10 +353,12 @@
         at: position::Position,
     ) -> Option<Loss> {
         let restored = self.on_era(now, at.era);
-        if let Some(held) = self.held.as_ref().filter(|held| held.era == at.era) {
+        let held = self.held.as_ref().filter(|held| held.era == at.era);
+        // The answer of a process that was suspended may be older than what it has read since.
+        if let Some(held) = held.filter(|_| at.revision > self.record_revision) {
             let token = held.token;
-            self.record_revision = self.record_revision.max(at.revision);
-            self.record = Record { token, report: Some(report) };
+            self.record_revision = at.revision;
+            self.record = Record { token, report: Some(report), first: self.first };
         }
         restored
     }
@@ -369,12 +402,18 @@
         self.record.report.as_ref()
     }
 
+    /// Returns the first window that may be reported anew.
+    pub fn first_window(&self) -> u64 {
+        self.first
+    }
+
     /// Returns the time at which this router learned of the store's history, if a holder in the history before may have
     /// sent reports that this router does not know.
-    pub fn unknown_until(&self) -> Option<time::Millis> {
+    fn unknown_until(&self) -> Option<time::Millis> {
         let (era, learned_at) = self.era?;
-        (self.record.token.era() < era && !self.held_across && self.record != Record::default())
-            .then_some(learned_at)
+        let is_older = self.record.token.era() < era;
+        let had_holders = self.is_restored || self.record != Record::default();
+        (is_older && had_holders && !self.held_across).then_some(learned_at)
     }
 }
 
