Collect the older declared version first while it is of use

Cause: all loaders gave up a transfer when a version was declared within 28% of the bound after it, also when the newer one could not be had.

Change: loader::precedence decides from the age, the manifest and the missing chunks of each version. The manifest of the newer one is obtained meanwhile. An older version whose chunks the origin does not hold is skipped.

--- a/crates/chestnutpick_loader/src/chunks.rs
+++ b/crates/chestnutpick_loader/src/chunks.rs
@@ -9,8 +9,8 @@
 use chestnutpick_weights::bitmap;
 use sha2::Digest;
 
-/// Maximum number of versions kept: the version that engines are leaving and the one that they will load.
-const MAX_VERSIONS: usize = 2;
+/// Maximum number of versions kept: the one that engines are leaving, and those that they may load next.
+const MAX_VERSIONS: usize = 4;
 
 /// Model and version of weights.
 pub type Version = (id::ModelId, u64);
@@ -106,6 +106,12 @@
         self.data.iter().all(Option::is_some)
     }
 
+    /// Returns the percentage of the chunks that are missing, rounded up.
+    pub fn missing_percent(&self) -> u64 {
+        let missing = self.data.iter().filter(|data| data.is_none()).count();
+        (missing * 100).div_ceil(self.data.len().max(1)) as u64
+    }
+
     /// Returns which chunks are held.
     pub fn held(&self) -> bitmap::Bitmap {
         let mut held = bitmap::Bitmap::new(self.data.len());
--- a/crates/chestnutpick_loader/src/fetch.rs
+++ b/crates/chestnutpick_loader/src/fetch.rs
@@ -290,6 +290,8 @@
             }
             Event::Failed(index, source, failure) => {
                 self.tasks.remove(&(index, source.clone()));
+                let is_absent = source == Source::Origin && failure == Failure::Corrupt;
+                self.origin_mismatches += u32::from(is_absent);
                 let actions = self.transfer.on_failed(now, index, &source, failure);
                 if let (Source::Peer(peer), Failure::Timeout) = (source, failure) {
                     self.on_peer_unresponsive(peer);
@@ -317,7 +319,7 @@
                 Source::Origin => origin
                     .chunk(address, &version.0, version.1, chunk)
                     .await
-                    .map_err(|_| Failure::Timeout),
+                    .map_err(|reason| origin_failure(&reason)),
                 Source::Peer(host) => sources::fetch_chunk(&node, &version, chunk, host).await,
             };
             let event = match fetched {
@@ -376,6 +378,17 @@
     others.chain([&node.member]).cloned().collect()
 }
 
+/// Returns the failure of a fetch from the origin. An origin without a chunk that the manifest lists counts like one that
+/// sends another chunk.
+fn origin_failure(reason: &engine::Error) -> Failure {
+    match reason {
+        engine::Error::Absent { .. } => Failure::Corrupt,
+        engine::Error::Unreachable { .. }
+        | engine::Error::Down { .. }
+        | engine::Error::Malformed { .. } => Failure::Timeout,
+    }
+}
+
 fn name(source: &Source) -> String {
     match source {
         Source::Origin => "origin".to_owned(),
--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -1,16 +1,19 @@
 //! Installation of the declared version on the engine: fetch, verify, wait for the scheduled time, load.
 
+use std::cell;
+use std::collections;
 use std::rc;
 use std::time::Duration;
 
 use chestnutpick_fleet::{directory, engine};
 use chestnutpick_telemetry::event;
-use chestnutpick_types::time;
+use chestnutpick_types::{id, time};
 use tokio_util::sync;
 
 use crate::chunks;
 use crate::fetch;
 use crate::node;
+use crate::precedence;
 use crate::schedule;
 use crate::sources;
 use crate::watch;
@@ -55,7 +58,8 @@
     D: directory::Directory,
     O: engine::Origin + 'static,
 {
-    let installer = Installer { node, store, origin: rc::Rc::new(origin) };
+    let unavailable = cell::RefCell::default();
+    let installer = Installer { node, store, origin: rc::Rc::new(origin), unavailable };
     tokio::select! {
         () = stop.cancelled() => {}
         () = installer.collect_newest() => {}
@@ -77,6 +81,8 @@
     node: rc::Rc<node::Node<E>>,
     store: D,
     origin: rc::Rc<O>,
+    /// Versions that the origin does not hold as their manifests say.
+    unavailable: cell::RefCell<collections::BTreeSet<chunks::Version>>,
 }
 
 impl<E, D, O> Installer<E, D, O>
@@ -104,21 +110,75 @@
             }
             tokio::select! {
                 () = self.collect_missing() => {}
+                () = self.prepare_missing() => {}
                 () = self.follow_peers(delay) => {}
             }
         }
     }
 
-    /// Returns the newest declared version if some of its chunks are missing.
+    /// Returns the declared version to collect now, if chunks of one are missing.
     fn missing_version(&self) -> Option<chunks::Version> {
+        let (model, versions) = self.wanted_versions()?;
+        let progress = |version: &u64| self.progress(&(model.clone(), *version));
+        let progress: Vec<_> = versions.iter().map(progress).collect();
+        let bound = self.node.bounds.get().version;
+        let first = precedence::first(self.node.now(), bound, &progress);
+        first.map(|version| (model, version))
+    }
+
+    /// Returns the newest declared version, and in front of it those that the engine may have to load before.
+    fn wanted_versions(&self) -> Option<(id::ModelId, Vec<u64>)> {
         // The staged chunks are known only once the engine reports; fetching earlier would transfer chunks needlessly.
-        let target_version =
-            self.node.target_version().filter(|_| self.node.report.borrow().is_some());
-        target_version.filter(|version| !self.node.chunks.borrow().is_complete(version))
+        self.node.report.borrow().as_ref()?;
+        let (model, newest) = self.node.target_version()?;
+        let loaded = self.node.loaded().filter(|(loaded, _)| *loaded == model);
+        let loaded = loaded.map_or(0, |(_, version)| version);
+        let declared = self.node.declared.borrow();
+        let after = declared.get(&model).into_iter().flat_map(|declared| declared.after(loaded));
+        let unavailable = self.unavailable.borrow();
+        let is_available = |version: &u64| !unavailable.contains(&(model.clone(), *version));
+        let older = after.filter(|version| *version < newest).filter(is_available);
+        let versions = older.chain([newest]).collect();
+        Some((model.clone(), versions))
     }
 
-    /// Collects the chunks of the newest declared version until none is missing. A transfer usually continues when a
-    /// newer version is declared because the older version is required before the newer one can reach all hosts.
+    fn progress(&self, version: &chunks::Version) -> precedence::Progress {
+        let chunks = self.node.chunks.borrow();
+        let missing_percent = chunks.find(version).map(chunks::Set::missing_percent);
+        let learned_at = self.node.learned_at(version);
+        precedence::Progress { version: version.1, learned_at, missing_percent }
+    }
+
+    /// Obtains the manifests of declared versions that are not collected yet, so that they can be collected next.
+    async fn prepare_missing(&self) {
+        let mut tries = 0;
+        loop {
+            let next = self.version_without_manifest();
+            let Some(version) = next.filter(|next| self.missing_version().as_ref() != Some(next))
+            else {
+                tries = 0;
+                actix_rt::time::sleep(POLL_INTERVAL).await;
+                continue;
+            };
+            match self.prepare_chunks(&version, tries).await {
+                Ok(_) => tries = 0,
+                Err(_) => {
+                    tries += 1;
+                    actix_rt::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn version_without_manifest(&self) -> Option<chunks::Version> {
+        let (model, versions) = self.wanted_versions()?;
+        let chunks = self.node.chunks.borrow();
+        let mut versions = versions.into_iter().rev().map(|version| (model.clone(), version));
+        versions.find(|version| chunks.find(version).is_none())
+    }
+
+    /// Collects the chunks of declared versions until none is missing. A transfer usually continues when a newer version is
+    /// declared because the older version is required before the newer one can reach all hosts.
     async fn collect_missing(&self) {
         let mut tries = 0;
         while let Some(version) = self.missing_version() {
@@ -147,17 +207,11 @@
         }
     }
 
-    /// Waits until a newer version supersedes the transfer of `version`.
+    /// Waits until another version must be collected instead of `version`.
     async fn superseded(&self, version: &chunks::Version) {
         loop {
             actix_rt::time::sleep(POLL_INTERVAL).await;
-            let Some(newer) = self.node.target_version().filter(|target| target != version) else {
-                continue;
-            };
-            let bound = self.node.bounds.get().version;
-            let times = [version, &newer].map(|version| self.node.learned_at(version));
-            let is_superseded = schedule::is_superseded(self.node.now(), bound, times[0], times[1]);
-            if is_superseded || self.node.loaded().is_none() {
+            if self.missing_version().is_some_and(|missing| missing != *version) {
                 return;
             }
         }
@@ -187,22 +241,42 @@
 
     /// Collects all chunks in memory: first those staged at the local engine, then those of peers and the origin.
     async fn collect(&self, version: &chunks::Version, tries: usize) -> Result<(), String> {
+        let manifest = self.prepare_chunks(version, tries).await?;
+        if self.node.loaded().is_none_or(|loaded| loaded == *version) {
+            self.collect_staged(version, &manifest).await;
+        }
+        let fetched = fetch::run(&self.sources()?, version).await;
+        if fetched.is_err() && self.node.target_version().as_ref() != Some(version) {
+            self.unavailable.borrow_mut().insert(version.clone());
+        }
+        fetched
+    }
+
+    fn sources(&self) -> Result<sources::Sources<'_, E, O>, String> {
         let location =
             self.node.origin().ok_or_else(|| "the configuration names no origin".to_owned())?;
-        let sources = sources::Sources { node: &self.node, origin: &self.origin, location };
-        let manifest = match sources.manifest(version, tries).await {
-            Ok(manifest) => manifest,
+        Ok(sources::Sources { node: &self.node, origin: &self.origin, location })
+    }
+
+    /// Obtains the manifest of a version if it is not held, and makes room for the chunks.
+    async fn prepare_chunks(
+        &self,
+        version: &chunks::Version,
+        tries: usize,
+    ) -> Result<rc::Rc<engine::Manifest>, String> {
+        let held = self.node.chunks.borrow().find(version).map(|set| rc::Rc::clone(&set.manifest));
+        if let Some(manifest) = held.filter(|_| tries == 0) {
+            return Ok(manifest);
+        }
+        let manifest = match self.sources()?.manifest(version, tries).await {
+            Ok(manifest) => rc::Rc::new(manifest),
             Err(reason) => {
                 self.check_origin(tries).await;
                 return Err(format!("no manifest: {reason}"));
             }
         };
-        let manifest = rc::Rc::new(manifest);
         self.node.chunks.borrow_mut().prepare(version, rc::Rc::clone(&manifest));
-        if self.node.loaded().is_none_or(|loaded| loaded == *version) {
-            self.collect_staged(version, &manifest).await;
-        }
-        fetch::run(&sources, version).await
+        Ok(manifest)
     }
 
     /// Asks routers for the address of the origin, which may have changed since the configuration was read, and reads the
@@ -253,7 +327,9 @@
     }
 
     async fn load(&self, version: &chunks::Version) -> Result<(), String> {
-        self.wait_until_scheduled(version).await;
+        if !self.wait_until_scheduled(version).await {
+            return Ok(());
+        }
         self.node.loading.set(true);
         self.node.load_changed.notify_one();
         let outcome = self.order(version).await;
@@ -262,13 +338,20 @@
         outcome
     }
 
-    async fn wait_until_scheduled(&self, version: &chunks::Version) {
-        if self.node.loaded().is_none() {
-            return;
+    /// Waits until the engine may load a version. Returns `false` if the chunks of a newer one are complete before.
+    async fn wait_until_scheduled(&self, version: &chunks::Version) -> bool {
+        loop {
+            if self.node.chunks.borrow().newest_complete().as_ref() != Some(version) {
+                return false;
+            }
+            // The engine must leave its version when the first newer version becomes required.
+            let at = self.node.next_load().unwrap_or_else(|| self.node.load_time(version));
+            let wait = at.since(self.node.now()).to_duration();
+            if self.node.loaded().is_none() || wait.is_zero() {
+                return true;
+            }
+            actix_rt::time::sleep(wait.min(POLL_INTERVAL)).await;
         }
-        // The engine must leave its version when the first newer version becomes required.
-        let at = self.node.next_load().unwrap_or_else(|| self.node.load_time(version));
-        actix_rt::time::sleep(at.since(self.node.now()).to_duration()).await;
     }
 
     async fn order(&self, version: &chunks::Version) -> Result<(), String> {
--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod chunks;
 pub mod lookup;
 pub mod pace;
+pub mod precedence;
 pub mod run;
 pub mod schedule;
 pub mod subscribers;
--- a/crates/chestnutpick_loader/src/schedule.rs
+++ b/crates/chestnutpick_loader/src/schedule.rs
@@ -52,34 +52,6 @@
     (occupied <= MAX_ABORTED_REQUESTS).then_some(engine::Switch::AtOnce)
 }
 
-/// Percentage of the version bound within which a newer version supersedes one that is still being transferred.
-/// A transfer takes about half of the bound, so two consecutive transfers would end too late for the newer version. If
-/// the newer version is declared later than this, the older one is not skipped: it is required before the newer one
-/// reaches all hosts, and no engine would hold it.
-const SUPERSEDE_PERCENT: u64 = 28;
-
-/// Returns whether a newer version supersedes one that is still being transferred: the older version is overdue or was
-/// declared shortly before the newer one. The time of a version declared before this process started is `None`.
-///
-/// ```
-/// use chestnutpick_loader::schedule;
-/// use chestnutpick_types::time::Millis;
-/// let (bound, older) = (Millis(8_000), Some(Millis(0)));
-/// assert!(schedule::is_superseded(Millis(1_000), bound, older, Some(Millis(1_000))));
-/// assert!(!schedule::is_superseded(Millis(4_000), bound, older, Some(Millis(4_000))));
-/// assert!(schedule::is_superseded(Millis(8_000), bound, older, Some(Millis(4_000))));
-/// ```
-pub fn is_superseded(
-    now: time::Millis,
-    bound: time::Millis,
-    older: Option<time::Millis>,
-    newer: Option<time::Millis>,
-) -> bool {
-    let Some(older) = older else { return true };
-    let soon = time::Millis(bound.0 * SUPERSEDE_PERCENT / 100);
-    now >= older + bound || newer.is_some_and(|newer| newer.since(older) < soon)
-}
-
 /// Returns the sort key of a host. All hosts compute the same order, which differs between versions.
 pub(crate) fn order_key(host: &id::HostId, version: u64) -> u64 {
     digest::Digest::of(format!("{host}/{version}").as_bytes()).prefix()
