--- a/crates/chestnutpick_router/tests/duty_tenure.rs
+++ b/crates/chestnutpick_router/tests/duty_tenure.rs
@@ -400,10 +400,10 @@
                 let loss = router.tenure.on_conflict(now, era, &items);
                 router.on_loss(loss);
             }
-            (Pending::Report(window, token), Answer::Kept) => {
-                if router.tenure.held().is_some_and(|held| held.token == token) {
-                    router.reports.on_settled(window);
-                }
+            (Pending::Report(window, token), Answer::Kept)
+                if router.tenure.held().is_some_and(|held| held.token == token) =>
+            {
+                router.reports.on_settled(window);
             }
             _ => {}
         }
