Choose the wait before a repetition by when there is room

A request that no endpoint had room for was told to come back after 40 ms. Under overload, callers returned into it and were refused again, which used up their only repetition.

The wait now lasts at least until the first pause of the service ends, or for the mean time by which the expected wait exceeded its limit. It grows with the recent share of refused requests of the same service and priority, from 10% on, up to a third of the time that the caller has left, which is sent if no useful time promises room. All waits are spread at random.

--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -115,7 +115,7 @@
                 .with("message", &refusal.message)
                 .with("ms", node.now().since(arrived).0)
                 .info();
-            outcome::respond(&refusal, timeout, time::Millis::ZERO)
+            outcome::respond(&node, &refusal, timeout, outcome::Reasons::default())
         }
     }
 }
--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -5,15 +5,13 @@
 use chestnutpick_http::respond;
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{error, id, time};
+use rand_core::Rng;
 
 use crate::ending;
 use crate::forward;
 use crate::handle;
 use crate::node;
-
-/// Retry delay for a caller whose request no endpoint could serve in time. A slot becomes free every few milliseconds,
-/// and the response may still be on time after this delay.
-const FULL_RETRY_AFTER: time::Millis = time::Millis(40);
+use crate::urgency::retry;
 
 /// Retry delay for a caller that another router can serve; the caller's next connection goes to another router.
 const OTHER_ROUTER_RETRY_AFTER: time::Millis = time::Millis(30);
@@ -26,9 +24,6 @@
 /// longer than a free slot, and each attempt costs the transfer of a large body.
 const MEMORY_RETRY_AFTER: time::Millis = time::Millis(250);
 
-/// Divisor applied to the time left to get the maximum retry delay.
-const RETRY_AFTER_DIVISOR: u64 = 3;
-
 /// Logs and counts a request that no endpoint has answered, and returns the response to the caller.
 pub(crate) fn refuse<C>(
     node: &node::Node<C>,
@@ -52,32 +47,52 @@
         .with("deadline_ms", call.head.deadline.map_or(0, |deadline| deadline.0))
         .with("ms", now.since(call.arrived).0)
         .info();
-    let pause = node.view.borrow().service_pause(now, &call.admitted.service.name);
-    respond(refusal, call.time_left(now).unwrap_or_default(), pause)
+    let (service, rank) = (&call.admitted.service.name, call.admitted.rank());
+    let mut urgency = node.urgency.borrow_mut();
+    if refusal.kind == error::ErrorKind::EndpointFull && tries.sends > 0 {
+        urgency.on_returned(now, service, rank);
+    }
+    let reasons = Reasons {
+        pause: node.view.borrow().service_pause(now, service),
+        shortage: urgency.shortage(now, service, rank),
+    };
+    respond(node, refusal, call.time_left(now).unwrap_or_default(), reasons)
+}
+
+/// What delays the repetition of a request for which no endpoint had room.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Reasons {
+    /// Time for which no endpoint accepts the request.
+    pause: time::Millis,
+    /// Lack of room for similar requests.
+    shortage: retry::Shortage,
 }
 
-/// Returns the response to a refusal, with a `retry-after` header if the request has not run. For the time `pause`, no
-/// endpoint accepts the request.
-pub(crate) fn respond(
+/// Returns the response to a refusal, with a `retry-after` header if the request has not run.
+pub(crate) fn respond<C>(
+    node: &node::Node<C>,
     refusal: &error::Refusal,
     time_left: time::Millis,
-    pause: time::Millis,
+    reasons: Reasons,
 ) -> respond::Response {
     let mut response = respond::refusal(refusal);
+    let random = f64::from(node.rng.borrow_mut().next_u32()) / f64::from(u32::MAX);
+    let spread = |wait| retry::spread(wait, time_left, random);
     let wait = match refusal.kind {
         kind if kind.response().ran != error::Ran::NotRun => return response,
         error::ErrorKind::StoreUnavailable | error::ErrorKind::ShuttingDown => {
-            OTHER_ROUTER_RETRY_AFTER
+            spread(OTHER_ROUTER_RETRY_AFTER)
+        }
+        error::ErrorKind::VersionNotLoaded | error::ErrorKind::SuspectBusy => {
+            spread(LOADING_RETRY_AFTER)
         }
-        error::ErrorKind::VersionNotLoaded | error::ErrorKind::SuspectBusy => LOADING_RETRY_AFTER,
-        error::ErrorKind::MemoryFull => MEMORY_RETRY_AFTER,
+        error::ErrorKind::MemoryFull => spread(MEMORY_RETRY_AFTER),
         kind if kind.response().status == 429 || kind.response().status == 503 => {
-            FULL_RETRY_AFTER.max(pause)
+            retry::wait(reasons.shortage, reasons.pause, time_left, random)
         }
         _ => return response,
     };
-    let wait = wait.0.min(time_left.0 / RETRY_AFTER_DIVISOR);
-    let seconds = format!("{}.{:03}", wait / 1_000, wait % 1_000);
+    let seconds = format!("{}.{:03}", wait.0 / 1_000, wait.0 % 1_000);
     respond::set_header(&mut response, "retry-after", &seconds);
     response
 }
--- a/crates/chestnutpick_router/src/urgency/retry.rs
+++ b/crates/chestnutpick_router/src/urgency/retry.rs
@@ -43,17 +43,33 @@
     random: f64,
 ) -> time::Millis {
     let longest = longest(time_left).0 as f64;
-    let least = MIN_WAIT.max(pause).max(shortage.excess).0 as f64;
+    let least = MIN_WAIT.max(pause).max(shortage.excess);
     let pressure = (shortage.refused_share - RARE) / (FREQUENT - RARE);
-    let wait = least + pressure.clamp(0.0, 1.0) * (longest - least).max(0.0);
-    // A wait that ends before the least one is useless, and one beyond the longest is not honoured.
-    let earliest =
-        if least < longest { (wait * (1.0 - SPREAD)).max(least) } else { longest * (1.0 - SPREAD) };
+    let further = pressure.clamp(0.0, 1.0) * (longest - least.0 as f64).max(0.0);
+    let earliest = (least.0 as f64 + further) * (1.0 - SPREAD);
+    spread(least.max(time::Millis(earliest as u64)), time_left, random)
+}
+
+/// Returns a random time that is at least `wait`, or the longest one that a caller with `time_left` honours if that is
+/// shorter. Callers that are refused at one moment do not return at one moment.
+///
+/// ```
+/// use chestnutpick_router::urgency::retry;
+/// use chestnutpick_types::time::Millis;
+/// let wait = retry::spread(Millis(700), Millis(6_000), 0.5);
+/// assert!(wait > Millis(700) && wait < Millis(1_000));
+/// let wait = retry::spread(Millis(60_000), Millis(6_000), 1.0);
+/// assert_eq!(wait, Millis(2_000));
+/// ```
+pub fn spread(wait: time::Millis, time_left: time::Millis, random: f64) -> time::Millis {
+    let longest = longest(time_left).0 as f64;
+    let wait = wait.0 as f64;
+    let earliest = if wait < longest { wait } else { longest * (1.0 - SPREAD) };
     let latest = (earliest / (1.0 - SPREAD)).min(longest);
     time::Millis((earliest + random * (latest - earliest)) as u64)
 }
 
 /// Returns the longest wait that a caller with `time_left` honours.
-pub(crate) fn longest(time_left: time::Millis) -> time::Millis {
+fn longest(time_left: time::Millis) -> time::Millis {
     time::Millis(time_left.0 / TIME_LEFT_DIVISOR)
 }
--- a/crates/chestnutpick_router/tests/common/overload.rs
+++ b/crates/chestnutpick_router/tests/common/overload.rs
@@ -1,8 +1,9 @@
 //! Routers and engines in virtual time, at which more requests of several ranks arrive than the engines bear.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use chestnutpick_fleet::{config, load};
+use chestnutpick_router::urgency::retry;
 use chestnutpick_router::{choice, region, urgency, view};
 use chestnutpick_types::time::Millis;
 use rand_core::{Rng, SeedableRng};
@@ -50,16 +51,47 @@
     pub kinds: &'a [Kind],
     /// Load of the burst relative to the usual load.
     pub factor: f64,
+    pub returns: Returns,
+}
+
+/// Whether callers repeat a refused request once, and when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Returns {
+    Never,
+    /// After the same short wait.
+    Soon,
+    /// After the wait of [`urgency::retry`].
+    Chosen,
+}
+
+/// Wait of [`Returns::Soon`].
+const SOON: Millis = Millis(40);
+
+/// Time that callers have left for a request.
+const DEADLINE: Millis = Millis(6_000);
+
+/// A caller's request.
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    kind: usize,
+    first_at: u64,
+    has_returned: bool,
+    is_large: bool,
+    prompt: u32,
+}
+
+impl Caller {
+    fn is_counted(&self) -> bool {
+        (BURST.0..BURST.1).contains(&self.first_at)
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Job {
     router: usize,
-    kind: usize,
+    caller: Caller,
     rank: u32,
-    is_large: bool,
     sent_at: u64,
-    prompt: u32,
     /// Prompt tokens that have not been processed.
     unread: u32,
     /// Output tokens that have not been produced.
@@ -80,6 +112,8 @@
     pub arrived: u32,
     /// Requests that were sent to an engine.
     pub accepted: u32,
+    /// Requests that were refused again after their return.
+    pub refused_twice: u32,
     /// Requests whose response began within their target.
     pub on_time: u32,
     /// The same for the largest tenth.
@@ -96,6 +130,7 @@
         Self {
             arrived: self.arrived + other.arrived,
             accepted: self.accepted + other.accepted,
+            refused_twice: self.refused_twice + other.refused_twice,
             on_time: self.on_time + other.on_time,
             large: (self.large.0 + other.large.0, self.large.1 + other.large.1),
         }
@@ -151,7 +186,7 @@
     fn report(&self) -> load::Load {
         let jobs = || self.queue.iter().chain(&self.batch);
         load::Load {
-            pending_tokens: jobs().filter(|job| job.unread > 0).map(|job| job.prompt).sum(),
+            pending_tokens: jobs().filter(|job| job.unread > 0).map(|job| job.caller.prompt).sum(),
             routers: ROUTERS as u32,
             active: ROUTERS as u32,
             ..common::load(jobs().count() as u32)
@@ -175,6 +210,8 @@
     views: Vec<view::View>,
     urgencies: Vec<urgency::Urgency>,
     engines: Vec<Engine>,
+    /// Callers that repeat their request, by time.
+    returning: BTreeMap<u64, Vec<Caller>>,
     counts: Vec<Count>,
 }
 
@@ -199,17 +236,23 @@
             let (begun, ended) = simulated.step(now, engine);
             let id = common::endpoint_id(n);
             for job in begun {
-                self.views[job.router].on_response_started(Millis(now), &id, job.prompt, 200);
+                self.views[job.router].on_response_started(
+                    Millis(now),
+                    &id,
+                    job.caller.prompt,
+                    200,
+                );
                 let begins_at = simulated.pass_ends_at;
-                let target = self.load.kinds[job.kind].target;
+                let target = self.load.kinds[job.caller.kind].target;
                 let is_on_time = begins_at - job.sent_at <= target.0;
                 if !is_on_time {
                     let urgency = &mut self.urgencies[job.router];
                     urgency.on_begun_late(Millis(now), &self.service.name, job.rank, target);
                 }
-                if is_on_time && (BURST.0..BURST.1).contains(&job.sent_at) {
-                    self.counts[job.kind].on_time += 1;
-                    self.counts[job.kind].large.1 += u32::from(job.is_large);
+                if is_on_time && job.caller.is_counted() {
+                    let count = &mut self.counts[job.caller.kind];
+                    count.on_time += 1;
+                    count.large.1 += u32::from(job.caller.is_large);
                 }
             }
             for job in ended {
@@ -229,17 +272,26 @@
     }
 
     fn arrive(&mut self, now: u64) {
-        let kind_index = self.draw_kind();
-        let router = self.rng.next_u32() as usize % ROUTERS;
+        let kind = self.draw_kind();
         let position = self.random();
-        let kind = self.load.kinds[kind_index];
-        let is_large = position >= 0.9;
-        let prompt = PROMPTS.0 + (f64::from(PROMPTS.1 - PROMPTS.0) * position) as u32;
-        if (BURST.0..BURST.1).contains(&now) {
-            self.counts[kind_index].arrived += 1;
-            self.counts[kind_index].large.0 += u32::from(is_large);
+        let caller = Caller {
+            kind,
+            first_at: now,
+            has_returned: false,
+            is_large: position >= 0.9,
+            prompt: PROMPTS.0 + (f64::from(PROMPTS.1 - PROMPTS.0) * position) as u32,
+        };
+        if caller.is_counted() {
+            self.counts[kind].arrived += 1;
+            self.counts[kind].large.0 += u32::from(caller.is_large);
         }
-        let time = Millis(now);
+        self.attempt(now, caller);
+    }
+
+    fn attempt(&mut self, now: u64, caller: Caller) {
+        let router = self.rng.next_u32() as usize % ROUTERS;
+        let kind = self.load.kinds[caller.kind];
+        let (time, prompt) = (Millis(now), caller.prompt);
         let limit = match self.policy {
             Policy::Targets => kind.target,
             Policy::Urgency => {
@@ -256,25 +308,44 @@
         };
         let urgency = &mut self.urgencies[router];
         urgency.on_decision(time, &self.service.name, kind.rank, kind.target, decision);
-        let Ok(chosen) = outcome else { return };
-        if (BURST.0..BURST.1).contains(&now) {
-            self.counts[kind_index].accepted += 1;
-        }
+        let Ok(chosen) = outcome else {
+            self.on_refused(now, router, caller);
+            return;
+        };
+        self.counts[caller.kind].accepted += u32::from(caller.is_counted());
         self.views[router].on_sent(time, &chosen.endpoint.id, prompt);
         let n = (1..=ENGINES).find(|n| common::endpoint_id(*n) == chosen.endpoint.id).unwrap();
         let unwritten = 14 + self.rng.next_u32() % 9;
         self.engines[usize::from(n) - 1].push(Job {
             router,
-            kind: kind_index,
+            caller,
             rank: kind.rank,
-            is_large,
             sent_at: now,
-            prompt,
             unread: prompt,
             unwritten,
         });
     }
 
+    fn on_refused(&mut self, now: u64, router: usize, caller: Caller) {
+        if caller.has_returned {
+            self.counts[caller.kind].refused_twice += u32::from(caller.is_counted());
+            return;
+        }
+        let rank = self.load.kinds[caller.kind].rank;
+        let wait = match self.load.returns {
+            Returns::Never => return,
+            Returns::Soon => SOON,
+            Returns::Chosen => {
+                let urgency = &self.urgencies[router];
+                let shortage = urgency.shortage(Millis(now), &self.service.name, rank);
+                let random = self.random();
+                retry::wait(shortage, Millis::ZERO, DEADLINE, random)
+            }
+        };
+        let returning = Caller { has_returned: true, ..caller };
+        self.returning.entry(now + wait.0.max(1)).or_default().push(returning);
+    }
+
     fn choose(
         &mut self,
         now: Millis,
@@ -328,10 +399,14 @@
         views: (0..ROUTERS).map(|_| view()).collect(),
         urgencies: (0..ROUTERS).map(|_| urgency::Urgency::default()).collect(),
         engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+        returning: BTreeMap::new(),
         counts: vec![Count::default(); load.kinds.len()],
     };
     for now in 0..RUN_MS {
         run.step_engines(now);
+        for caller in run.returning.remove(&now).unwrap_or_default() {
+            run.attempt(now, caller);
+        }
         let is_burst = (BURST.0..BURST.1).contains(&now);
         let per_s = USUAL_PER_S * if is_burst { load.factor } else { 1.0 };
         if run.random() < per_s / 1_000.0 {
--- /dev/null
+++ b/crates/chestnutpick_router/tests/retry.rs
@@ -0,0 +1,57 @@
+//! When callers whose request was refused for lack of room should return.
+
+use chestnutpick_router::urgency::retry;
+use chestnutpick_types::time::Millis;
+use rstest::rstest;
+
+const DEADLINE: Millis = Millis(6_000);
+
+/// Returns the earliest and the latest wait.
+fn range(refused_share: f64, excess: Millis, pause: Millis, time_left: Millis) -> (u64, u64) {
+    let shortage = retry::Shortage { refused_share, excess };
+    let wait = |random| retry::wait(shortage, pause, time_left, random).0;
+    (wait(0.0), wait(1.0))
+}
+
+/// Guards against waits that callers do not honour, and against callers that return all at one moment.
+#[rstest]
+fn waits_are_honoured_and_spread(
+    #[values(0.0, 0.05, 0.3, 0.6, 1.0)] refused_share: f64,
+    #[values(0, 300, 9_000)] excess: u64,
+    #[values(0, 500, 60_000)] pause: u64,
+    #[values(90, 1_000, 6_000)] time_left: u64,
+) {
+    let (earliest, latest) = range(refused_share, Millis(excess), Millis(pause), Millis(time_left));
+    assert!(latest <= time_left / 3, "{latest}");
+    // A least wait just below the longest one leaves little to spread.
+    let least = excess.max(pause).max(40);
+    if least <= time_left / 5 || least >= time_left / 3 {
+        assert!(latest * 4 >= earliest * 5, "{earliest} to {latest}");
+    }
+}
+
+/// Guards against callers that return before there is room: before the pause of all endpoints ends, or before the queues have
+/// shrunk to the limit.
+#[rstest]
+#[case::pause(Millis::ZERO, Millis(900), 900)]
+#[case::excess(Millis(300), Millis::ZERO, 300)]
+#[case::neither(Millis::ZERO, Millis::ZERO, 40)]
+fn wait_lasts_until_there_is_room(
+    #[case] excess: Millis,
+    #[case] pause: Millis,
+    #[case] least: u64,
+    #[values(0.0, 0.3, 1.0)] refused_share: f64,
+) {
+    let (earliest, _) = range(refused_share, excess, pause, DEADLINE);
+    assert!(earliest >= least, "{earliest}");
+}
+
+/// Guards against long waits for callers that are likely to find room at once, and against short ones while most requests are
+/// refused.
+#[test]
+fn wait_grows_with_the_share_of_refused_requests() {
+    let latest = |share| range(share, Millis::ZERO, Millis::ZERO, DEADLINE).1;
+    let waits = [0.05, 0.2, 0.3, 0.4, 0.6].map(latest);
+    assert!(waits[0] < 100 && waits[4] >= 1_900, "{waits:?}");
+    assert!(waits.is_sorted_by(|shorter, longer| shorter < longer), "{waits:?}");
+}
--- a/crates/chestnutpick_router/tests/urgency.rs
+++ b/crates/chestnutpick_router/tests/urgency.rs
@@ -5,7 +5,7 @@
 mod overload;
 
 use chestnutpick_types::time::Millis;
-use overload::{Count, Kind, Load, Policy};
+use overload::{Count, Kind, Load, Policy, Returns};
 use rstest::rstest;
 
 /// Largest difference between two shares that chance explains.
@@ -48,7 +48,7 @@
 #[case::few_urgent(&[kind(0, 400, 0.2), kind(1, 1_000, 0.8)])]
 #[case::mostly_urgent(&[kind(0, 400, 0.7), kind(1, 600, 0.15), kind(2, 1_000, 0.15)])]
 fn urgent_requests_are_served_first(#[case] kinds: &[Kind]) {
-    let load = Load { kinds, factor: BURST_FACTOR };
+    let load = Load { kinds, factor: BURST_FACTOR, returns: Returns::Never };
     let (before, counts) = (run(load, Policy::Targets), run(load, Policy::Urgency));
     print("targets", &before);
     print("urgency", &counts);
@@ -69,7 +69,7 @@
 #[case::two_ranks(&[kind(0, 400, 0.5), kind(2, 1_000, 0.5)])]
 #[case::mostly_urgent(&[kind(0, 400, 0.7), kind(1, 600, 0.15), kind(2, 1_000, 0.15)])]
 fn no_rank_is_starved_by_urgent_requests(#[case] kinds: &[Kind]) {
-    let counts = run(Load { kinds, factor: 3.0 }, Policy::Urgency);
+    let counts = run(Load { kinds, factor: 3.0, returns: Returns::Never }, Policy::Urgency);
     print("urgency", &counts);
     let all = overload::total_share(&counts);
     assert!(counts.iter().all(|count| count.share() >= all / 4.0), "{counts:?}");
@@ -79,7 +79,7 @@
 #[test]
 fn equal_ranks_are_served_as_before() {
     let kinds = [kind(1, 400, 0.33), kind(1, 700, 0.33), kind(1, 1_000, 0.34)];
-    let load = Load { kinds: &kinds, factor: BURST_FACTOR };
+    let load = Load { kinds: &kinds, factor: BURST_FACTOR, returns: Returns::Never };
     assert_eq!(run(load, Policy::Urgency), run(load, Policy::Targets));
 }
 
@@ -87,9 +87,31 @@
 #[test]
 fn usual_load_is_served_as_before() {
     let kinds = [kind(0, 400, 0.33), kind(1, 700, 0.33), kind(2, 1_000, 0.34)];
-    let load = Load { kinds: &kinds, factor: 1.0 };
+    let load = Load { kinds: &kinds, factor: 1.0, returns: Returns::Never };
     let counts = run(load, Policy::Urgency);
     for count in &counts {
         assert!(f64::from(count.accepted) >= 0.99 * f64::from(count.arrived), "{counts:?}");
     }
 }
+
+/// Returns the part of the requests of all kinds that were refused twice.
+fn refused_twice(counts: &[Count]) -> f64 {
+    let sum = |of: fn(&Count) -> u32| f64::from(counts.iter().map(of).sum::<u32>());
+    sum(|count| count.refused_twice) / sum(|count| count.arrived)
+}
+
+/// Guards against callers that return into the overload that refused them.
+#[rstest]
+#[case::three_ranks(&[kind(0, 400, 0.33), kind(1, 700, 0.33), kind(2, 1_000, 0.34)])]
+#[case::equal_ranks(&[kind(1, 400, 0.33), kind(1, 700, 0.33), kind(1, 1_000, 0.34)])]
+fn fewer_requests_are_refused_twice(#[case] kinds: &[Kind]) {
+    let counts = [Returns::Soon, Returns::Chosen].map(|returns| {
+        let counts = run(Load { kinds, factor: BURST_FACTOR, returns }, Policy::Urgency);
+        print(&format!("{returns:?}"), &counts);
+        println!("refused twice {:.3}", refused_twice(&counts));
+        counts
+    });
+    let [soon, chosen] = &counts;
+    assert!(refused_twice(chosen) <= 0.8 * refused_twice(soon), "{soon:?} {chosen:?}");
+    assert!(overload::total_share(chosen) >= overload::total_share(soon), "{soon:?} {chosen:?}");
+}
