--- a/crates/chestnutpick_router/src/placement.rs
+++ b/crates/chestnutpick_router/src/placement.rs
@@ -74,7 +74,11 @@
         node.urgency.borrow_mut().on_decision(now, service, rank, route.target, decision);
     }
     let chosen = chosen.map_err(|none| {
-        let refusal = no_choice(tries, &terms, &none);
+        let mut refusal = no_choice(tries, &terms, &none);
+        if none.reason == choice::Reason::Late && limit < route.target {
+            metrics::counter!("requests_refused_for_urgent_ones").increment(1);
+            refusal.message = format!("{}, limited to {limit}", refusal.message).into();
+        }
         match none.reason {
             choice::Reason::NoEndpoint | choice::Reason::NoVersion => Unplaced::Denied(refusal),
             choice::Reason::Full | choice::Reason::Late => Unplaced::Full(refusal),
