Lengthen the wait of callers refused during a change of weights

While no engine holds the required version, callers were told to come back after 800 ms. A change takes several seconds, so most returned before its end and were refused again.

The longest wait that callers honour limits the gain.

--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -83,9 +83,10 @@
         error::ErrorKind::StoreUnavailable | error::ErrorKind::ShuttingDown => {
             spread(OTHER_ROUTER_RETRY_AFTER)
         }
-        error::ErrorKind::VersionNotLoaded | error::ErrorKind::SuspectBusy => {
-            spread(LOADING_RETRY_AFTER)
+        error::ErrorKind::VersionNotLoaded => {
+            retry::wait_at_least(LOADING_RETRY_AFTER, reasons.shortage, time_left, random)
         }
+        error::ErrorKind::SuspectBusy => spread(LOADING_RETRY_AFTER),
         error::ErrorKind::MemoryFull => spread(MEMORY_RETRY_AFTER),
         kind if kind.response().status == 429 || kind.response().status == 503 => {
             retry::wait(reasons.shortage, reasons.pause, time_left, random)
--- a/crates/chestnutpick_router/src/placement.rs
+++ b/crates/chestnutpick_router/src/placement.rs
@@ -87,8 +87,8 @@
     Ok(Placement { chosen, terms, version })
 }
 
-/// Returns the decision about a request that must be expected to begin within `limit`, or `None` if it is refused for
-/// another reason than the lack of room.
+/// Returns the decision about a request that must be expected to begin within `limit`, or `None` if no endpoint
+/// is ready.
 fn decision(
     chosen: &Result<choice::Chosen, choice::NoChoice>,
     limit: time::Millis,
@@ -96,8 +96,8 @@
     match chosen {
         Ok(_) => Some(urgency::Decision::Accepted),
         Err(none) => match none.reason {
-            choice::Reason::NoEndpoint | choice::Reason::NoVersion => None,
-            choice::Reason::Full => Some(urgency::Decision::Full),
+            choice::Reason::NoEndpoint => None,
+            choice::Reason::NoVersion | choice::Reason::Full => Some(urgency::Decision::Unserved),
             choice::Reason::Late => {
                 let excess = none.expected.unwrap_or_default().since(limit);
                 Some(urgency::Decision::Late { excess })
--- a/crates/chestnutpick_router/src/urgency.rs
+++ b/crates/chestnutpick_router/src/urgency.rs
@@ -30,8 +30,8 @@
         /// Time by which the expected wait exceeds the limit.
         excess: time::Millis,
     },
-    /// It is refused because all endpoints are full.
-    Full,
+    /// It is refused because no endpoint takes it: all are full, or none holds the required weights.
+    Unserved,
 }
 
 /// Recent decisions of this router about the requests to each service, by the rank of the request.
--- a/crates/chestnutpick_router/src/urgency/class.rs
+++ b/crates/chestnutpick_router/src/urgency/class.rs
@@ -70,8 +70,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Class {
     counts: Counts,
-    /// Number of recent requests for which endpoints had no room; older ones count less.
-    full: f64,
+    /// Number of recent requests that no endpoint took; older ones count less.
+    unserved: f64,
     /// Sum of the targets of the late requests, in milliseconds; older ones count less.
     targets: f64,
     /// Sum of the times by which they exceeded their limit, in milliseconds; older ones count less.
@@ -98,7 +98,7 @@
                 self.targets += target.0 as f64;
                 self.excesses += excess.0 as f64;
             }
-            urgency::Decision::Full => self.full += 1.0,
+            urgency::Decision::Unserved => self.unserved += 1.0,
         }
     }
 
@@ -112,13 +112,13 @@
     /// Records that an endpoint had no room for an accepted request.
     pub(super) fn on_returned(&mut self, now: time::Millis) {
         self.decay(now);
-        self.full += 1.0;
+        self.unserved += 1.0;
     }
 
     fn decay(&mut self, now: time::Millis) {
         let weight = self.weight(now);
         self.counts = self.counts(now);
-        self.full *= weight;
+        self.unserved *= weight;
         self.targets *= weight;
         self.excesses *= weight;
         self.counted_at = now;
@@ -126,7 +126,7 @@
 
     pub(super) fn shortage(&self, now: time::Millis) -> retry::Shortage {
         let counts = self.counts(now);
-        let refused = counts.late + self.full * self.weight(now);
+        let refused = counts.late + self.unserved * self.weight(now);
         let late = if self.counts.late > 0.0 { self.counts.late } else { 1.0 };
         retry::Shortage {
             refused_share: refused / (counts.decided + ASSUMED_ACCEPTED),
--- a/crates/chestnutpick_router/src/urgency/retry.rs
+++ b/crates/chestnutpick_router/src/urgency/retry.rs
@@ -41,9 +41,27 @@
     pause: time::Millis,
     time_left: time::Millis,
     random: f64,
+) -> time::Millis {
+    wait_at_least(MIN_WAIT.max(pause).max(shortage.excess), shortage, time_left, random)
+}
+
+/// Returns the time after which a caller with `time_left` should repeat a request that no endpoint took, and that has no room
+/// before the time `least`.
+///
+/// ```
+/// use chestnutpick_router::urgency::retry;
+/// use chestnutpick_types::time::Millis;
+/// let shortage = retry::Shortage { refused_share: 0.9, excess: Millis::ZERO };
+/// let wait = retry::wait_at_least(Millis(800), shortage, Millis(6_000), 0.5);
+/// assert!(wait > Millis(1_400) && wait <= Millis(2_000));
+/// ```
+pub fn wait_at_least(
+    least: time::Millis,
+    shortage: Shortage,
+    time_left: time::Millis,
+    random: f64,
 ) -> time::Millis {
     let longest = longest(time_left).0 as f64;
-    let least = MIN_WAIT.max(pause).max(shortage.excess);
     let pressure = (shortage.refused_share - RARE) / (FREQUENT - RARE);
     let further = pressure.clamp(0.0, 1.0) * (longest - least.0 as f64).max(0.0);
     let earliest = (least.0 as f64 + further) * (1.0 - SPREAD);
--- a/crates/chestnutpick_router/tests/retry.rs
+++ b/crates/chestnutpick_router/tests/retry.rs
@@ -1,5 +1,6 @@
 //! When callers whose request was refused for lack of room should return.
 
+use chestnutpick_router::urgency;
 use chestnutpick_router::urgency::retry;
 use chestnutpick_types::time::Millis;
 use rstest::rstest;
@@ -55,3 +56,31 @@
     assert!(waits[0] < 100 && waits[4] >= 1_900, "{waits:?}");
     assert!(waits.is_sorted_by(|shorter, longer| shorter < longer), "{waits:?}");
 }
+
+/// Wait of callers that were refused because no endpoint holds the required version, before it depended on the share of refused
+/// requests.
+const LOADING_WAIT: Millis = Millis(800);
+
+/// Guards against callers that return again before any engine has loaded the required version, which took 6 s.
+#[test]
+fn fewer_requests_return_during_a_change_of_weights() {
+    const CHANGE: (u64, u64) = (2_000, 8_000);
+    const INTERVAL: usize = 50;
+    let (mut urgency, service) = (urgency::Urgency::default(), "llm".parse().unwrap());
+    let (mut before, mut after) = (0, 0);
+    for now in (0..CHANGE.1).step_by(INTERVAL) {
+        let is_refused = now >= CHANGE.0;
+        let decision =
+            if is_refused { urgency::Decision::Unserved } else { urgency::Decision::Accepted };
+        urgency.on_decision(Millis(now), &service, 1, Millis(500), decision);
+        if is_refused {
+            let shortage = urgency.shortage(Millis(now), &service, 1);
+            let random = (now / INTERVAL as u64 % 10) as f64 / 10.0;
+            let wait = retry::wait_at_least(LOADING_WAIT, shortage, DEADLINE, random);
+            before += u32::from(now + LOADING_WAIT.0 < CHANGE.1);
+            after += u32::from(now + wait.0 < CHANGE.1);
+        }
+    }
+    println!("{after} of {before} return during the change");
+    assert!(f64::from(after) < 0.9 * f64::from(before), "{after} of {before}");
+}
