--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -2,8 +2,10 @@
 //! to routers.
 
 pub mod chunks;
+pub mod count;
 pub mod lookup;
 pub mod pace;
+pub mod precedence;
 pub mod run;
 pub mod schedule;
 pub mod subscribers;
