--- a/crates/chestnutpick_router/src/outcome.rs
+++ b/crates/chestnutpick_router/src/outcome.rs
@@ -38,6 +38,7 @@
     size.add_to(event::Event::new("request_refused"))
         .with("request", &call.head.request_id)
         .with("route", &call.admitted.route.name)
+        .with("priority", call.admitted.rank())
         .with("kind", refusal.kind)
         .with("reason", &refusal.message)
         .with("phase", tries.phase)
--- a/crates/chestnutpick_router/tests/urgency.rs
+++ b/crates/chestnutpick_router/tests/urgency.rs
@@ -108,10 +108,9 @@
 #[rstest]
 #[case::three_ranks(&[kind(0, 400, 0.33), kind(1, 700, 0.33), kind(2, 1_000, 0.34)])]
 #[case::equal_ranks(&[kind(1, 400, 0.33), kind(1, 700, 0.33), kind(1, 1_000, 0.34)])]
-fn fewer_requests_are_refused_twice(#[case] kinds: &[Kind]) {
+fn fewer_requests_are_refused_twice(#[case] kinds: &[Kind], #[values(SMALL, LARGE)] size: Size) {
     let counts = [Returns::Soon, Returns::Chosen].map(|returns| {
-        let counts =
-            run(Load { kinds, factor: BURST_FACTOR, returns, size: SMALL }, Policy::Urgency);
+        let counts = run(Load { kinds, factor: BURST_FACTOR, returns, size }, Policy::Urgency);
         print(&format!("{returns:?}"), &counts);
         println!("refused twice {:.3}", refused_twice(&counts));
         counts
