--- a/crates/chestnutpick_router/src/placement.rs
+++ b/crates/chestnutpick_router/src/placement.rs
@@ -55,12 +55,12 @@
     // waits for it.
     let time_left = match tries.runs {
         // A body that arrived slowly would arrive as slowly again after a refusal.
-        0 => Some(limit.since(now.since(call.received))),
+        0 => Some(route.target.since(now.since(call.received))),
         _ if tries.begun => None,
         _ => Some(route.patience.since(now.since(call.received))),
     };
     let regions = [call.admitted.regions(), terms.regions()].concat();
-    let chosen = node.choose(&choice::Request {
+    let request = choice::Request {
         target: route.target,
         service: &terms.service,
         regions: &regions,
@@ -69,12 +69,19 @@
         time_left,
         tried: &tries.failed,
         version,
-    });
+    };
+    let waited = now.since(call.received);
+    let own_limit = (tries.runs == 0 && limit < route.target).then(|| limit.since(waited));
+    let chosen = node.choose(&request, own_limit);
     if let (0, Some(decision)) = (tries.sends, decision(&chosen, limit)) {
         node.urgency.borrow_mut().on_decision(now, service, rank, route.target, decision);
     }
     let chosen = chosen.map_err(|none| {
-        let refusal = no_choice(tries, &terms, &none);
+        let mut refusal = no_choice(tries, &terms, &none);
+        if none.reason == choice::Reason::Late && limit < route.target {
+            metrics::counter!("requests_refused_for_urgent_ones").increment(1);
+            refusal.message = format!("{}, limited to {limit}", refusal.message).into();
+        }
         match none.reason {
             choice::Reason::NoEndpoint | choice::Reason::NoVersion => Unplaced::Denied(refusal),
             choice::Reason::Full | choice::Reason::Late => Unplaced::Full(refusal),
@@ -83,8 +90,8 @@
     Ok(Placement { chosen, terms, version })
 }
 
-/// Returns the decision about a request that must be expected to begin within `limit`, or `None` if it is refused for
-/// another reason than the lack of room.
+/// Returns the decision about a request that must be expected to begin within `limit`, or `None` if no endpoint
+/// is ready.
 fn decision(
     chosen: &Result<choice::Chosen, choice::NoChoice>,
     limit: time::Millis,
@@ -92,8 +99,8 @@
     match chosen {
         Ok(_) => Some(urgency::Decision::Accepted),
         Err(none) => match none.reason {
-            choice::Reason::NoEndpoint | choice::Reason::NoVersion => None,
-            choice::Reason::Full => Some(urgency::Decision::Full),
+            choice::Reason::NoEndpoint => None,
+            choice::Reason::NoVersion | choice::Reason::Full => Some(urgency::Decision::Unserved),
             choice::Reason::Late => {
                 let excess = none.expected.unwrap_or_default().since(limit);
                 Some(urgency::Decision::Late { excess })
