Keep the load of plain services even

Change: the rank grows with the number of requests at the endpoint, and the random part is up to one usual work time. The expected time itself is unchanged.

--- a/crates/chestnutpick_router/src/choice.rs
+++ b/crates/chestnutpick_router/src/choice.rs
@@ -175,6 +175,7 @@
         let is_local = context.local.includes(&endpoint_view.endpoint.zone);
         let rank = expected
             + estimate::penalty(now, request, is_local, endpoint_view)
+            + plain::level_ms(now, view, request, endpoint_view)
             + estimate::weights_load_penalty(now, request, endpoint_view)
             + jitter_ms * random_unit(rng);
         candidates.push(Candidate { rank, expected, is_local, endpoint_view });
--- a/crates/chestnutpick_router/src/choice/plain.rs
+++ b/crates/chestnutpick_router/src/choice/plain.rs
@@ -13,7 +13,11 @@
 const SPREAD: f64 = 2.0;
 
 /// Upper bound of the random part of the rank, in usual work times.
-const JITTER: f64 = 0.1;
+const JITTER: f64 = 1.0;
+
+/// Added to the rank of an endpoint with as many requests as slots, in usual work times. Keeps the load even below the point
+/// at which requests wait, and the queues short enough not to refuse requests.
+const LEVEL: f64 = 1.0;
 
 /// Argument from which the exponential function need not be evaluated.
 const MAX_EXPONENT: f64 = 30.0;
@@ -26,8 +30,7 @@
     endpoint_view: &view::EndpointView,
 ) -> f64 {
     let work_ms = usual_ms(view, request) * endpoint_view.pace.factor(now);
-    let slots = endpoint_view.stated.slots().unwrap_or(endpoint_view.endpoint.slots);
-    let slots = f64::from(slots.max(1));
+    let slots = slots(endpoint_view);
     let occupied = occupied(now, view, endpoint_view, work_ms);
     // The mean number of requests that wait in front of this one, smooth because of the uncertainty.
     let excess = (occupied + 1.0 - slots) / SPREAD;
@@ -35,6 +38,26 @@
     work_ms * (1.0 + waiting / slots)
 }
 
+/// Returns the part of the rank that grows with the number of requests at an endpoint, in milliseconds; zero for engines.
+pub(super) fn level_ms(
+    now: time::Millis,
+    view: &view::View,
+    request: &choice::Request<'_>,
+    endpoint_view: &view::EndpointView,
+) -> f64 {
+    if request.service.engine.is_some() {
+        return 0.0;
+    }
+    let usual_ms = usual_ms(view, request);
+    let occupied = occupied(now, view, endpoint_view, usual_ms);
+    usual_ms * LEVEL * occupied / slots(endpoint_view)
+}
+
+fn slots(endpoint_view: &view::EndpointView) -> f64 {
+    let slots = endpoint_view.stated.slots().unwrap_or(endpoint_view.endpoint.slots);
+    f64::from(slots.max(1))
+}
+
 /// Returns the upper bound of the random part of the rank, in milliseconds.
 pub(super) fn jitter_ms(view: &view::View, request: &choice::Request<'_>) -> f64 {
     usual_ms(view, request) * JITTER
