--- a/crates/chestnutpick_loader/examples/even_load/main.rs
+++ b/crates/chestnutpick_loader/examples/even_load/main.rs
@@ -47,7 +47,9 @@
     });
     let mut results = results.into_inner().unwrap();
     results.sort_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).unwrap());
-    println!("| load | policy | busiest/mean | p50 ms | p99 ms | on time % | refused % |");
+    println!(
+        "| load | policy | busiest/mean | p50 ms | p99 ms | on time % | refused % | remote % | error |"
+    );
     for rows in results.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)) {
         let cell = |pick: fn(&world::Outcome) -> f64| {
             let mut values: Vec<_> = rows.iter().map(|row| pick(&row.3)).collect();
@@ -65,6 +67,8 @@
             cell(|outcome| outcome.p99),
             cell(|outcome| outcome.on_time),
             cell(|outcome| outcome.refused),
+            cell(|outcome| outcome.remote),
+            cell(|outcome| outcome.error),
         ];
         println!("| {} | {} | {} |", rows[0].0, rows[0].2, cells.join(" | "));
     }
--- a/crates/chestnutpick_loader/examples/even_load/policy.rs
+++ b/crates/chestnutpick_loader/examples/even_load/policy.rs
@@ -21,11 +21,15 @@
 pub enum Rule {
     /// The engine of any region with the fewest requests at this moment, which no router knows.
     Ideal,
+    /// The same within the region of the router.
+    IdealLocal,
     /// The choice of the product.
     Product,
     /// The best of `local` random engines of the region and of `remote` others, with `unreported` requests assumed for
     /// each other router per own recent request, and a random part of up to `jitter` milliseconds.
     Best { local: f64, remote: f64, unreported: f64, jitter: f64 },
+    /// As `Best`, with `level` milliseconds added for each request at the engine.
+    Level { local: f64, remote: f64, unreported: f64, jitter: f64, level: f64 },
     /// The best of a fixed part of the engines for each router.
     Subset(u64),
     /// The router uses at most its part of the free slots that the last report shows.
@@ -51,8 +55,15 @@
     Policy { name, rule, count, pace }
 }
 
-pub const ALL: [Policy; 17] = [
-    policy("ideal", Rule::Ideal, Count::Product, true),
+pub const ALL: [Policy; 19] = [
+    policy("present", Rule::Ideal, Count::Product, true),
+    policy("present-in-region", Rule::IdealLocal, Count::Product, true),
+    policy(
+        "level8",
+        Rule::Level { local: 8.0, remote: 4.0, unreported: 0.6, jitter: 30.0, level: 5.0 },
+        Count::Product,
+        true,
+    ),
     policy("former", Rule::Product, Count::SinceReport, false),
     policy("former+count", Rule::Product, Count::Product, false),
     policy("old", OLD, Count::SinceReport, false),
@@ -130,7 +141,9 @@
     rng: &mut Xoshiro256PlusPlus,
 ) -> Option<id::EndpointId> {
     let (share, jitter) = match rule {
-        Rule::Best { unreported, jitter, .. } => (unreported, jitter),
+        Rule::Best { unreported, jitter, .. } | Rule::Level { unreported, jitter, .. } => {
+            (unreported, jitter)
+        }
         _ => (0.0, 0.0),
     };
     let all: Vec<_> = (view.endpoints.values())
@@ -138,7 +151,13 @@
             let expected = expected(now, view, seen, job.tokens, share);
             let is_local = seen.endpoint.zone == *zone;
             let penalty = if is_local { 0.0 } else { REGION_PENALTY };
-            let rank = expected + penalty + jitter * engine::unit(rng);
+            let level = match rule {
+                Rule::Level { level, .. } => {
+                    level * f64::from(seen.occupied.max(seen.in_flight)) * seen.pace.factor(now)
+                }
+                _ => 0.0,
+            };
+            let rank = expected + penalty + level + jitter * engine::unit(rng);
             Seen { view: seen, expected, rank, is_local }
         })
         .collect();
@@ -151,8 +170,8 @@
     let locals = all.iter().filter(|seen| seen.is_local).count() as f64;
     let free = |seen: &Seen<'_>| f64::from(engine::SLOTS) - f64::from(seen.view.occupied);
     let found = match rule {
-        Rule::Product | Rule::Ideal => None,
-        Rule::Best { local, remote, .. } => best(&mut |seen| {
+        Rule::Product | Rule::Ideal | Rule::IdealLocal => None,
+        Rule::Best { local, remote, .. } | Rule::Level { local, remote, .. } => best(&mut |seen| {
             let share =
                 if seen.is_local { local / locals } else { remote / (all.len() as f64 - locals) };
             engine::unit(rng) < share
--- a/crates/chestnutpick_loader/examples/even_load/world.rs
+++ b/crates/chestnutpick_loader/examples/even_load/world.rs
@@ -62,11 +62,14 @@
     regions: BTreeMap<id::ZoneId, id::RegionId>,
     service: config::Service,
     first: Vec<f64>,
-    counts: [u32; 3],
+    /// Requests, those on time, refused and sent to another region.
+    counts: [u32; 4],
     window: Vec<u32>,
     /// Requests on the way to each engine.
     sent: Vec<u32>,
     ratios: Vec<f64>,
+    /// Sum and number of the deviations of the views at engines of the router's region.
+    error: (f64, f64),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -76,6 +79,9 @@
     pub p99: f64,
     pub on_time: f64,
     pub refused: f64,
+    pub remote: f64,
+    /// Mean deviation of the routers' views from the true requests, at engines of their region.
+    pub error: f64,
 }
 
 fn ip(engine: u8) -> IpAddr {
@@ -135,10 +141,11 @@
             regions: ZONES.map(|zone| (zone.parse().unwrap(), zone.parse().unwrap())).into(),
             service: service(),
             first: Vec::new(),
-            counts: [0; 3],
+            counts: [0; 4],
             window: vec![0; ENGINES.into()],
             sent: vec![0; ENGINES.into()],
             ratios: Vec::new(),
+            error: (0.0, 0.0),
         }
     }
 
@@ -197,6 +204,17 @@
             self.counts[2] += u32::from(is_counted);
             return;
         };
+        for n in (0..ENGINES).filter(|_| is_counted) {
+            let seen = &self.routers[router].view.endpoints[&common::endpoint_id(n)];
+            if seen.endpoint.zone == self.routers[router].zone {
+                let truth = self.engines[usize::from(n)].occupied() + self.sent[usize::from(n)];
+                self.error.0 += f64::from(seen.occupied.abs_diff(truth));
+                self.error.1 += 1.0;
+            }
+        }
+        let is_remote =
+            self.routers[router].view.endpoints[&id].endpoint.zone != self.routers[router].zone;
+        self.counts[3] += u32::from(is_counted && is_remote);
         let engine = id.as_str().strip_prefix("i-").unwrap().parse().unwrap();
         self.routers[router].view.on_sent(Millis(self.now), &id, job.tokens);
         self.subscribe(router, engine);
@@ -207,8 +225,12 @@
     fn choose(&mut self, router: usize, job: &Job) -> Option<id::EndpointId> {
         let now = Millis(self.now);
         let Router { view, zone, .. } = &self.routers[router];
-        if self.policy.rule == policy::Rule::Ideal {
-            let best = (0..ENGINES).min_by(|a, b| {
+        if matches!(self.policy.rule, policy::Rule::Ideal | policy::Rule::IdealLocal) {
+            let is_any = self.policy.rule == policy::Rule::Ideal;
+            let near = |n: &u8| {
+                is_any || self.routers[router].zone.as_str() == ZONES[usize::from(*n) % ZONES.len()]
+            };
+            let best = (0..ENGINES).filter(near).min_by(|a, b| {
                 let requests =
                     |n: u8| self.engines[usize::from(n)].occupied() + self.sent[usize::from(n)];
                 requests(*a).cmp(&requests(*b))
@@ -347,13 +369,15 @@
             values.sort_by(f64::total_cmp);
             values[((values.len() - 1) as f64 * share) as usize]
         };
-        let [all, on_time, refused] = self.counts.map(f64::from);
+        let [all, on_time, refused, remote] = self.counts.map(f64::from);
         Outcome {
             busiest: quantile(&mut self.ratios, 0.5),
             p50: quantile(&mut self.first, 0.5),
             p99: quantile(&mut self.first, 0.99),
             on_time: 100.0 * on_time / all,
             refused: 100.0 * refused / all,
+            remote: 100.0 * remote / all,
+            error: self.error.0 / self.error.1,
         }
     }
 }
