--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,13 +1,14 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`bodies`], [`choice`], [`departed`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`],
-//! [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an
+//! The policies ([`bodies`], [`choice`], [`departed`], [`duty`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`],
+//! [`notices`], [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`urgency`], [`view`], [`window`]) take the current time as an
 //! argument and do no I/O; the other modules connect them to sockets and clocks.
 
 pub mod bodies;
 pub mod choice;
 pub mod compression;
 pub mod departed;
+pub mod duty;
 pub mod ending;
 pub mod events;
 pub mod failures;
@@ -23,6 +24,7 @@
 pub mod run;
 pub mod suspicion;
 pub mod timeout;
+pub mod urgency;
 pub mod view;
 pub mod window;
 pub mod work;
@@ -30,6 +32,7 @@
 mod answer;
 mod calls;
 mod crash;
+mod duties;
 mod expiry;
 mod forward;
 mod handle;
