Order endpoints from the load of the engines, and wait for routers that are silent

Cause: the autoscale duty was not performed. A report did not wait for a router whose link was cut for a moment, and a slow control service would have delayed all later reports. Change: duty::scaling decides; the holder of the usage reports also orders, and the record holds the last orders. A report waits up to 60% of usage_late_s for a router that has fallen silent. A call may take half the lease, and one without an answer is made three times.

--- a/crates/chestnutpick_fleet/src/config.rs
+++ b/crates/chestnutpick_fleet/src/config.rs
@@ -111,6 +111,19 @@
     pub engine: Option<Engine>,
     /// Address and zone of the origin, if this service is the origin of weights.
     pub origin: Option<Origin>,
+    /// Limits of the number of endpoints per zone, if routers may order endpoints.
+    pub scale: Option<Scale>,
+}
+
+/// Limits of the number of endpoints of a service in each zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Scale {
+    /// Minimum number.
+    pub min: u32,
+    /// Maximum number.
+    pub max: u32,
+    /// Time until a new endpoint serves.
+    pub boot: time::Millis,
 }
 
 /// A workspace and its API keys.
--- a/crates/chestnutpick_fleet/src/duty.rs
+++ b/crates/chestnutpick_fleet/src/duty.rs
@@ -191,6 +191,24 @@
     ) -> impl Future<Output = Result<position::Position, WriteError>>;
 }
 
+/// A service in a zone, whose number of endpoints can be ordered.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Subject {
+    /// Service.
+    pub service: id::ServiceId,
+    /// Availability zone.
+    pub zone: id::ZoneId,
+}
+
+/// Order of a number of endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Order {
+    /// Service and zone.
+    pub subject: Subject,
+    /// Number of endpoints.
+    pub count: u32,
+}
+
 /// Requests of each workspace.
 pub type Counts = collections::BTreeMap<sync::Arc<str>, u64>;
 
@@ -222,6 +240,12 @@
         /// HTTP status of the response.
         status: u16,
     },
+    /// The call did not reach the service.
+    #[snafu(display("{reason}"))]
+    NotSent {
+        /// Description of the connection error.
+        reason: sync::Arc<str>,
+    },
     /// The outcome of the call is not known.
     #[snafu(display("{reason}"))]
     Unknown {
@@ -239,4 +263,11 @@
         window: u64,
         counts: &Counts,
     ) -> impl Future<Output = Result<(), CallError>>;
+
+    /// Orders a number of endpoints.
+    fn scale(
+        &self,
+        performer: &Performer,
+        order: &Order,
+    ) -> impl Future<Output = Result<(), CallError>>;
 }
--- a/crates/chestnutpick_router/src/duties.rs
+++ b/crates/chestnutpick_router/src/duties.rs
@@ -13,12 +13,13 @@
 use serde_json::json;
 use tokio_util::sync as token;
 
-use crate::duty::{counts, reports, tenure, truetime};
+use crate::duty::{counts, reports, scaling, tenure, truetime};
 use crate::node;
 use crate::readers;
 use crate::relay;
 
 mod act;
+mod scale;
 mod share;
 
 pub(crate) use self::share::{on_counts, on_median_time, on_time, send_all};
@@ -37,7 +38,15 @@
 
 /// State of the duties.
 pub(crate) struct State {
-    /// Who holds the usage reports.
+    /// Duties that the holder performs.
+    duties: collections::BTreeSet<duty::Duty>,
+    /// Decisions on orders of endpoints.
+    scaler: scaling::Scaler,
+    /// Order whose write has not been confirmed.
+    pending_order: Option<duty::Order>,
+    /// Orders that this router has sent and the service has accepted or rejected for good.
+    settled_orders: collections::BTreeMap<duty::Subject, u32>,
+    /// Who holds the duties.
     tenure: tenure::Tenure,
     /// Counts of this router and those it has received.
     counts: counts::Table,
@@ -57,19 +66,24 @@
     call_at: time::Millis,
     /// Time of the last change of the holder, and its token.
     holder: (Option<duty::Token>, time::Millis),
+    /// Calls to the control service without an answer, in succession.
+    unanswered: u32,
+    /// When each router last sent all its counts.
+    reported: collections::BTreeMap<net::IpAddr, time::Millis>,
     /// Window in which this router started.
     first_window: Option<u64>,
     shares: u64,
 }
 
 impl State {
-    /// Returns the initial state, or `None` if the settings name no duty that this version performs.
+    /// Returns the initial state, or `None` if the settings name no duty.
     pub(crate) fn new(host: &host::Host) -> Option<Self> {
-        let cloud = host.cloud.as_ref()?;
-        if !cloud.duties.contains(&duty::Duty::UsageReport) {
-            return None;
-        }
+        let cloud = host.cloud.as_ref().filter(|cloud| !cloud.duties.is_empty())?;
         Some(Self {
+            duties: cloud.duties.clone(),
+            scaler: scaling::Scaler::default(),
+            pending_order: None,
+            settled_orders: collections::BTreeMap::new(),
             tenure: tenure::Tenure::new(host.name.clone(), host.ip, cloud.lease),
             counts: counts::Table::default(),
             source: load::Source { ip: host.ip, started_at: time::unix_now().0 },
@@ -80,6 +94,8 @@
             take_at: None,
             call_at: time::Millis::ZERO,
             holder: (None, time::Millis::ZERO),
+            unanswered: 0,
+            reported: collections::BTreeMap::new(),
             first_window: None,
             shares: 0,
         })
@@ -93,6 +109,7 @@
         let window = self.reports.window_at(self.clock.at(now)?);
         self.first_window.get_or_insert(window);
         self.counts.expire(window);
+        self.reported.retain(|_, at| now.since(*at) < share::LEFT_TIME);
         self.heard.retain(|_, at| now.since(*at) < share::FORGET_TIME);
         Some(window)
     }
@@ -101,6 +118,12 @@
         Some(self.reports.window_at(self.clock.at(now)?))
     }
 
+    /// Returns the true time up to which all routers that have sent counts lately have done so, if there are any.
+    fn heard_until(&self, now: time::Millis) -> Option<time::Millis> {
+        let recent = self.reported.values().filter(|at| now.since(**at) < share::LEFT_TIME);
+        self.clock.at(*recent.min()?)
+    }
+
     /// Returns an attempt to take the usage reports.
     fn attempt(&mut self) -> Option<tenure::Attempt> {
         let Self { tenure, clock, reports, .. } = self;
@@ -110,12 +133,11 @@
     /// Handles the end of this router's tenure.
     fn on_loss(&mut self, loss: Option<tenure::Loss>) {
         let Some(loss) = loss else { return };
-        self.pending = None;
+        (self.pending, self.pending_order) = (None, None);
         self.reports.on_lost();
-        event::Event::new("duty_lost")
-            .with("duty", duty::Duty::UsageReport)
-            .with("reason", loss)
-            .info();
+        self.scaler = scaling::Scaler::default();
+        self.settled_orders.clear();
+        event::Event::new("duty_lost").with("reason", loss).info();
         metrics::counter!("duty_losses", "reason" => loss.to_string()).increment(1);
     }
 }
@@ -190,10 +212,11 @@
     let state = state.borrow();
     let held = state.tenure.held();
     json!({
+        "holder": state.tenure.holder().map(|holder| &holder.name),
+        "held": held.is_some(),
+        "token": held.map(|held| held.token.0),
+        "orders": state.tenure.orders(),
         "usage_report": {
-            "holder": state.tenure.holder().map(|holder| &holder.name),
-            "held": held.is_some(),
-            "token": held.map(|held| held.token.0),
             "window": state.window(now),
             "reported": state.tenure.report().map(|report| report.window),
             "pending": state.pending.as_ref().map(|report| report.window),
--- a/crates/chestnutpick_router/src/duties/act.rs
+++ b/crates/chestnutpick_router/src/duties/act.rs
@@ -7,12 +7,16 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::time;
 
-use super::{State, TICK, is_candidate, take_delay};
+use super::{State, TICK, is_candidate, scale, take_delay};
 use crate::duty::{reports, tenure};
 use crate::node;
 
-/// Time-out of a call to the control service. A call is made only if the lease runs for longer.
-const CALL_TIMEOUT: time::Millis = time::Millis(500);
+/// Time-out of a call to the control service as a part of the lease, in percent. A call is made only if the lease runs for
+/// longer; it is renewed before.
+const CALL_PERCENT: u64 = 50;
+
+/// Number of times that a call without an answer is made. A service that is slow for long would delay all later calls.
+const MAX_UNANSWERED: u32 = 3;
 
 /// Pause after a failed call to the control service.
 const CALL_PAUSE: time::Millis = time::Millis(500);
@@ -133,10 +137,7 @@
         }
     };
     if is_taken {
-        event::Event::new("duty_taken")
-            .with("duty", duty::Duty::UsageReport)
-            .with("token", attempt.token)
-            .info();
+        event::Event::new("duty_taken").with("token", attempt.token).info();
         metrics::counter!("duty_takings").increment(1);
     }
     is_taken
@@ -179,8 +180,16 @@
     L: Ledger,
     K: Control,
 {
-    let step = next_step(node, state, held);
+    if node.now() < state.borrow().call_at {
+        return;
+    }
+    let performs = |duty| state.borrow().duties.contains(&duty);
+    let reports = performs(duty::Duty::UsageReport);
+    let step = if reports { next_step(node, state, held) } else { reports::Step::Wait };
     match step {
+        reports::Step::Wait if performs(duty::Duty::Autoscale) => {
+            scale::perform(node, state, ledger, control, held).await;
+        }
         reports::Step::Wait => {}
         reports::Step::Write(window) => write(node, state, ledger, window).await,
         reports::Step::Send(report) => send(node, state, control, held, report).await,
@@ -196,14 +205,13 @@
     let (Some(unix), Some(started_in)) = (state.clock.at(now), state.first_window) else {
         return reports::Step::Wait;
     };
-    if now < state.call_at {
-        return reports::Step::Wait;
-    }
     let recorded = state.tenure.report();
     let first = state.tenure.first_window();
     // Before the first record, nobody has counted the windows before this router's start.
     let first = if recorded.is_none() { first.max(started_in) } else { first };
-    let situation = reports::Situation { unix, held: now.since(held.since), recorded, first };
+    let held_for = now.since(held.since);
+    let heard_until = state.heard_until(now);
+    let situation = reports::Situation { unix, held: held_for, recorded, first, heard_until };
     state.reports.next(&situation)
 }
 
@@ -212,20 +220,36 @@
 where
     L: Ledger,
 {
-    let (report, transaction) = {
+    let report = {
         let mut state = state.borrow_mut();
         let pending = state.pending.take().filter(|report| report.window == window);
         let report =
             pending.unwrap_or_else(|| reports::Report::new(window, &state.counts.total(window)));
         state.pending = Some(report.clone());
-        (report.clone(), state.tenure.write(&report))
+        report
     };
-    let Some(transaction) = transaction else { return };
+    record(node, state, ledger, &tenure::Change::Report(report)).await;
+}
+
+/// Writes a change to the record before it is sent. Returns whether it was confirmed.
+pub(super) async fn record<C, L>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    ledger: &L,
+    change: &tenure::Change,
+) -> bool
+where
+    L: Ledger,
+{
+    let changed = state.borrow().tenure.change(change);
+    let transaction = changed.as_ref().and_then(|record| state.borrow().tenure.write(record));
+    let Some((record, transaction)) = changed.zip(transaction) else { return false };
     let outcome = ledger.write(transaction).await;
     count_write("txn", outcome.is_ok());
+    let is_written = outcome.is_ok();
     let (mut state, now) = (state.borrow_mut(), node.now());
     let loss = match outcome {
-        Ok(at) => state.tenure.on_written(now, report, at),
+        Ok(at) => state.tenure.on_written(now, record, at),
         Err(duty::WriteError::Conflict { era, items }) => {
             state.tenure.on_conflict(now, era, &items)
         }
@@ -237,6 +261,7 @@
         }
     };
     state.on_loss(loss);
+    is_written && state.tenure.held().is_some()
 }
 
 fn log_write_failed(reason: &directory::Error) {
@@ -254,49 +279,75 @@
     K: Control,
 {
     let counts = report.counts();
-    if !state.borrow().tenure.may_act(node.now(), CALL_TIMEOUT) {
-        return;
+    let Some(performer) = performer(node, &state.borrow(), held) else { return };
+    let outcome = control.report(&performer, report.window, &counts).await;
+    let is_settled = on_outcome(node, state, duty::Duty::UsageReport, &outcome);
+    event::Event::new("usage_reported")
+        .with("window", report.window)
+        .with("token", held.token)
+        .with("requests", counts.values().sum::<u64>())
+        .with("result", result(&outcome))
+        .info();
+    let mut state = state.borrow_mut();
+    // A holder that has lost the duty meanwhile repeats the report if it takes it again.
+    let is_held = state.tenure.held().is_some_and(|current| current.token == held.token);
+    if is_settled && is_held {
+        state.reports.on_settled(report.window);
     }
-    let performer = duty::Performer {
+}
+
+/// Returns who makes a call now, unless the lease may end before the call does.
+pub(super) fn performer<C>(
+    node: &node::Node<C>,
+    state: &State,
+    held: &tenure::Held,
+) -> Option<duty::Performer> {
+    let timeout = time::Millis(state.tenure.lease_time().0 * CALL_PERCENT / 100);
+    let may_act = state.tenure.may_act(node.now(), timeout);
+    may_act.then(|| duty::Performer {
         name: node.host.name.clone(),
         token: held.token,
-        expiry: time::Expiry::after(CALL_TIMEOUT),
-        timeout: CALL_TIMEOUT,
+        expiry: time::Expiry::after(timeout),
+        timeout,
+    })
+}
+
+/// Handles the outcome of a call. Returns whether the call need not be repeated.
+pub(super) fn on_outcome<C>(
+    node: &node::Node<C>,
+    state: &cell::RefCell<State>,
+    duty: duty::Duty,
+    outcome: &Result<(), duty::CallError>,
+) -> bool {
+    metrics::counter!("duty_calls", "duty" => duty.to_string(), "result" => result(outcome))
+        .increment(1);
+    let pause = match outcome {
+        Ok(()) | Err(duty::CallError::Rejected { .. }) => time::Millis::ZERO,
+        Err(duty::CallError::Unavailable { .. }) => REFUSAL_PAUSE,
+        Err(duty::CallError::NotSent { .. } | duty::CallError::Unknown { .. }) => CALL_PAUSE,
     };
-    let outcome = control.report(&performer, report.window, &counts).await;
-    let (mut state, now) = (state.borrow_mut(), node.now());
-    let result = match &outcome {
+    let mut state = state.borrow_mut();
+    state.call_at = node.now() + pause;
+    let is_unanswered = matches!(outcome, Err(duty::CallError::Unknown { .. }));
+    state.unanswered = if is_unanswered { state.unanswered + 1 } else { 0 };
+    let is_given_up = state.unanswered >= MAX_UNANSWERED;
+    if is_given_up {
+        state.unanswered = 0;
+    }
+    if let Err(reason) = outcome {
+        event::Event::new("duty_call_failed").with("duty", duty).with("reason", reason).warn();
+    }
+    is_given_up || matches!(outcome, Ok(()) | Err(duty::CallError::Rejected { .. }))
+}
+
+/// Returns the outcome of a call for logs and metrics.
+pub(super) fn result(outcome: &Result<(), duty::CallError>) -> &'static str {
+    match outcome {
         Ok(()) => "sent",
         Err(duty::CallError::Rejected { .. }) => "rejected",
         Err(duty::CallError::Unavailable { .. }) => "unavailable",
+        Err(duty::CallError::NotSent { .. }) => "not_sent",
         Err(duty::CallError::Unknown { .. }) => "unknown",
-    };
-    metrics::counter!("duty_calls", "result" => result).increment(1);
-    let logged = event::Event::new("usage_reported")
-        .with("window", report.window)
-        .with("token", held.token)
-        .with("requests", counts.values().sum::<u64>())
-        .with("result", result);
-    match outcome {
-        Ok(()) => {
-            // A holder that has lost the duty meanwhile repeats the report if it takes it again.
-            if state.tenure.held().is_some_and(|current| current.token == held.token) {
-                state.reports.on_settled(report.window);
-            }
-            logged.info();
-        }
-        Err(reason) => {
-            let pause = match &reason {
-                duty::CallError::Rejected { .. } => {
-                    state.reports.on_settled(report.window);
-                    time::Millis::ZERO
-                }
-                duty::CallError::Unavailable { .. } => REFUSAL_PAUSE,
-                duty::CallError::Unknown { .. } => CALL_PAUSE,
-            };
-            state.call_at = now + pause;
-            logged.with("reason", reason).warn();
-        }
     }
 }
 
--- a/crates/chestnutpick_router/src/duties/share.rs
+++ b/crates/chestnutpick_router/src/duties/share.rs
@@ -25,6 +25,9 @@
 /// Time after which others send the counts of a router that has fallen silent.
 const SILENCE: time::Millis = time::Millis(1_500);
 
+/// Time after which a silent router is assumed to have stopped.
+pub(super) const LEFT_TIME: time::Millis = time::Millis::from_secs(10);
+
 /// Time after which the arrival of a router's counts is forgotten.
 pub(super) const FORGET_TIME: time::Millis = time::Millis::from_secs(60);
 
@@ -114,6 +117,7 @@
 pub(crate) fn on_time<C>(node: &node::Node<C>, from: net::SocketAddr, unix: u64) {
     let Some(state) = &node.duties else { return };
     let (mut state, now) = (state.borrow_mut(), node.now());
+    state.reported.insert(from.ip(), now);
     state.clock.on_peer(now, from.ip(), time::Millis(unix));
     if let Some(median) = state.clock.at(now).filter(|_| state.clock.is_confirmed()) {
         send(node, from.ip(), &load::ToRouter::MedianTime(median.0));
--- a/crates/chestnutpick_router/src/duty.rs
+++ b/crates/chestnutpick_router/src/duty.rs
@@ -2,5 +2,6 @@
 
 pub mod counts;
 pub mod reports;
+pub mod scaling;
 pub mod tenure;
 pub mod truetime;
--- a/crates/chestnutpick_router/src/duty/reports.rs
+++ b/crates/chestnutpick_router/src/duty/reports.rs
@@ -16,6 +16,9 @@
 /// lets a successor take over if the holder stops at that moment.
 const DELAY_PERCENT: u64 = 30;
 
+/// The same for a window of which a router has not sent all counts: its link may be cut for a moment.
+const MISSING_DELAY_PERCENT: u64 = 60;
+
 /// Time that a new holder waits for the counts of the other routers. They learn of it from the store.
 const GATHER_TIME: time::Millis = time::Millis(1_500);
 
@@ -63,6 +66,8 @@
     pub recorded: Option<&'a Report>,
     /// Earliest window that may be reported.
     pub first: u64,
+    /// True time up to which all other routers have sent their counts, if there are any.
+    pub heard_until: Option<time::Millis>,
 }
 
 /// Reports of one holder.
@@ -70,6 +75,7 @@
 pub struct Reports {
     window: time::Millis,
     delay: time::Millis,
+    missing_delay: time::Millis,
     /// Last window whose report this router has sent and the service has accepted or rejected for good.
     settled: Option<u64>,
 }
@@ -78,7 +84,8 @@
     /// Returns the reports of windows of length `window`, each due `late` after its end.
     pub fn new(window: time::Millis, late: time::Millis) -> Self {
         let delay = time::Millis(late.0 * DELAY_PERCENT / 100);
-        Self { window: window.max(time::Millis(1)), delay, settled: None }
+        let missing_delay = time::Millis(late.0 * MISSING_DELAY_PERCENT / 100);
+        Self { window: window.max(time::Millis(1)), delay, missing_delay, settled: None }
     }
 
     /// Returns the window at a true time.
@@ -94,8 +101,10 @@
     }
 
     /// Returns the true time at which the report of a window is written.
-    pub fn due(&self, window: u64) -> time::Millis {
-        time::Millis((window + 1) * self.window.0) + self.delay
+    fn due(&self, window: u64, heard_until: Option<time::Millis>) -> time::Millis {
+        let end = time::Millis((window + 1) * self.window.0);
+        let is_missing = heard_until.is_some_and(|heard| heard < end);
+        end + if is_missing { self.missing_delay } else { self.delay }
     }
 
     /// Returns the first window whose report was not due at a true time.
@@ -123,7 +132,9 @@
         let oldest = (self.window_at(situation.unix) + 2).saturating_sub(counts::KEPT_WINDOWS);
         let after = situation.recorded.map_or(0, |report| report.window + 1);
         let window = after.max(situation.first).max(oldest);
-        if situation.held >= GATHER_TIME && situation.unix >= self.due(window) {
+        if situation.held >= GATHER_TIME
+            && situation.unix >= self.due(window, situation.heard_until)
+        {
             return Step::Write(window);
         }
         Step::Wait
--- a/crates/chestnutpick_router/src/duty/tenure.rs
+++ b/crates/chestnutpick_router/src/duty/tenure.rs
@@ -43,6 +43,18 @@
     /// was lost when the store was restored.
     #[serde(default)]
     pub first: u64,
+    /// Last orders of endpoints, which may have been sent.
+    #[serde(default)]
+    pub orders: Vec<duty::Order>,
+}
+
+/// A change of the record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A report that is sent next.
+    Report(reports::Report),
+    /// An order that is sent next.
+    Order(duty::Order),
 }
 
 /// A duty that this router holds.
@@ -105,6 +117,8 @@
     record: Record,
     /// First window that may be reported, according to all known records.
     first: u64,
+    /// Last known orders. The record of a restored store may have older ones.
+    orders: Vec<duty::Order>,
     /// Highest known token of all eras.
     highest: duty::Token,
     held: Option<Held>,
@@ -125,6 +139,7 @@
             record_revision: position::Revision(0),
             record: Record::default(),
             first: 0,
+            orders: Vec::new(),
             highest: duty::Token::default(),
             held: None,
             rest_until: time::Millis::ZERO,
@@ -192,9 +207,14 @@
     }
 
     fn on_record(&mut self, item: &duty::Item) {
+        let is_newer = item.revision > self.record_revision;
+        let is_first = self.record_revision == position::Revision(0);
         self.record_revision = self.record_revision.max(item.revision);
         let Some(value) = item.value.as_deref() else { return };
         let Ok(record) = serde_json::from_slice::<Record>(value) else { return };
+        if is_newer && (!is_first || self.orders.is_empty()) {
+            self.orders.clone_from(&record.orders);
+        }
         self.highest = self.highest.max(record.token);
         self.first = self.first.max(record.first);
         let window = |record: &Record| record.report.as_ref().map(|report| report.window);
@@ -229,7 +249,8 @@
         }
         let token = self.highest.max(duty::Token::first_of(era)).next();
         self.highest = token;
-        let record = Record { token, report: self.record.report.clone(), first: self.first };
+        let (report, orders) = (self.record.report.clone(), self.orders.clone());
+        let record = Record { token, report, first: self.first, orders };
         Some(Attempt { token, record, era, expected: self.record_revision })
     }
 
@@ -331,17 +352,34 @@
             .is_some_and(|held| now + span + MARGIN < held.until && Some(held.era) == era)
     }
 
-    /// Returns the transaction that writes the report of a window to the record.
-    pub fn write(&self, report: &reports::Report) -> Option<duty::Transaction> {
+    /// Returns the record with a new report or new orders.
+    pub fn change(&self, change: &Change) -> Option<Record> {
+        let held = self.held.as_ref()?;
+        let mut record = Record {
+            token: held.token,
+            report: self.record.report.clone(),
+            first: self.first,
+            orders: self.orders.clone(),
+        };
+        match change {
+            Change::Report(report) => record.report = Some(report.clone()),
+            Change::Order(order) => {
+                record.orders.retain(|known| known.subject != order.subject);
+                record.orders.push(order.clone());
+            }
+        }
+        Some(record)
+    }
+
+    /// Returns the transaction that writes a record.
+    pub fn write(&self, record: &Record) -> Option<duty::Transaction> {
         let held = self.held.as_ref()?;
-        let report = Some(report.clone());
-        let record = Record { token: held.token, report, first: self.first };
         Some(duty::Transaction {
             expected: vec![
                 (duty::Key::UsageHolder, held.holder_revision),
                 (duty::Key::UsageRecord, self.record_revision),
             ],
-            puts: vec![(duty::Key::UsageRecord, encode(&record), None)],
+            puts: vec![(duty::Key::UsageRecord, encode(record), None)],
         })
     }
 
@@ -349,20 +387,30 @@
     pub fn on_written(
         &mut self,
         now: time::Millis,
-        report: reports::Report,
+        record: Record,
         at: position::Position,
     ) -> Option<Loss> {
         let restored = self.on_era(now, at.era);
-        let held = self.held.as_ref().filter(|held| held.era == at.era);
+        let is_current = self.held.as_ref().is_some_and(|held| held.era == at.era);
         // The answer of a process that was suspended may be older than what it has read since.
-        if let Some(held) = held.filter(|_| at.revision > self.record_revision) {
-            let token = held.token;
+        if is_current && at.revision > self.record_revision {
             self.record_revision = at.revision;
-            self.record = Record { token, report: Some(report), first: self.first };
+            self.orders.clone_from(&record.orders);
+            self.record = record;
         }
         restored
     }
 
+    /// Returns the last order for a service in a zone, if known.
+    pub fn ordered(&self, subject: &duty::Subject) -> Option<u32> {
+        self.orders.iter().find(|order| order.subject == *subject).map(|order| order.count)
+    }
+
+    /// Returns the last known orders.
+    pub fn orders(&self) -> &[duty::Order] {
+        &self.orders
+    }
+
     /// Applies the current items after a write was not executed. An earlier write without an answer may have been. Returns why
     /// the duty was lost, if so.
     pub fn on_conflict(
--- a/crates/chestnutpick_router/tests/common/mod.rs
+++ b/crates/chestnutpick_router/tests/common/mod.rs
@@ -46,11 +46,18 @@
             models: vec!["m".parse().unwrap()],
         }),
         origin: None,
+        scale: None,
     }
 }
 
 pub fn plain_service() -> config::Service {
-    config::Service { name: "ledger".parse().unwrap(), cold_rate: 0.0, engine: None, origin: None }
+    config::Service {
+        name: "ledger".parse().unwrap(),
+        cold_rate: 0.0,
+        engine: None,
+        origin: None,
+        scale: None,
+    }
 }
 
 pub fn config(version: u64) -> Arc<config::Config> {
--- a/crates/chestnutpick_router/tests/duty_counts.rs
+++ b/crates/chestnutpick_router/tests/duty_counts.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 
 use chestnutpick_fleet::load;
-use chestnutpick_router::duty::{counts, truetime};
+use chestnutpick_router::duty::{counts, reports, truetime};
 use chestnutpick_types::time::Millis;
 
 fn ip(n: u8) -> IpAddr {
@@ -84,3 +84,19 @@
     }
     assert!(holder.at(now).unwrap().0.abs_diff(1_000_000) < 150);
 }
+
+/// Guards against a report without the counts of a router whose link is cut for a moment, and against a report that waits for
+/// a router until it is late.
+#[test]
+fn report_waits_for_a_silent_router_but_not_too_long() {
+    let reports = reports::Reports::new(Millis(5_000), Millis(10_000));
+    let next = |unix, heard| {
+        let (unix, heard_until) = (Millis(unix), Some(Millis(heard)));
+        let held = Millis(60_000);
+        reports.next(&reports::Situation { unix, held, recorded: None, first: 4, heard_until })
+    };
+    assert_eq!(next(27_999, 27_900), reports::Step::Wait);
+    assert_eq!(next(28_000, 25_000), reports::Step::Write(4));
+    assert_eq!(next(30_999, 24_999), reports::Step::Wait);
+    assert_eq!(next(31_000, 24_999), reports::Step::Write(4));
+}
--- a/crates/chestnutpick_router/tests/duty_tenure.rs
+++ b/crates/chestnutpick_router/tests/duty_tenure.rs
@@ -6,7 +6,7 @@
 use chestnutpick_fleet::duty::{Counts, Item, Key, LeaseId, Token, Transaction};
 use chestnutpick_fleet::position::{Era, Position, Revision};
 use chestnutpick_router::duty::reports::{Report, Reports, Situation, Step};
-use chestnutpick_router::duty::tenure::{Attempt, Loss, Tenure};
+use chestnutpick_router::duty::tenure::{Attempt, Change, Loss, Record, Tenure};
 use chestnutpick_types::time::Millis;
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -129,7 +129,7 @@
 enum Pending {
     Grant,
     Take(Attempt, u64),
-    Write(Report),
+    Write(Record),
     Report(u64, Token),
 }
 
@@ -391,19 +391,19 @@
                 router.tenure.on_failed(now);
                 self.call(index, Call::End(lease));
             }
-            (Pending::Write(report), Answer::Written(revision)) => {
+            (Pending::Write(record), Answer::Written(revision)) => {
                 let at = Position { era, revision: Revision(revision) };
-                let loss = router.tenure.on_written(now, report, at);
+                let loss = router.tenure.on_written(now, record, at);
                 router.on_loss(loss);
             }
             (Pending::Write(_), Answer::Conflict(items)) => {
                 let loss = router.tenure.on_conflict(now, era, &items);
                 router.on_loss(loss);
             }
-            (Pending::Report(window, token), Answer::Kept) => {
-                if router.tenure.held().is_some_and(|held| held.token == token) {
-                    router.reports.on_settled(window);
-                }
+            (Pending::Report(window, token), Answer::Kept)
+                if router.tenure.held().is_some_and(|held| held.token == token) =>
+            {
+                router.reports.on_settled(window);
             }
             _ => {}
         }
@@ -429,7 +429,8 @@
         let recorded = router.tenure.report();
         let first = if recorded.is_none() { first.max(started_in) } else { first };
         let held_for = Millis(now).since(held.since);
-        let situation = Situation { unix: Millis(now), held: held_for, recorded, first };
+        let (unix, heard_until) = (Millis(now), None);
+        let situation = Situation { unix, held: held_for, recorded, first, heard_until };
         match router.reports.next(&situation) {
             Step::Wait => {}
             Step::Write(window) => {
@@ -439,9 +440,10 @@
                 let counts = Counts::from([("guild".into(), count)]);
                 let report = pending.unwrap_or_else(|| Report::new(window, &counts));
                 router.pending = Some(report.clone());
-                let Some(transaction) = router.tenure.write(&report) else { return };
+                let record = router.tenure.change(&Change::Report(report)).unwrap();
+                let Some(transaction) = router.tenure.write(&record) else { return };
                 let id = self.call(index, Call::Write(transaction));
-                self.routers[index].act = Some((Pending::Write(report), now, id));
+                self.routers[index].act = Some((Pending::Write(record), now, id));
             }
             Step::Send(report) => {
                 if router.tenure.may_act(Millis(now), Millis(CALL_TIMEOUT)) {
