--- a/crates/chestnutpick_router/src/duties.rs
+++ b/crates/chestnutpick_router/src/duties.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use tokio_util::sync as token;
 
-use crate::duty::{counts, reports, scaling, tenure, truetime};
+use crate::duty::{counts, item, reports, scaling, tenure, truetime};
 use crate::node;
 use crate::readers;
 use crate::relay;
@@ -21,6 +21,7 @@
 mod act;
 mod scale;
 mod share;
+mod take;
 
 pub(crate) use self::share::{on_counts, on_median_time, on_time, send_all};
 
@@ -125,13 +126,13 @@
     }
 
     /// Returns an attempt to take the usage reports.
-    fn attempt(&mut self) -> Option<tenure::Attempt> {
+    fn attempt(&mut self) -> Option<item::Attempt> {
         let Self { tenure, clock, reports, .. } = self;
         tenure.attempt(|at| clock.at(at).map_or(0, |unix| reports.first_not_due(unix)))
     }
 
     /// Handles the end of this router's tenure.
-    fn on_loss(&mut self, loss: Option<tenure::Loss>) {
+    fn on_loss(&mut self, loss: Option<item::Loss>) {
         let Some(loss) = loss else { return };
         (self.pending, self.pending_order) = (None, None);
         self.reports.on_lost();
--- a/crates/chestnutpick_router/src/duties/act.rs
+++ b/crates/chestnutpick_router/src/duties/act.rs
@@ -3,12 +3,12 @@
 use std::cell;
 
 use chestnutpick_fleet::duty::{Control, Ledger};
-use chestnutpick_fleet::{directory, duty, position};
+use chestnutpick_fleet::{directory, duty};
 use chestnutpick_telemetry::event;
 use chestnutpick_types::time;
 
-use super::{State, TICK, is_candidate, scale, take_delay};
-use crate::duty::{reports, tenure};
+use super::{State, TICK, scale, take};
+use crate::duty::{item, reports};
 use crate::node;
 
 /// Time-out of a call to the control service as a part of the lease, in percent. A call is made only if the lease runs for
@@ -41,7 +41,7 @@
             let (mut state, now) = (state.borrow_mut(), node.now());
             let loss = match outcome {
                 Ok(era) => state.tenure.on_renewed(now, start, lease, era),
-                Err(duty::WriteError::LeaseEnded) => state.tenure.lose(now, tenure::Loss::Ended),
+                Err(duty::WriteError::LeaseEnded) => state.tenure.lose(now, item::Loss::Ended),
                 Err(_) => None,
             };
             state.on_loss(loss);
@@ -65,117 +65,22 @@
     loop {
         let held = state.borrow().tenure.held().cloned();
         match held {
-            Some(held) if node.is_leaving() => release(node, state, ledger, &held).await,
+            Some(held) if node.is_leaving() => take::release(node, state, ledger, &held).await,
             Some(held) => perform(node, state, ledger, control, &held).await,
-            None if may_take(node, state) => take(node, state, ledger).await,
+            None if take::may_take(node, state) => take::take(node, state, ledger).await,
             None => {}
         }
         actix_rt::time::sleep(TICK.to_duration()).await;
     }
 }
 
-/// Returns whether the duty has been free for this router's random delay.
-fn may_take<C>(node: &node::Node<C>, state: &cell::RefCell<State>) -> bool {
-    let (mut state, now) = (state.borrow_mut(), node.now());
-    if !is_candidate(node) || !state.tenure.may_take(now) {
-        state.take_at = None;
-        return false;
-    }
-    let take_at = *state.take_at.get_or_insert_with(|| now + take_delay(node));
-    now >= take_at
-}
-
-async fn take<C, L>(node: &node::Node<C>, state: &cell::RefCell<State>, ledger: &L)
-where
-    L: Ledger,
-{
-    let start = node.now();
-    let lease_time = state.borrow().tenure.lease_time();
-    state.borrow_mut().take_at = None;
-    let granted = ledger.grant(lease_time).await;
-    count_write("lease", granted.is_ok());
-    let Ok((_, lease)) = granted else {
-        return state.borrow_mut().tenure.on_failed(node.now());
-    };
-    let Some((attempt, transaction)) = ({
-        let mut state = state.borrow_mut();
-        let is_free = state.tenure.may_take(node.now());
-        let attempt = if is_free { state.attempt() } else { None };
-        attempt.map(|attempt| {
-            let transaction = state.tenure.transaction(&attempt, lease);
-            (attempt, transaction)
-        })
-    }) else {
-        return end(ledger, lease).await;
-    };
-    let outcome = ledger.write(transaction).await;
-    count_write("txn", outcome.is_ok());
-    let is_taken = on_taken(node, state, &attempt, (start, lease), outcome);
-    if !is_taken {
-        end(ledger, lease).await;
-    }
-}
-
-fn on_taken<C>(
-    node: &node::Node<C>,
-    state: &cell::RefCell<State>,
-    attempt: &tenure::Attempt,
-    (start, lease): (time::Millis, duty::LeaseId),
-    outcome: Result<position::Position, duty::WriteError>,
-) -> bool {
-    let (mut state, now) = (state.borrow_mut(), node.now());
-    let is_taken = match outcome {
-        Ok(at) => state.tenure.on_taken(now, start, attempt, lease, at),
-        Err(reason) => {
-            if let duty::WriteError::Conflict { era, items } = &reason {
-                let loss = state.tenure.on_items(now, *era, false, items);
-                state.on_loss(loss);
-            }
-            state.tenure.on_failed(now);
-            event::Event::new("duty_not_taken").with("reason", reason).info();
-            false
-        }
-    };
-    if is_taken {
-        event::Event::new("duty_taken").with("token", attempt.token).info();
-        metrics::counter!("duty_takings").increment(1);
-    }
-    is_taken
-}
-
-/// Gives the duty up, so that another router can take it at once.
-async fn release<C, L>(
-    node: &node::Node<C>,
-    state: &cell::RefCell<State>,
-    ledger: &L,
-    held: &tenure::Held,
-) where
-    L: Ledger,
-{
-    {
-        let mut state = state.borrow_mut();
-        let loss = state.tenure.lose(node.now(), tenure::Loss::Released);
-        state.on_loss(loss);
-    }
-    end(ledger, held.lease).await;
-}
-
-/// Ends a lease. If the call fails, the lease ends by itself.
-async fn end<L>(ledger: &L, lease: duty::LeaseId)
-where
-    L: Ledger,
-{
-    let outcome = ledger.end(lease).await;
-    count_write("end", outcome.is_ok());
-}
-
 /// Makes the next call that is due.
 async fn perform<C, L, K>(
     node: &node::Node<C>,
     state: &cell::RefCell<State>,
     ledger: &L,
     control: &K,
-    held: &tenure::Held,
+    held: &item::Held,
 ) where
     L: Ledger,
     K: Control,
@@ -199,7 +104,7 @@
 fn next_step<C>(
     node: &node::Node<C>,
     state: &cell::RefCell<State>,
-    held: &tenure::Held,
+    held: &item::Held,
 ) -> reports::Step {
     let (state, now) = (state.borrow(), node.now());
     let (Some(unix), Some(started_in)) = (state.clock.at(now), state.first_window) else {
@@ -228,7 +133,7 @@
         state.pending = Some(report.clone());
         report
     };
-    record(node, state, ledger, &tenure::Change::Report(report)).await;
+    record(node, state, ledger, &item::Change::Report(report)).await;
 }
 
 /// Writes a change to the record before it is sent. Returns whether it was confirmed.
@@ -236,7 +141,7 @@
     node: &node::Node<C>,
     state: &cell::RefCell<State>,
     ledger: &L,
-    change: &tenure::Change,
+    change: &item::Change,
 ) -> bool
 where
     L: Ledger,
@@ -253,7 +158,7 @@
         Err(duty::WriteError::Conflict { era, items }) => {
             state.tenure.on_conflict(now, era, &items)
         }
-        Err(duty::WriteError::LeaseEnded) => state.tenure.lose(now, tenure::Loss::Ended),
+        Err(duty::WriteError::LeaseEnded) => state.tenure.lose(now, item::Loss::Ended),
         Err(duty::WriteError::Failed { reason }) => {
             state.call_at = now + CALL_PAUSE;
             log_write_failed(&reason);
@@ -273,7 +178,7 @@
     node: &node::Node<C>,
     state: &cell::RefCell<State>,
     control: &K,
-    held: &tenure::Held,
+    held: &item::Held,
     report: reports::Report,
 ) where
     K: Control,
@@ -300,7 +205,7 @@
 pub(super) fn performer<C>(
     node: &node::Node<C>,
     state: &State,
-    held: &tenure::Held,
+    held: &item::Held,
 ) -> Option<duty::Performer> {
     let timeout = time::Millis(state.tenure.lease_time().0 * CALL_PERCENT / 100);
     let may_act = state.tenure.may_act(node.now(), timeout);
@@ -351,6 +256,7 @@
     }
 }
 
-fn count_write(kind: &'static str, ok: bool) {
+/// Counts a call to the store that writes.
+pub(super) fn count_write(kind: &'static str, ok: bool) {
     metrics::counter!("store_writes", "kind" => kind, "ok" => ok.to_string()).increment(1);
 }
--- a/crates/chestnutpick_router/src/duties/scale.rs
+++ b/crates/chestnutpick_router/src/duties/scale.rs
@@ -9,7 +9,7 @@
 use chestnutpick_types::{id, time};
 
 use super::{MAX_AGE, State, act};
-use crate::duty::{scaling, tenure};
+use crate::duty::{item, scaling};
 use crate::node;
 use crate::view;
 
@@ -19,7 +19,7 @@
     state: &cell::RefCell<State>,
     ledger: &L,
     control: &K,
-    held: &tenure::Held,
+    held: &item::Held,
 ) where
     L: Ledger,
     K: Control,
@@ -36,7 +36,7 @@
     let pending = state.borrow().pending_order.clone();
     let Some(order) = pending.or_else(|| next(node, &mut state.borrow_mut())) else { return };
     state.borrow_mut().pending_order = Some(order.clone());
-    if act::record(node, state, ledger, &tenure::Change::Order(order)).await {
+    if act::record(node, state, ledger, &item::Change::Order(order)).await {
         state.borrow_mut().pending_order = None;
     }
 }
@@ -45,7 +45,7 @@
     node: &node::Node<C>,
     state: &cell::RefCell<State>,
     control: &K,
-    held: &tenure::Held,
+    held: &item::Held,
     order: &duty::Order,
 ) where
     K: Control,
--- a/crates/chestnutpick_router/src/duty/tenure.rs
+++ b/crates/chestnutpick_router/src/duty/tenure.rs
@@ -5,12 +5,10 @@
 
 use std::net;
 
-use bytes::Bytes;
 use chestnutpick_fleet::{duty, position};
 use chestnutpick_types::{id, time};
-use serde::{Deserialize, Serialize};
 
-use super::reports;
+use super::{item, reports};
 
 /// Margin of the lease for differences of clock rates, and for a call that is still on its way when it is given up.
 const MARGIN: time::Millis = time::Millis(250);
@@ -21,85 +19,6 @@
 /// Time after a failed attempt to take the duty.
 const RETRY_TIME: time::Millis = time::Millis(1_000);
 
-/// Holder of a duty, as its item in the store states it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holder {
-    /// Name of the router.
-    pub name: id::HostId,
-    /// Address of the router.
-    pub ip: net::IpAddr,
-    /// Fencing token of the router.
-    pub token: duty::Token,
-}
-
-/// Last token that was taken, and the last report that may have been sent.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Token of the holder that wrote the record.
-    pub token: duty::Token,
-    /// Report, if there has been any.
-    pub report: Option<reports::Report>,
-    /// First window that may be reported after that. A report of an earlier one may have been sent by a holder whose record
-    /// was lost when the store was restored.
-    #[serde(default)]
-    pub first: u64,
-    /// Last orders of endpoints, which may have been sent.
-    #[serde(default)]
-    pub orders: Vec<duty::Order>,
-}
-
-/// A change of the record.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Change {
-    /// A report that is sent next.
-    Report(reports::Report),
-    /// An order that is sent next.
-    Order(duty::Order),
-}
-
-/// A duty that this router holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Held {
-    /// Lease to which the holder's item is bound.
-    pub lease: duty::LeaseId,
-    /// Token of this router.
-    pub token: duty::Token,
-    /// Time at which the duty was taken.
-    pub since: time::Millis,
-    /// Era in which the lease runs.
-    era: position::Era,
-    /// Time until which the lease surely runs.
-    until: time::Millis,
-    holder_revision: position::Revision,
-}
-
-/// Reason why a duty was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum Loss {
-    /// The lease may have ended before it could be renewed.
-    Expired,
-    /// The store has ended the lease.
-    Ended,
-    /// The store was restored from a copy, which has no leases.
-    Restored,
-    /// Another router holds the duty.
-    Replaced,
-    /// This router has given it up.
-    Released,
-}
-
-/// An attempt to take the duty.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Attempt {
-    /// Token of this router if the attempt succeeds.
-    pub token: duty::Token,
-    /// Record that the attempt writes.
-    pub record: Record,
-    era: position::Era,
-    expected: position::Revision,
-}
-
 /// What a router knows of a duty.
 #[derive(Debug, Clone)]
 pub struct Tenure {
@@ -111,17 +30,17 @@
     held_across: bool,
     /// Whether the store was restored since this router started.
     is_restored: bool,
-    holder: Option<Holder>,
+    holder: Option<item::Holder>,
     record_revision: position::Revision,
     /// Newest known record of all eras.
-    record: Record,
+    record: item::Record,
     /// First window that may be reported, according to all known records.
     first: u64,
     /// Last known orders. The record of a restored store may have older ones.
     orders: Vec<duty::Order>,
     /// Highest known token of all eras.
     highest: duty::Token,
-    held: Option<Held>,
+    held: Option<item::Held>,
     /// Time before which this router does not take the duty.
     rest_until: time::Millis,
 }
@@ -137,7 +56,7 @@
             is_restored: false,
             holder: None,
             record_revision: position::Revision(0),
-            record: Record::default(),
+            record: item::Record::default(),
             first: 0,
             orders: Vec::new(),
             highest: duty::Token::default(),
@@ -153,7 +72,7 @@
         era: position::Era,
         is_listing: bool,
         items: &[duty::Item],
-    ) -> Option<Loss> {
+    ) -> Option<item::Loss> {
         if self.era.is_some_and(|(known, _)| era < known) {
             return None;
         }
@@ -174,20 +93,20 @@
     }
 
     /// Gives the duty up if the items show that this router's holder item is gone. Returns the reason, if so.
-    fn check_holder(&mut self, now: time::Millis, items: &[duty::Item]) -> Option<Loss> {
+    fn check_holder(&mut self, now: time::Millis, items: &[duty::Item]) -> Option<item::Loss> {
         let held = self.held.as_ref()?;
         if self.holder.as_ref().is_some_and(|other| other.token > held.token) {
-            return self.lose(now, Loss::Replaced);
+            return self.lose(now, item::Loss::Replaced);
         }
         let is_removed = |item: &duty::Item| {
             item.key == duty::Key::UsageHolder
                 && item.value.is_none()
                 && item.revision > held.holder_revision
         };
-        if items.iter().any(is_removed) { self.lose(now, Loss::Ended) } else { None }
+        if items.iter().any(is_removed) { self.lose(now, item::Loss::Ended) } else { None }
     }
 
-    fn on_era(&mut self, now: time::Millis, era: position::Era) -> Option<Loss> {
+    fn on_era(&mut self, now: time::Millis, era: position::Era) -> Option<item::Loss> {
         if self.era.is_some_and(|(known, _)| known >= era) {
             return None;
         }
@@ -195,7 +114,7 @@
         self.is_restored |= self.era.is_some();
         self.era = Some((era, now));
         (self.holder, self.record_revision) = (None, position::Revision(0));
-        if self.held.is_some() { self.lose(now, Loss::Restored) } else { None }
+        if self.held.is_some() { self.lose(now, item::Loss::Restored) } else { None }
     }
 
     fn on_holder(&mut self, item: &duty::Item) {
@@ -211,13 +130,13 @@
         let is_first = self.record_revision == position::Revision(0);
         self.record_revision = self.record_revision.max(item.revision);
         let Some(value) = item.value.as_deref() else { return };
-        let Ok(record) = serde_json::from_slice::<Record>(value) else { return };
+        let Ok(record) = serde_json::from_slice::<item::Record>(value) else { return };
         if is_newer && (!is_first || self.orders.is_empty()) {
             self.orders.clone_from(&record.orders);
         }
         self.highest = self.highest.max(record.token);
         self.first = self.first.max(record.first);
-        let window = |record: &Record| record.report.as_ref().map(|report| report.window);
+        let window = |record: &item::Record| record.report.as_ref().map(|report| report.window);
         // A copy of the store may have an older record.
         if (window(&record), record.token) > (window(&self.record), self.record.token) {
             self.record = record;
@@ -239,7 +158,7 @@
 
     /// Returns an attempt to take the duty. Its token is not used again. `first_since` returns the first window whose report
     /// was not due at a time.
-    pub fn attempt<F>(&mut self, first_since: F) -> Option<Attempt>
+    pub fn attempt<F>(&mut self, first_since: F) -> Option<item::Attempt>
     where
         F: FnOnce(time::Millis) -> u64,
     {
@@ -250,14 +169,14 @@
         let token = self.highest.max(duty::Token::first_of(era)).next();
         self.highest = token;
         let (report, orders) = (self.record.report.clone(), self.orders.clone());
-        let record = Record { token, report, first: self.first, orders };
-        Some(Attempt { token, record, era, expected: self.record_revision })
+        let record = item::Record { token, report, first: self.first, orders };
+        Some(item::Attempt { token, record, era, expected: self.record_revision })
     }
 
     /// Returns the transaction of an attempt.
-    pub fn transaction(&self, attempt: &Attempt, lease: duty::LeaseId) -> duty::Transaction {
+    pub fn transaction(&self, attempt: &item::Attempt, lease: duty::LeaseId) -> duty::Transaction {
         let (name, ip) = self.own.clone();
-        let holder = Holder { name, ip, token: attempt.token };
+        let holder = item::Holder { name, ip, token: attempt.token };
         let none = position::Revision(0);
         duty::Transaction {
             expected: vec![
@@ -265,8 +184,8 @@
                 (duty::Key::UsageRecord, attempt.expected),
             ],
             puts: vec![
-                (duty::Key::UsageHolder, encode(&holder), Some(lease)),
-                (duty::Key::UsageRecord, encode(&attempt.record), None),
+                (duty::Key::UsageHolder, item::encode(&holder), Some(lease)),
+                (duty::Key::UsageRecord, item::encode(&attempt.record), None),
             ],
         }
     }
@@ -277,7 +196,7 @@
         &mut self,
         now: time::Millis,
         start: time::Millis,
-        attempt: &Attempt,
+        attempt: &item::Attempt,
         lease: duty::LeaseId,
         at: position::Position,
     ) -> bool {
@@ -291,7 +210,7 @@
         }
         self.record_revision = at.revision;
         self.record = attempt.record.clone();
-        self.held = Some(Held {
+        self.held = Some(item::Held {
             lease,
             token: attempt.token,
             since: now,
@@ -321,7 +240,7 @@
         start: time::Millis,
         lease: duty::LeaseId,
         era: position::Era,
-    ) -> Option<Loss> {
+    ) -> Option<item::Loss> {
         let restored = self.on_era(now, era);
         let length = self.lease;
         let held = self.held.as_mut().filter(|held| held.lease == lease && held.era == era);
@@ -332,13 +251,13 @@
     }
 
     /// Gives the duty up if the lease may have ended. Returns the reason, if so.
-    pub fn expire(&mut self, now: time::Millis) -> Option<Loss> {
+    pub fn expire(&mut self, now: time::Millis) -> Option<item::Loss> {
         let is_over = self.held.as_ref().is_some_and(|held| now + MARGIN >= held.until);
-        if is_over { self.lose(now, Loss::Expired) } else { None }
+        if is_over { self.lose(now, item::Loss::Expired) } else { None }
     }
 
     /// Gives the duty up. Returns the reason if it was held.
-    pub fn lose(&mut self, now: time::Millis, loss: Loss) -> Option<Loss> {
+    pub fn lose(&mut self, now: time::Millis, loss: item::Loss) -> Option<item::Loss> {
         self.held.take()?;
         self.rest_until = now + self.lease + MARGIN;
         Some(loss)
@@ -353,17 +272,17 @@
     }
 
     /// Returns the record with a new report or new orders.
-    pub fn change(&self, change: &Change) -> Option<Record> {
+    pub fn change(&self, change: &item::Change) -> Option<item::Record> {
         let held = self.held.as_ref()?;
-        let mut record = Record {
+        let mut record = item::Record {
             token: held.token,
             report: self.record.report.clone(),
             first: self.first,
             orders: self.orders.clone(),
         };
         match change {
-            Change::Report(report) => record.report = Some(report.clone()),
-            Change::Order(order) => {
+            item::Change::Report(report) => record.report = Some(report.clone()),
+            item::Change::Order(order) => {
                 record.orders.retain(|known| known.subject != order.subject);
                 record.orders.push(order.clone());
             }
@@ -372,14 +291,14 @@
     }
 
     /// Returns the transaction that writes a record.
-    pub fn write(&self, record: &Record) -> Option<duty::Transaction> {
+    pub fn write(&self, record: &item::Record) -> Option<duty::Transaction> {
         let held = self.held.as_ref()?;
         Some(duty::Transaction {
             expected: vec![
                 (duty::Key::UsageHolder, held.holder_revision),
                 (duty::Key::UsageRecord, self.record_revision),
             ],
-            puts: vec![(duty::Key::UsageRecord, encode(record), None)],
+            puts: vec![(duty::Key::UsageRecord, item::encode(record), None)],
         })
     }
 
@@ -387,9 +306,9 @@
     pub fn on_written(
         &mut self,
         now: time::Millis,
-        record: Record,
+        record: item::Record,
         at: position::Position,
-    ) -> Option<Loss> {
+    ) -> Option<item::Loss> {
         let restored = self.on_era(now, at.era);
         let is_current = self.held.as_ref().is_some_and(|held| held.era == at.era);
         // The answer of a process that was suspended may be older than what it has read since.
@@ -418,7 +337,7 @@
         now: time::Millis,
         era: position::Era,
         items: &[duty::Item],
-    ) -> Option<Loss> {
+    ) -> Option<item::Loss> {
         let restored = self.on_items(now, era, false, items);
         let own = self.held.as_ref().map(|held| held.token);
         let holder = items.iter().find(|item| item.key == duty::Key::UsageHolder);
@@ -431,17 +350,17 @@
                 held.holder_revision = item.revision;
                 None
             }
-            _ => self.lose(now, Loss::Replaced),
+            _ => self.lose(now, item::Loss::Replaced),
         }
     }
 
     /// Returns the known holder.
-    pub fn holder(&self) -> Option<&Holder> {
+    pub fn holder(&self) -> Option<&item::Holder> {
         self.holder.as_ref()
     }
 
     /// Returns the duty that this router holds.
-    pub fn held(&self) -> Option<&Held> {
+    pub fn held(&self) -> Option<&item::Held> {
         self.held.as_ref()
     }
 
@@ -460,14 +379,7 @@
     fn unknown_until(&self) -> Option<time::Millis> {
         let (era, learned_at) = self.era?;
         let is_older = self.record.token.era() < era;
-        let had_holders = self.is_restored || self.record != Record::default();
+        let had_holders = self.is_restored || self.record != item::Record::default();
         (is_older && had_holders && !self.held_across).then_some(learned_at)
     }
 }
-
-fn encode<T>(value: &T) -> Bytes
-where
-    T: Serialize,
-{
-    serde_json::to_vec(value).unwrap_or_default().into()
-}
