Give a duty up when the control service cannot be reached

Change: after three calls in succession that were not sent, the holder ends its lease, at most once a minute.

--- a/crates/chestnutpick_router/src/duties.rs
+++ b/crates/chestnutpick_router/src/duties.rs
@@ -69,6 +69,10 @@
     holder: (Option<duty::Token>, time::Millis),
     /// Calls to the control service without an answer, in succession.
     unanswered: u32,
+    /// Calls in succession that did not reach the control service.
+    unsent: u32,
+    /// When this router last gave the duty up for that reason.
+    yielded_at: Option<time::Millis>,
     /// When each router last sent all its counts.
     reported: collections::BTreeMap<net::IpAddr, time::Millis>,
     /// Window in which this router started.
@@ -96,6 +100,8 @@
             call_at: time::Millis::ZERO,
             holder: (None, time::Millis::ZERO),
             unanswered: 0,
+            unsent: 0,
+            yielded_at: None,
             reported: collections::BTreeMap::new(),
             first_window: None,
             shares: 0,
@@ -135,6 +141,7 @@
     fn on_loss(&mut self, loss: Option<item::Loss>) {
         let Some(loss) = loss else { return };
         (self.pending, self.pending_order) = (None, None);
+        (self.unanswered, self.unsent) = (0, 0);
         self.reports.on_lost();
         self.scaler = scaling::Scaler::default();
         self.settled_orders.clear();
--- a/crates/chestnutpick_router/src/duties/act.rs
+++ b/crates/chestnutpick_router/src/duties/act.rs
@@ -15,6 +15,13 @@
 /// longer; it is renewed before.
 const CALL_PERCENT: u64 = 50;
 
+/// Number of calls in succession that do not reach the control service before another router tries.
+const MAX_UNSENT: u32 = 3;
+
+/// Minimum time between two times that a router gives the duty up for this reason. While the service is down, each
+/// candidate tries once.
+const YIELD_INTERVAL: time::Millis = time::Millis::from_secs(60);
+
 /// Number of times that a call without an answer is made. A service that is slow for long would delay all later calls.
 const MAX_UNANSWERED: u32 = 3;
 
@@ -65,7 +72,9 @@
     loop {
         let held = state.borrow().tenure.held().cloned();
         match held {
-            Some(held) if node.is_leaving() => take::release(node, state, ledger, &held).await,
+            Some(held) if node.is_leaving() || yields(node, state) => {
+                take::release(node, state, ledger, &held).await
+            }
             Some(held) => perform(node, state, ledger, control, &held).await,
             None if take::may_take(node, state) => take::take(node, state, ledger).await,
             None => {}
@@ -74,6 +83,17 @@
     }
 }
 
+/// Returns whether another router should try, because this one cannot reach the control service.
+fn yields<C>(node: &node::Node<C>, state: &cell::RefCell<State>) -> bool {
+    let (mut state, now) = (state.borrow_mut(), node.now());
+    let is_recent = state.yielded_at.is_some_and(|at| now.since(at) < YIELD_INTERVAL);
+    let yields = state.unsent >= MAX_UNSENT && !is_recent;
+    if yields {
+        state.yielded_at = Some(now);
+    }
+    yields
+}
+
 /// Makes the next call that is due.
 async fn perform<C, L, K>(
     node: &node::Node<C>,
@@ -235,6 +255,8 @@
     state.call_at = node.now() + pause;
     let is_unanswered = matches!(outcome, Err(duty::CallError::Unknown { .. }));
     state.unanswered = if is_unanswered { state.unanswered + 1 } else { 0 };
+    let is_unsent = matches!(outcome, Err(duty::CallError::NotSent { .. }));
+    state.unsent = if is_unsent { state.unsent + 1 } else { 0 };
     let is_given_up = state.unanswered >= MAX_UNANSWERED;
     if is_given_up {
         state.unanswered = 0;
