Limit what the callers of a process take in sum

Cause: each connection was bounded, their sum was not. 450 callers took as many descriptors, after which neither callers nor the process's own calls were served; unfinished heads of up to 128 KiB took 64 to 76 MB; bodies in chunks were discarded for ever.

Change: the listeners of a process share a budget (chestnutpick_http::budget) of connections and of the memory of heads, pipelined requests and unread responses (entry: also bodies), derived from limits.memory_mb and limits.max_fds. When it is full, the connection that has waited for its caller the longest is closed; a running request never is. Heads, stalled and unwanted bodies have limits of their own. The decisions are in chestnutpick_http::limits and take the time as an argument. Each effect is counted (connections_limited) and logged at most once per second.

--- a/crates/chestnutpick_entry/src/run.rs
+++ b/crates/chestnutpick_entry/src/run.rs
@@ -7,7 +7,7 @@
 
 use actix_http as http;
 use actix_rt::net;
-use chestnutpick_http::{request, respond, server};
+use chestnutpick_http::{budget, request, respond, server};
 use chestnutpick_process::{page, signal, start};
 use chestnutpick_telemetry::{event, metric};
 use futures::future;
@@ -44,7 +44,9 @@
     let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
     let drain = sync::CancellationToken::new();
     let deadline = time::Duration::from_millis(node.settings.drain_deadline_ms);
-    let serving = server::serve(listener, drain.clone(), deadline, handler(&node, pages));
+    let budget = budget::Budget::new(node.settings.limits.budget());
+    let handler = handler(&node, pages);
+    let serving = server::serve_within(listener, drain.clone(), deadline, budget, handler);
     let serving = actix_rt::spawn(serving);
     signal.cancelled().await;
     node.leave();
--- a/crates/chestnutpick_entry/src/settings.rs
+++ b/crates/chestnutpick_entry/src/settings.rs
@@ -3,8 +3,9 @@
 use std::net;
 use std::path;
 
+use chestnutpick_http::limits;
 use chestnutpick_settings::check;
-use chestnutpick_types::id;
+use chestnutpick_types::{id, size};
 use serde::Deserialize;
 
 /// Contents of the settings file of an entry.
@@ -36,6 +37,9 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub requests: Requests,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: Limits,
     /// Claims of non-idempotent calls.
     #[serde(default)]
     pub claims: Claims,
@@ -105,6 +109,49 @@
     }
 }
 
+/// Limits of the process.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Memory that the process may use, in MB.
+    pub memory_mb: u64,
+    /// Descriptors that the process may have open; 0 if only the operating system limits them.
+    pub max_fds: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 1_024, max_fds: 0 }
+    }
+}
+
+impl Limits {
+    /// Part of the memory that bodies of requests may take, in percent.
+    const BODY_PERCENT: u64 = 25;
+
+    /// Returns the limits on what callers may take in sum.
+    ///
+    /// ```
+    /// use chestnutpick_entry::settings;
+    /// let limits = settings::Limits { memory_mb: 1_024, max_fds: 400 };
+    /// assert_eq!(limits.budget().connections, 300);
+    /// ```
+    pub fn budget(&self) -> limits::Limits {
+        let memory = size::Bytes(self.memory_mb * 1_000_000);
+        let stated = Some(self.max_fds).filter(|descriptors| *descriptors > 0);
+        let bodies = size::Bytes(memory.0 / 100 * Self::BODY_PERCENT);
+        limits::Limits {
+            bodies: Some(bodies),
+            ..limits::Limits::of(memory, limits::descriptors(stated))
+        }
+    }
+
+    fn check(&self) -> Result<(), check::Violation> {
+        check::in_range("limits.memory_mb", self.memory_mb, 16..=1_000_000_000)?;
+        check::in_range("limits.max_fds", self.max_fds, 0..=1_000_000_000)
+    }
+}
+
 /// Claims of non-idempotent calls.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -164,6 +211,7 @@
         check::in_range("claims.retention_ms", self.claims.retention_ms, 60_000..=30 * 86_400_000)?;
         check::in_range("heartbeats.agent_ms", self.heartbeats.agent_ms, 20..=10_000)?;
         check::in_range("heartbeats.entry_ms", self.heartbeats.entry_ms, 20..=10_000)?;
+        self.limits.check()?;
         self.requests.check()
     }
 }
--- a/crates/chestnutpick_fleet/src/host.rs
+++ b/crates/chestnutpick_fleet/src/host.rs
@@ -29,6 +29,8 @@
     pub link_rate: rate::BytesPerSec,
     /// Memory above which a process of the host is killed.
     pub memory: size::Bytes,
+    /// Number of descriptors that a process of the host may have open, if it is stated.
+    pub descriptors: Option<u64>,
     /// Address of the platform's store.
     pub store: net::SocketAddr,
     /// Service bounds that the users set.
--- a/crates/chestnutpick_http/src/activity.rs
+++ b/crates/chestnutpick_http/src/activity.rs
@@ -3,6 +3,12 @@
 use std::cell;
 use std::collections;
 use std::rc;
+use std::time;
+
+use tokio::sync;
+
+use crate::budget;
+use crate::limits;
 
 /// Phase of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -99,10 +105,29 @@
     is_ended: cell::Cell<bool>,
     /// Bytes that have been written since the head of the current request was read.
     written: cell::Cell<u64>,
+    /// Time of the last byte received or sent.
+    progress: cell::Cell<time::Instant>,
+    /// Time at which the current head or the discarding of a body began.
+    since: cell::Cell<time::Instant>,
+    /// Whether the socket takes no more bytes of a response.
+    is_blocked: cell::Cell<bool>,
+    /// Whether a response has been written on the connection.
+    has_answered: cell::Cell<bool>,
+    /// Bytes that have been discarded.
+    discarded: cell::Cell<u64>,
+    /// Memory that the connection takes, by [`budget::Part`].
+    held: [cell::Cell<usize>; 4],
+    budget: budget::Budget,
+    /// Whether the current head is too large, so that the connection ends with its refusal.
+    is_rejected: cell::Cell<bool>,
+    /// Limit for which the connection is to end.
+    evicted: cell::Cell<Option<limits::Reason>>,
+    eviction: sync::Notify,
 }
 
 impl Activity {
-    fn new() -> Self {
+    fn new(budget: budget::Budget) -> Self {
+        let now = time::Instant::now();
         Self {
             phase: cell::Cell::new(Phase::Idle),
             is_read: cell::Cell::new(true),
@@ -113,7 +138,114 @@
             is_last: cell::Cell::new(false),
             is_ended: cell::Cell::new(false),
             written: cell::Cell::new(0),
+            progress: cell::Cell::new(now),
+            since: cell::Cell::new(now),
+            is_blocked: cell::Cell::new(false),
+            has_answered: cell::Cell::new(false),
+            discarded: cell::Cell::new(0),
+            held: Default::default(),
+            budget,
+            is_rejected: cell::Cell::new(false),
+            evicted: cell::Cell::new(None),
+            eviction: sync::Notify::new(),
+        }
+    }
+
+    /// Returns what the limits depend on.
+    pub(crate) fn standing(&self) -> limits::Standing {
+        limits::Standing {
+            phase: self.phase.get(),
+            progress: self.progress.get(),
+            since: self.since.get(),
+            is_blocked: self.is_blocked.get(),
+            is_unread: !self.is_busy(),
+            has_answered: self.has_answered.get(),
+            discarded: self.discarded.get(),
+        }
+    }
+
+    /// Returns the budget of the process.
+    pub(crate) fn budget(&self) -> &budget::Budget {
+        &self.budget
+    }
+
+    /// Records that the connection takes this much memory for `part`.
+    pub(crate) fn hold(&self, part: budget::Part, bytes: usize) {
+        if self.is_evicted() {
+            return;
         }
+        let before = self.held[part as usize].replace(bytes);
+        self.budget.hold(part, before, bytes);
+    }
+
+    /// Records that the connection takes more memory for `part`.
+    pub(crate) fn hold_more(&self, part: budget::Part, bytes: usize) {
+        self.hold(part, self.held[part as usize].get() + bytes);
+    }
+
+    /// Returns whether the connection takes memory of the same limit as `part`.
+    pub(crate) fn holds(&self, part: budget::Part) -> bool {
+        use budget::Part::{Body, Head, Pipeline, Response};
+        let parts: &[budget::Part] =
+            if part == Body { &[Body] } else { &[Head, Pipeline, Response] };
+        parts.iter().any(|part| self.held[*part as usize].get() > 0)
+    }
+
+    /// Records that the connection takes no memory any more.
+    pub(crate) fn release(&self) {
+        use budget::Part::{Body, Head, Pipeline, Response};
+        for part in [Head, Pipeline, Response, Body] {
+            let before = self.held[part as usize].take();
+            self.budget.hold(part, before, 0);
+        }
+    }
+
+    /// Returns whether the connection ends because the current head is too large.
+    pub(crate) fn is_rejected(&self) -> bool {
+        self.is_rejected.get()
+    }
+
+    /// Tells the connection to end for a limit. Returns whether it had not been told before.
+    pub(crate) fn evict(&self, reason: limits::Reason) -> bool {
+        if self.is_evicted() {
+            return false;
+        }
+        self.release();
+        self.evicted.set(Some(reason));
+        self.eviction.notify_one();
+        true
+    }
+
+    /// Returns whether the connection has been told to end for a limit.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.evicted.get().is_some()
+    }
+
+    /// Waits until the connection is told to end for a limit.
+    pub(crate) async fn evicted(&self) -> limits::Reason {
+        loop {
+            if let Some(reason) = self.evicted.get() {
+                return reason;
+            }
+            self.eviction.notified().await;
+        }
+    }
+
+    /// Records that bytes of a discarded body have arrived.
+    pub(crate) fn on_discarded(&self, bytes: usize) {
+        self.progress.set(time::Instant::now());
+        self.discarded.set(self.discarded.get() + bytes as u64);
+    }
+
+    /// Records that the socket takes no more bytes.
+    pub(crate) fn on_blocked(&self) {
+        self.is_blocked.set(true);
+    }
+
+    /// Enters a phase whose time is limited.
+    fn enter(&self, phase: Phase) {
+        self.since.set(time::Instant::now());
+        self.phase.set(phase);
     }
 
     /// Returns the current phase.
@@ -124,7 +256,7 @@
     /// Records that bytes have been received.
     pub(crate) fn on_received(&self) {
         match self.phase.get() {
-            Phase::Idle => self.phase.set(Phase::Starting),
+            Phase::Idle => self.enter(Phase::Starting),
             Phase::Running | Phase::Writing => self.has_next.set(self.is_read.get()),
             Phase::Starting | Phase::Reading | Phase::Discarding => {}
         }
@@ -143,9 +275,24 @@
     /// Records that this many bytes have been passed on to the parser.
     pub(crate) fn on_passed(&self, bytes: usize) {
         self.on_received();
+        match self.phase.get() {
+            Phase::Starting => self.on_head(bytes),
+            Phase::Discarding => self.on_discarded(bytes),
+            Phase::Idle | Phase::Reading | Phase::Running | Phase::Writing => {}
+        }
+        self.progress.set(time::Instant::now());
         self.unread.set(self.unread.get().map(|unread| unread.saturating_sub(bytes as u64)));
     }
 
+    /// Records that bytes of a head have arrived.
+    fn on_head(&self, bytes: usize) {
+        self.hold_more(budget::Part::Head, bytes);
+        let is_too_large = self.held[budget::Part::Head as usize].get() > limits::HEAD_LIMIT;
+        if is_too_large && !self.is_rejected.replace(true) {
+            self.budget.record(limits::Reason::LongHead);
+        }
+    }
+
     /// Returns the number of bytes of the current request's body that are still to arrive, if it is known.
     pub(crate) fn unread(&self) -> Option<u64> {
         match self.phase.get() {
@@ -199,7 +346,9 @@
             Phase::Idle | Phase::Starting | Phase::Discarding => true,
             Phase::Reading | Phase::Running | Phase::Writing => false,
         };
-        (self.has_left() && is_unanswered) || (self.is_last.get() && is_written)
+        self.is_rejected()
+            || (self.has_left() && is_unanswered)
+            || (self.is_last.get() && is_written)
     }
 
     /// Records that the body of the response has ended.
@@ -229,12 +378,16 @@
 
     /// Records that no further request is served, and that what the caller still sends is discarded.
     pub(crate) fn on_closing(&self) {
-        self.phase.set(Phase::Discarding);
+        self.enter(Phase::Discarding);
     }
 
     /// Records that this many bytes have been written to the socket.
     pub(crate) fn on_written(&self, bytes: usize) {
         self.written.set(self.written.get() + bytes as u64);
+        self.progress.set(time::Instant::now());
+        self.is_blocked.set(false);
+        let unwritten = self.held[budget::Part::Response as usize].get();
+        self.hold(budget::Part::Response, unwritten.saturating_sub(bytes));
     }
 
     /// Returns the request that is cut if the connection ends now.
@@ -257,7 +410,11 @@
         if self.phase.get() != Phase::Writing || !self.is_made.get() {
             return false;
         }
-        self.phase.set(match (self.is_read.get(), self.has_next.get()) {
+        self.has_answered.set(true);
+        for part in [budget::Part::Head, budget::Part::Response, budget::Part::Body] {
+            self.hold(part, 0);
+        }
+        self.enter(match (self.is_read.get(), self.has_next.get()) {
             (false, _) => Phase::Discarding,
             (true, true) => Phase::Starting,
             (true, false) => Phase::Idle,
@@ -275,14 +432,23 @@
 
 impl Connections {
     /// Registers a connection until the returned guard is dropped.
-    pub(crate) fn register(connections: &rc::Rc<Self>) -> Registration {
+    pub(crate) fn register(connections: &rc::Rc<Self>, budget: &budget::Budget) -> Registration {
         let number = connections.next.get();
         connections.next.set(number + 1);
-        let activity = rc::Rc::new(Activity::new());
+        let activity = rc::Rc::new(Activity::new(budget.clone()));
         connections.open.borrow_mut().insert(number, rc::Rc::clone(&activity));
         Registration { connections: rc::Rc::clone(connections), number, activity }
     }
 
+    /// Ends the connections that exceed a limit on time or on discarded bytes.
+    pub(crate) fn sweep(&self, now: time::Instant) {
+        for activity in self.open.borrow().values() {
+            if let Some(reason) = activity.standing().overdue(now) {
+                activity.budget.close(activity, reason);
+            }
+        }
+    }
+
     /// Returns whether no connection is open.
     pub(crate) fn is_empty(&self) -> bool {
         self.open.borrow().is_empty()
--- a/crates/chestnutpick_http/src/connection.rs
+++ b/crates/chestnutpick_http/src/connection.rs
@@ -17,6 +17,8 @@
 use tokio_util::sync;
 
 use crate::activity;
+use crate::budget;
+use crate::limits;
 use crate::pipeline;
 use crate::respond;
 
@@ -91,7 +93,7 @@
     /// Reads further requests without passing them on, and waits for the end of the response in progress. Returns the
     /// end of the connection if the caller has left.
     fn poll_hold(&mut self, cx: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
-        while !self.pipeline.is_full() {
+        while !self.pipeline.is_full() && self.may_hold() {
             let task::Poll::Ready(ready) = self.stream.poll_read_ready(cx) else { break };
             let received = ready.and_then(|()| self.stream.try_read_buf(self.pipeline.room()));
             match received {
@@ -105,11 +107,18 @@
         }
         if !self.pipeline.is_empty() {
             self.activity.on_received();
+            self.activity.hold(budget::Part::Pipeline, self.pipeline.capacity());
         }
         self.reader = Some(cx.waker().clone());
         task::Poll::Pending
     }
 
+    /// Returns whether requests may be read ahead. The first of a connection always may, so that a caller that leaves is
+    /// noticed.
+    fn may_hold(&self) -> bool {
+        self.pipeline.is_empty() || !self.activity.budget().is_half_full()
+    }
+
     /// Passes on bytes that have been held.
     fn poll_held(
         &mut self,
@@ -121,6 +130,7 @@
             return task::Poll::Pending;
         }
         let passed = self.pipeline.pass(buffer, self.activity.unread());
+        self.activity.hold(budget::Part::Pipeline, self.pipeline.capacity());
         self.activity.on_passed(passed);
         task::Poll::Ready(Ok(()))
     }
@@ -161,6 +171,7 @@
                 }
                 let limit = this.activity.unread();
                 let passed = this.pipeline.hold_back(buffer, before, limit);
+                this.activity.hold(budget::Part::Pipeline, this.pipeline.capacity());
                 this.activity.on_passed(passed);
                 if this.activity.phase() == activity::Phase::Discarding {
                     this.timer = None;
@@ -191,7 +202,7 @@
             task::Poll::Ready(Ok(written)) => this.activity.on_written(*written),
             // A write fails only once the connection has been reset.
             task::Poll::Ready(Err(_)) => this.activity.on_left(),
-            task::Poll::Pending => {}
+            task::Poll::Pending => this.activity.on_blocked(),
         }
         polled
     }
@@ -277,25 +288,45 @@
     }
     activity.on_closing();
     // After an error or the time-out, there is nothing left that can be done for the caller.
-    let _ = actix_rt::time::timeout(LINGER_LIMIT, discard(stream)).await;
+    let _ = actix_rt::time::timeout(LINGER_LIMIT, discard(stream, activity)).await;
 }
 
-/// Discards what arrives until the caller closes the stream or has sent nothing for [`DISCARD_TIMEOUT`].
-async fn discard(stream: &net::TcpStream) -> io::Result<()> {
+/// Discards what arrives until the caller closes the stream, has sent nothing for [`DISCARD_TIMEOUT`], or has sent
+/// [`limits::DISCARD_LIMIT`].
+async fn discard(stream: &net::TcpStream, activity: &activity::Activity) -> io::Result<()> {
     // Not part of the future, which every connection holds from its beginning.
     let mut buffer = vec![0; DISCARD_BUFFER];
-    loop {
+    while activity.standing().discarded <= limits::DISCARD_LIMIT {
         match actix_rt::time::timeout(DISCARD_TIMEOUT, stream.readable()).await {
             Ok(ready) => ready?,
             Err(_) => return Ok(()),
         }
         match stream.try_read(&mut buffer) {
             Ok(0) => return Ok(()),
-            Ok(_) => {}
+            Ok(received) => activity.on_discarded(received),
             Err(reason) if reason.kind() == io::ErrorKind::WouldBlock => {}
             Err(reason) => return Err(reason),
         }
     }
+    Ok(())
+}
+
+/// Answers a head that the limits refuse: its request has not run, and no response is in progress.
+pub(crate) fn refuse_head(stream: &net::TcpStream, status: &str) {
+    let response = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+    // A caller whose socket takes nothing gets nothing.
+    let _ = stream.try_write(response.as_bytes());
+}
+
+/// Ends a connection for a limit without waiting for its caller.
+pub(crate) fn abort(
+    stream: &net::TcpStream,
+    activity: &activity::Activity,
+    reason: limits::Reason,
+) {
+    if activity.phase() == activity::Phase::Starting && reason == limits::Reason::SlowHead {
+        refuse_head(stream, "408 Request Timeout");
+    }
 }
 
 /// Records the arrival of a request, and returns it with a body that records its end.
@@ -324,7 +355,14 @@
 ) -> respond::Response {
     activity.on_response();
     let activity = rc::Rc::clone(activity);
-    response.map_body(|_, body| body::BoxBody::new(ResponseBody { body, activity }))
+    response.map_body(|_, body| {
+        let size = body::MessageBody::size(&body);
+        if let body::BodySize::Sized(size) = size {
+            activity.hold(budget::Part::Response, usize::try_from(size).unwrap_or(usize::MAX));
+        }
+        let is_stream = size == body::BodySize::Stream;
+        body::BoxBody::new(ResponseBody { body, is_stream, activity })
+    })
 }
 
 struct RequestBody {
@@ -341,8 +379,12 @@
     ) -> task::Poll<Option<Self::Item>> {
         let this = self.get_mut();
         let polled = pin::Pin::new(&mut this.payload).poll_next(cx);
-        if matches!(polled, task::Poll::Ready(None)) {
-            this.activity.on_body_read();
+        match &polled {
+            task::Poll::Ready(None) => this.activity.on_body_read(),
+            task::Poll::Ready(Some(Ok(piece))) => {
+                this.activity.hold_more(budget::Part::Body, piece.len());
+            }
+            task::Poll::Ready(Some(Err(_))) | task::Poll::Pending => {}
         }
         polled
     }
@@ -350,6 +392,8 @@
 
 struct ResponseBody {
     body: body::BoxBody,
+    /// Whether the body is made while it is sent.
+    is_stream: bool,
     activity: rc::Rc<activity::Activity>,
 }
 
@@ -364,7 +408,14 @@
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<Bytes, Self::Error>>> {
-        pin::Pin::new(&mut self.get_mut().body).poll_next(cx)
+        let this = self.get_mut();
+        let polled = pin::Pin::new(&mut this.body).poll_next(cx);
+        if let task::Poll::Ready(Some(Ok(piece))) = &polled
+            && this.is_stream
+        {
+            this.activity.hold_more(budget::Part::Response, piece.len());
+        }
+        polled
     }
 }
 
--- a/crates/chestnutpick_http/src/lib.rs
+++ b/crates/chestnutpick_http/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod activity;
 pub mod body;
+pub mod budget;
 mod connection;
+pub mod limits;
 mod pipeline;
 pub mod request;
 pub mod respond;
--- a/crates/chestnutpick_http/src/pipeline.rs
+++ b/crates/chestnutpick_http/src/pipeline.rs
@@ -32,6 +32,11 @@
         self.held.is_empty()
     }
 
+    /// Returns the memory that is allocated for bytes, in bytes.
+    pub(crate) fn capacity(&self) -> usize {
+        self.held.capacity()
+    }
+
     /// Returns whether no more bytes are to be read before some are passed on.
     pub(crate) fn is_full(&self) -> bool {
         self.held.len() >= HOLD_LIMIT
--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -15,7 +15,9 @@
 use tokio_util::sync;
 
 use crate::activity;
+use crate::budget;
 use crate::connection;
+use crate::limits;
 use crate::respond;
 
 /// Idle time after which the server closes a kept-alive connection. `chestnutpick_client` keeps idle connections for
@@ -36,6 +38,9 @@
 /// Delay after a failed accept, which is usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
+/// Interval at which connections are checked for limits on their time.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
 /// Time-outs of a server's connections, and tokens that shut the server down in steps.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -43,6 +48,8 @@
     pub keep_alive: time::Duration,
     /// Time-out for receiving the head of a request.
     pub head_timeout: time::Duration,
+    /// Budget that the listeners of the process share.
+    pub budget: budget::Budget,
     /// Token whose cancellation makes every response carry `connection: close`. The server still accepts new
     /// connections.
     pub close_responses: sync::CancellationToken,
@@ -72,6 +79,22 @@
     drain_deadline: time::Duration,
     handler: H,
 ) -> Drained
+where
+    H: Fn(http::Request) -> F + Clone + 'static,
+    F: Future<Output = respond::Response> + 'static,
+{
+    let budget = budget::Budget::new(limits::Limits::NONE);
+    serve_within(listener, stop, drain_deadline, budget, handler).await
+}
+
+/// Serves connections as [`serve`] does, within a budget.
+pub async fn serve_within<H, F>(
+    listener: net::TcpListener,
+    stop: sync::CancellationToken,
+    drain_deadline: time::Duration,
+    budget: budget::Budget,
+    handler: H,
+) -> Drained
 where
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
@@ -80,6 +103,7 @@
     let options = Options {
         keep_alive: KEEP_ALIVE,
         head_timeout: HEAD_TIMEOUT,
+        budget,
         close_responses: stop.clone(),
         stop_accepting: stop.clone(),
         cut: cut.clone(),
@@ -107,14 +131,28 @@
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
 {
-    let connections = rc::Rc::default();
+    let connections = rc::Rc::<activity::Connections>::default();
+    let mut sweeps = actix_rt::time::interval(SWEEP_INTERVAL);
+    sweeps.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             () = options.stop_accepting.cancelled() => break,
+            _ = sweeps.tick() => {
+                connections.sweep(time::Instant::now());
+                continue;
+            }
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(stream, &options, &connections, handler.clone()),
+            Ok((stream, _)) => {
+                if options.budget.admit() {
+                    spawn_connection(stream, &options, &connections, handler.clone());
+                }
+                if options.budget.is_full() {
+                    // Connections that have been told to end free their descriptors before more are accepted.
+                    actix_rt::task::yield_now().await;
+                }
+            }
             Err(reason) => {
                 event::Event::new("accept_failed").with("reason", reason).warn();
                 actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -176,23 +214,46 @@
     H: Fn(http::Request) -> F + Clone + 'static,
     F: Future<Output = respond::Response> + 'static,
 {
-    let registration = activity::Connections::register(connections);
+    let registration = activity::Connections::register(connections, &options.budget);
+    let activity = rc::Rc::clone(&registration.activity);
+    let lease = options.budget.enter(&activity);
     let options = options.clone();
     actix_rt::spawn(async move {
+        let _lease = lease;
         let stream = rc::Rc::new(stream);
-        let activity = rc::Rc::clone(&registration.activity);
-        serve_connection(&stream, &activity, options, handler).await;
-        if activity.is_ended() {
-            // No request is due on it, and the server that drains does not wait for its caller.
-            drop(registration);
-            connection::close(&stream, &activity).await;
-        } else {
-            connection::close(&stream, &activity).await;
-            drop(registration);
+        let served = serve_and_close(&stream, registration, options, handler);
+        tokio::select! {
+            biased;
+            reason = activity.evicted() => connection::abort(&stream, &activity, reason),
+            () = served => {}
         }
     });
 }
 
+async fn serve_and_close<H, F>(
+    stream: &rc::Rc<net::TcpStream>,
+    registration: activity::Registration,
+    options: Options,
+    handler: H,
+) where
+    H: Fn(http::Request) -> F + Clone + 'static,
+    F: Future<Output = respond::Response> + 'static,
+{
+    let activity = rc::Rc::clone(&registration.activity);
+    serve_connection(stream, &activity, options, handler).await;
+    if activity.is_rejected() {
+        connection::refuse_head(stream, "431 Request Header Fields Too Large");
+    }
+    if activity.is_ended() {
+        // No request is due on it, and the server that drains does not wait for its caller.
+        drop(registration);
+        connection::close(stream, &activity).await;
+    } else {
+        connection::close(stream, &activity).await;
+        drop(registration);
+    }
+}
+
 async fn serve_connection<H, F>(
     stream: &rc::Rc<net::TcpStream>,
     activity: &rc::Rc<activity::Activity>,
@@ -215,9 +276,10 @@
     let activity = rc::Rc::clone(activity);
     let service = fn_service(move |request: http::Request| {
         let is_last = request.head().connection_type() == http::ConnectionType::Close;
-        // Requests that are sent after the last one do not run: their caller cannot expect a response.
-        let response =
-            (!activity.is_last()).then(|| handler(connection::track_request(request, &activity)));
+        // Requests that are sent after the last one do not run: their caller cannot expect a response. Nor does one whose
+        // head is too large.
+        let runs = !activity.is_last() && !activity.is_rejected();
+        let response = runs.then(|| handler(connection::track_request(request, &activity)));
         let close_responses = options.close_responses.clone();
         let activity = rc::Rc::clone(&activity);
         async move {
--- a/crates/chestnutpick_loader/src/run.rs
+++ b/crates/chestnutpick_loader/src/run.rs
@@ -7,7 +7,7 @@
 use actix_http as http;
 use chestnutpick_client::client;
 use chestnutpick_fleet::{directory, engine, host};
-use chestnutpick_http::server;
+use chestnutpick_http::{budget, limits, server};
 use chestnutpick_process::{page, signal};
 use chestnutpick_telemetry::{event, metric};
 use chestnutpick_types::time as instant;
@@ -72,7 +72,9 @@
     let serving = rc::Rc::clone(&node);
     let answer =
         move |request: http::Request| future::ready(serve::answer(&serving, &pages, &request));
-    server::serve(listener, signal, DRAIN_TIMEOUT, answer).await;
+    let descriptors = limits::descriptors(node.host.descriptors);
+    let budget = budget::Budget::new(limits::Limits::of(node.host.memory, descriptors));
+    server::serve_within(listener, signal, DRAIN_TIMEOUT, budget, answer).await;
     stop.cancel();
     event::Event::new("stopped").info();
     Ok(())
--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -7,6 +7,7 @@
 
 use chestnutpick_client::client;
 use chestnutpick_fleet::{config, host};
+use chestnutpick_http::{budget, limits};
 use chestnutpick_process::page;
 use chestnutpick_routing::retry;
 use chestnutpick_types::{digest, id, time};
@@ -64,6 +65,8 @@
     pub(crate) announcement_awaited: Notify,
     /// Client for endpoints.
     pub(crate) client: client::Client,
+    /// Budget of the listeners for callers, other routers and pages.
+    pub(crate) budget: budget::Budget,
     /// Budget for the bodies of all requests.
     pub(crate) bodies: bodies::Budget,
     /// Service bounds that the users set; can change at run time.
@@ -90,6 +93,10 @@
         let clock = time::Clock::start_at(host::CLOCK_START);
         view.routers = routers::Estimate::new(clock.now());
         Self {
+            budget: budget::Budget::new(limits::Limits::of(
+                host.memory,
+                limits::descriptors(host.descriptors),
+            )),
             bodies: bodies::Budget::of_memory(host.memory),
             bounds: cell::Cell::new(host.bounds),
             host,
--- a/crates/chestnutpick_router/src/run.rs
+++ b/crates/chestnutpick_router/src/run.rs
@@ -7,7 +7,7 @@
 
 use actix_http as http;
 use chestnutpick_fleet::{codec, directory, host};
-use chestnutpick_http::{activity, respond, server};
+use chestnutpick_http::{activity, budget, respond, server};
 use chestnutpick_process::{page, signal};
 use chestnutpick_telemetry::{event, metric};
 use chestnutpick_types::time as instant;
@@ -105,13 +105,13 @@
     let closing = sync::CancellationToken::new();
     for listener in [ready, page] {
         let handler = page_handler(&node, pages.clone());
-        actix_rt::spawn(server::serve_with(listener, options(&stop, &stop), handler));
+        actix_rt::spawn(server::serve_with(listener, options(&node.budget, &stop, &stop), handler));
     }
     let relaying = rc::Rc::clone(&node);
     let relay_handler = move |request| relay::serve(rc::Rc::clone(&relaying), request);
-    actix_rt::spawn(server::serve_with(relay, options(&stop, &stop), relay_handler));
+    actix_rt::spawn(server::serve_with(relay, options(&node.budget, &stop, &stop), relay_handler));
     let accepting = sync::CancellationToken::new();
-    let front_options = options(&closing, &accepting);
+    let front_options = options(&node.budget, &closing, &accepting);
     let cut = front_options.cut.clone();
     let serving = server::serve_with(front, front_options, request_handler(&node));
     let serving = actix_rt::spawn(serving);
@@ -141,10 +141,15 @@
         .info();
 }
 
-fn options(closing: &sync::CancellationToken, stop: &sync::CancellationToken) -> server::Options {
+fn options(
+    budget: &budget::Budget,
+    closing: &sync::CancellationToken,
+    stop: &sync::CancellationToken,
+) -> server::Options {
     server::Options {
         keep_alive: KEEP_ALIVE,
         head_timeout: HEAD_TIMEOUT,
+        budget: budget.clone(),
         close_responses: closing.clone(),
         stop_accepting: stop.clone(),
         cut: sync::CancellationToken::new(),
