Refuse a body that is incomplete at its request's deadline

Change: at the deadline of the request, which would refuse it anyway, it is answered with 408; it has not run. A body that finds no memory closes the one that has stalled the longest, for 1 s or more. The path in the log line of a rejected request is cut to 256 characters, since up to 1,024 lines are held.

--- a/crates/chestnutpick_router/src/handle.rs
+++ b/crates/chestnutpick_router/src/handle.rs
@@ -22,6 +22,9 @@
 /// Deadline of a request that specifies none.
 const DEFAULT_DEADLINE: time::Millis = time::Millis(10_000);
 
+/// Maximum number of characters of a path in a log line. Up to 1,024 lines are held in memory.
+const LOGGED_PATH: usize = 256;
+
 /// Body of a request, whose memory stays reserved until it is dropped.
 pub(crate) struct Body {
     /// Pieces of the body.
@@ -109,7 +112,7 @@
             ending::count(ending::Outcome::Rejected, ending::Phase::Reading, size.class);
             size.add_to(event::Event::new("request_rejected"))
                 .with("request", outcome::or_none(request_id))
-                .with("path", request.path())
+                .with("path", request.path().chars().take(LOGGED_PATH).collect::<String>())
                 .with("phase", ending::Phase::Reading)
                 .with("kind", refusal.kind)
                 .with("message", &refusal.message)
@@ -145,11 +148,16 @@
     };
     let mut admitted = terms::Terms::new(node, &lookup)?;
     let limit = size::Bytes(config.limits.body_bytes);
+    let timeout = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(admitted.route.timeout);
+    let time_left = (arrived + timeout).since(node.now());
     let body = tokio::select! {
         body = read_body(node, request, limit) => body?,
         () = node.refuse_unread.cancelled() => {
             return refuse(error::ErrorKind::ShuttingDown, "the process ends before the body does");
         }
+        () = actix_rt::time::sleep(time_left.to_duration()) => {
+            return refuse(error::ErrorKind::DeadlinePassed, "the body is incomplete at the deadline");
+        }
     };
     if !admitted.is_newest(node) {
         admitted = terms::Terms::new(node, &lookup)?;
@@ -179,8 +187,11 @@
 ) -> Result<Body, error::Refusal> {
     let mut reservation = node.bodies.reservation();
     let reserve = |size| {
-        let grown = reservation.grow_to(size);
-        grown.map_err(|full| error::Refusal::new(error::ErrorKind::MemoryFull, full.to_string()))
+        reservation.grow_to(size).map_err(|full| {
+            // Frees memory for the requests that follow.
+            node.budget.close_stalled_body();
+            error::Refusal::new(error::ErrorKind::MemoryFull, full.to_string())
+        })
     };
     let pieces = request::read_pieces(request, limit, reserve).await?;
     Ok(Body { pieces, _reservation: reservation })
