Spread the fetches from the origin over the time of a copy

Cause: all hosts of the origin's region fetched their assigned chunks at the same moment. Up to 49 connections shared a link that carries one chunk in 27 ms, so the first chunk was complete after 0.3 to 0.5 s. While the origin was away, hosts of lower ranks tried too, and when it returned several hosts fetched the same chunks.

The size of a copy is that of the previous version; without one, all start at once as before. An older version is kept until 87% of the bound of the newer one.

--- a/crates/chestnutpick_loader/src/chunks.rs
+++ b/crates/chestnutpick_loader/src/chunks.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chestnutpick_fleet::engine;
-use chestnutpick_types::{digest, id};
+use chestnutpick_types::{digest, id, size};
 use chestnutpick_weights::bitmap;
 use sha2::Digest;
 
@@ -89,6 +89,12 @@
         Some((model.clone(), *number))
     }
 
+    /// Returns the size of the newest version of which all chunks are held.
+    pub fn copy_size(&self) -> Option<size::Bytes> {
+        let (_, (_, set)) = self.sets.iter().rev().find(|(_, (_, set))| set.is_complete())?;
+        Some(size::Bytes(set.data.iter().flatten().map(|data| data.len() as u64).sum()))
+    }
+
     /// Returns whether all chunks of a version are held.
     pub fn is_complete(&self, version: &Version) -> bool {
         self.find(version).is_some_and(Set::is_complete)
--- a/crates/chestnutpick_loader/src/fetch.rs
+++ b/crates/chestnutpick_loader/src/fetch.rs
@@ -10,11 +10,12 @@
 use chestnutpick_telemetry::event;
 use chestnutpick_types::{digest, id, size, time};
 use chestnutpick_weights::transfer::{self, Action, Failure, Source};
-use chestnutpick_weights::{assignment, bitmap, holders, manifest};
+use chestnutpick_weights::{assignment, bitmap, manifest};
 use rand_core::SeedableRng;
 use tokio::sync::mpsc;
 
 use crate::chunks;
+use crate::limits;
 use crate::node;
 use crate::serve;
 use crate::sources;
@@ -32,32 +33,6 @@
 /// Interval at which the progress of a transfer is logged. Most transfers end before the first report.
 const REPORT_INTERVAL: time::Millis = time::Millis(5_000);
 
-/// Limits and time-outs of a transfer. New weights must reach all hosts within a few seconds, in which a host's link
-/// can carry its copy about three times, so a source is given up after a few hundred milliseconds.
-const TRANSFER: transfer::Config = transfer::Config {
-    fetches: 4,
-    outside_fetches: 2,
-    holders: holders::Limits {
-        peers: 16,
-        refresh_interval: time::Millis(200),
-        answer_timeout: time::Millis(400),
-        per_peer: 2,
-    },
-    order: holders::Order::RarestFirst,
-    near_timeout: time::Millis(1_000),
-    far_timeout: time::Millis(1_200),
-    origin_timeout: time::Millis(2_000),
-    poll_delay: time::Millis(80),
-    max_delay: time::Millis(400),
-    outside_pause: time::Millis(20),
-    stall_period: time::Millis(700),
-    overdue_after: time::Millis(3_000),
-    isolation_timeout: time::Millis(1_500),
-    exclusion_time: time::Millis(1_000),
-    region_pause: time::Millis(300),
-    origin_ranks: 4,
-};
-
 /// Result that a task of a transfer reports.
 enum Event {
     Chunk(usize, Source, Bytes),
@@ -134,7 +109,9 @@
         let rng = rand_xoshiro::Xoshiro256PlusPlus::seed_from_u64(seed);
         let now = node.now();
         let view = rc::Rc::new(view);
-        let transfer = transfer::Transfer::new(now, TRANSFER, own, pinned, &manifest, view, rng)
+        let copy = node.chunks.borrow().copy_size();
+        let config = limits::transfer(copy, node.host.link_rate);
+        let transfer = transfer::Transfer::new(now, config, own, pinned, &manifest, view, rng)
             .map_err(|reason| reason.to_string())?;
         let (sender, events) = mpsc::unbounded_channel();
         let tasks = collections::BTreeMap::new();
@@ -260,7 +237,8 @@
 
     fn wait(&self) -> Duration {
         let now = self.sources.node.now();
-        let wait = self.transfer.next_deadline().map_or(TRANSFER.stall_period, |at| at.since(now));
+        let deadline = self.transfer.next_deadline();
+        let wait = deadline.map_or(limits::TRANSFER.stall_period, |at| at.since(now));
         wait.to_duration().max(Duration::from_millis(2))
     }
 
--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -2,12 +2,14 @@
 //! to routers.
 
 pub mod chunks;
+pub mod limits;
 pub mod lookup;
 pub mod pace;
 pub mod precedence;
 pub mod run;
 pub mod schedule;
 pub mod subscribers;
+pub mod uploads;
 
 mod fetch;
 mod install;
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::chunks;
 use crate::schedule;
+use crate::uploads;
 
 /// Version of a model for which no version has been declared.
 const FIRST_VERSION: u64 = 1;
@@ -56,8 +57,8 @@
     pub(crate) report: cell::RefCell<Option<(engine::Report, time::Millis)>>,
     /// Whether the engine is loading weights or about to.
     pub(crate) loading: cell::Cell<bool>,
-    /// Time at which all granted uploads have been sent, at the maximum upload rate.
-    pub(crate) upload_free_at: cell::Cell<time::Millis>,
+    /// Uploads to peers.
+    pub(crate) uploads: cell::RefCell<uploads::Uploads>,
     /// Chunks held in memory.
     pub(crate) chunks: cell::RefCell<chunks::Chunks>,
     /// Hosts that run engines of the same service.
@@ -81,6 +82,7 @@
             region: region.unwrap_or_else(unknown_region),
             zone: host.zone.clone(),
         };
+        let uploads = uploads::Uploads::new(uploads::LIMITS, host.link_rate);
         Self {
             bounds: cell::Cell::new(host.bounds),
             host,
@@ -95,7 +97,7 @@
             listed: cell::Cell::default(),
             report: cell::RefCell::default(),
             loading: cell::Cell::default(),
-            upload_free_at: cell::Cell::default(),
+            uploads: cell::RefCell::new(uploads),
             chunks: cell::RefCell::default(),
             peers: cell::RefCell::default(),
             unresponsive: cell::RefCell::default(),
--- a/crates/chestnutpick_loader/src/precedence.rs
+++ b/crates/chestnutpick_loader/src/precedence.rs
@@ -13,10 +13,10 @@
 const COPY_PERCENT: u64 = 26;
 
 /// Percentage of the version bound that the last chunks take to the other hosts and the engines.
-const HOP_PERCENT: u64 = 8;
+const HOP_PERCENT: u64 = 4;
 
-/// Percentage of the version bound after which a version is required.
-const REQUIRED_PERCENT: u64 = 84;
+/// Percentage of the version bound after which requests that have not begun on an older version are cancelled.
+const REQUIRED_PERCENT: u64 = 87;
 
 /// What a loader has of a declared version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/chestnutpick_loader/src/serve.rs
+++ b/crates/chestnutpick_loader/src/serve.rs
@@ -5,19 +5,11 @@
 use actix_http as http;
 use chestnutpick_http::{request, respond};
 use chestnutpick_process::page;
-use chestnutpick_types::{error, id, time};
+use chestnutpick_types::{error, id, size};
 
 use crate::chunks;
 use crate::node;
 
-/// Percentage of the host's link that uploads may use. The engine's streams share the link, and callers notice
-/// events that are delayed there.
-const UPLOAD_PERCENT: u64 = 85;
-
-/// Maximum time by which uploads may be ahead of the maximum rate, so that at most one chunk is being sent when a
-/// request arrives.
-const UPLOAD_BURST: time::Millis = time::Millis(20);
-
 /// Resource that a peer requests.
 #[derive(Debug, PartialEq, Eq)]
 enum Resource {
@@ -77,16 +69,13 @@
 
 /// Returns a chunk if the upload rate permits, or otherwise a response with the time to wait.
 fn upload<E>(node: &node::Node<E>, data: bytes::Bytes) -> respond::Response {
-    let now = node.now();
-    let free = node.upload_free_at.get().max(now);
-    let wait = free.since(now + UPLOAD_BURST);
-    if wait > time::Millis::ZERO {
-        let mut response = respond::bytes(503, "text/plain", "uploads are at their pace\n");
-        respond::set_header(&mut response, "x-retry-ms", &wait.0.to_string());
-        return response;
+    let size = size::Bytes(data.len() as u64);
+    match node.uploads.borrow_mut().request(node.now(), size) {
+        Ok(()) => respond::bytes(200, "application/octet-stream", data),
+        Err(wait) => {
+            let mut response = respond::bytes(503, "text/plain", "uploads are at their pace\n");
+            respond::set_header(&mut response, "x-retry-ms", &wait.0.to_string());
+            response
+        }
     }
-    let rate = (node.host.link_rate.0 * UPLOAD_PERCENT / 100).max(1);
-    let cost = time::Millis(data.len() as u64 * 1_000 / rate);
-    node.upload_free_at.set(free + cost);
-    respond::bytes(200, "application/octet-stream", data)
 }
--- a/crates/chestnutpick_weights/src/transfer.rs
+++ b/crates/chestnutpick_weights/src/transfer.rs
@@ -61,6 +61,8 @@
     fetches: Vec<Fetch>,
     holders: holders::Holders,
     assigned: Vec<usize>,
+    /// Chunks that were held when the transfer started.
+    held_first: Option<bitmap::Bitmap>,
     retries: BTreeMap<usize, outcome::Retry>,
     excluded: sources::Exclusions,
     /// Arrival time of the last new chunk.
@@ -123,6 +125,7 @@
             fetches: Vec::new(),
             holders: holders::Holders::new(config.holders, chunks),
             assigned: Vec::new(),
+            held_first: None,
             retries: BTreeMap::new(),
             excluded: sources::Exclusions::default(),
             last_progress: now,
@@ -348,6 +351,9 @@
         if self.state != State::Running {
             return Vec::new();
         }
+        if self.held_first.is_none() {
+            self.held_first = Some(self.held.clone());
+        }
         let timed_out: Vec<_> = self
             .fetches
             .iter()
@@ -391,7 +397,10 @@
         let stall = time::Millis(self.last_progress.0 + (self.stalls(now) as u64 + 1) * period);
         let fetches = self.fetches.iter().map(|fetch| fetch.deadline);
         let retries = self.retries.values().map(|retry| retry.not_before).filter(|at| *at > now);
-        let others = [Some(stall), self.holders.next_deadline(now), self.outside_deadline(now)];
+        let turn = self.assigned.iter().filter(|chunk| self.missing.contains(**chunk));
+        let turn = turn.map(|chunk| self.turn(*chunk)).filter(|at| *at > now).min();
+        let others =
+            [Some(stall), self.holders.next_deadline(now), self.outside_deadline(now), turn];
         fetches.chain(retries).chain(others.into_iter().flatten()).min()
     }
 
--- a/crates/chestnutpick_weights/src/transfer/config.rs
+++ b/crates/chestnutpick_weights/src/transfer/config.rs
@@ -46,6 +46,12 @@
     pub region_pause: time::Millis,
     /// Number of ranks per chunk whose hosts may fetch it from the origin.
     pub origin_ranks: usize,
+    /// Time of one copy over the origin's link, over which the hosts spread their first fetches of assigned chunks in the
+    /// same order. With 0, all start at once: dozens of chunks then share the link, and none is complete for a long time.
+    pub origin_copy: time::Millis,
+    /// Time after which a host that fetched a chunk from the origin in place of the assigned one, in vain, tries again.
+    /// If the origin is away, the assigned hosts are the first to fetch from it when it returns.
+    pub spare_pause: time::Millis,
 }
 
 impl Default for Config {
@@ -72,6 +78,8 @@
             exclusion_time: time::Millis(10_000),
             region_pause: time::Millis(10_000),
             origin_ranks: 4,
+            origin_copy: time::Millis::ZERO,
+            spare_pause: time::Millis::ZERO,
         }
     }
 }
--- a/crates/chestnutpick_weights/src/transfer/outcome.rs
+++ b/crates/chestnutpick_weights/src/transfer/outcome.rs
@@ -3,6 +3,7 @@
 use chestnutpick_types::{id, time};
 use rand_core::Rng;
 
+use crate::assignment;
 use crate::transfer;
 
 /// Maximum multiple of [`transfer::Config::poll_delay`] before a source that does not hold a chunk yet is asked again.
@@ -41,7 +42,10 @@
     ) {
         let outside = self.fetches.iter().any(|fetch| fetch.chunk == chunk && fetch.outside);
         match source {
-            transfer::Source::Origin => self.schedule_retry(now, chunk, failure),
+            transfer::Source::Origin => {
+                self.schedule_retry(now, chunk, failure);
+                self.delay_spare(now, chunk);
+            }
             transfer::Source::Peer(host) => {
                 self.record_peer_failure(now, chunk, &host.clone(), failure);
                 if outside {
@@ -108,6 +112,17 @@
         self.retries.insert(chunk, retry);
     }
 
+    /// Leaves the next fetch of a chunk from the origin to the assigned host, if this host acted in its place.
+    fn delay_spare(&mut self, now: time::Millis, chunk: usize) {
+        let first = self.assignment.assignee(assignment::Scope::Origin, chunk);
+        if first.is_some_and(|first| first.host == self.own.host) {
+            return;
+        }
+        let at = now + self.config.spare_pause + self.jitter(self.config.spare_pause);
+        let retry = self.retries.entry(chunk).or_default();
+        retry.not_before = retry.not_before.max(at);
+    }
+
     fn jitter(&mut self, span: time::Millis) -> time::Millis {
         time::Millis(u64::from(self.rng.next_u32()) % (span.0 / 2 + 1))
     }
--- a/crates/chestnutpick_weights/src/transfer/select.rs
+++ b/crates/chestnutpick_weights/src/transfer/select.rs
@@ -59,7 +59,7 @@
         if !answered || !self.has_outside_slot(now) {
             return None;
         }
-        let due = |chunk: &&usize| self.is_due(now, **chunk);
+        let due = |chunk: &&usize| self.is_due(now, **chunk) && self.turn(**chunk) <= now;
         let chunks: Vec<_> = self.assigned.iter().filter(due).copied().collect();
         chunks.into_iter().find_map(|chunk| self.fetch_outside(now, chunk))
     }
@@ -83,6 +83,19 @@
         self.missing.contains(chunk) && !self.holders.holds(chunk) && !waits
     }
 
+    /// Returns the time from which a chunk is fetched from outside the zone by the host to which it is assigned. All hosts
+    /// compute the same order, so the origin's link carries few chunks at a time and completes them in sequence.
+    pub(super) fn turn(&self, chunk: usize) -> time::Millis {
+        let is_first = |other: &usize| {
+            self.held_first.as_ref().is_none_or(|held_first| !held_first.contains(*other))
+        };
+        if self.config.origin_copy == time::Millis::ZERO {
+            return self.started;
+        }
+        let place = (0..chunk).filter(is_first).count() as u64;
+        self.started + time::Millis(self.config.origin_copy.0 * place / self.held.len() as u64)
+    }
+
     fn fetch_outside(&mut self, now: time::Millis, chunk: usize) -> Option<transfer::Fetch> {
         let source = self.choose_source(now, chunk);
         let Some(source) = source else {
