Answer a waiting peer when the manifest is obtained

Cause: hosts that take the manifest from a peer asked every 200 ms; a first host whose request to the origin failed asked all peers in turn before it asked the origin again; after 64 failed tries all hosts asked the origin every 200 ms, more than the 48 connections it accepts.

A first host asks 24 peers, others at each try, between two requests to the origin, and pauses for 50 ms instead of 200 ms. At most 8 hosts of a region ask the origin.

--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -30,6 +30,9 @@
 /// Pause after a failed step.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause after a failed request for a manifest. The request itself waits for the peers that will have the manifest first.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(50);
+
 /// Failed tries after which the configuration is read again if no router has named the origin meanwhile.
 const ORIGIN_TRIES: usize = 3;
 
@@ -164,7 +167,7 @@
                 Ok(_) => tries = 0,
                 Err(_) => {
                     tries += 1;
-                    actix_rt::time::sleep(RETRY_PAUSE).await;
+                    actix_rt::time::sleep(MANIFEST_PAUSE).await;
                 }
             }
         }
@@ -201,12 +204,18 @@
                         .with("version", version.1)
                         .with("reason", reason)
                         .warn();
-                    actix_rt::time::sleep(RETRY_PAUSE).await;
+                    actix_rt::time::sleep(self.pause(&version)).await;
                 }
             }
         }
     }
 
+    /// Returns the pause after a failed try to collect a version.
+    fn pause(&self, version: &chunks::Version) -> Duration {
+        let chunks = self.node.chunks.borrow();
+        if chunks.find(version).is_none() { MANIFEST_PAUSE } else { RETRY_PAUSE }
+    }
+
     /// Waits until another version must be collected instead of `version`.
     async fn superseded(&self, version: &chunks::Version) {
         loop {
@@ -276,6 +285,7 @@
             }
         };
         self.node.chunks.borrow_mut().prepare(version, rc::Rc::clone(&manifest));
+        self.node.manifest_held.notify_waiters();
         Ok(manifest)
     }
 
--- a/crates/chestnutpick_loader/src/lookup.rs
+++ b/crates/chestnutpick_loader/src/lookup.rs
@@ -18,6 +18,20 @@
     Exhausted,
 }
 
+/// Returns `count` of `peers`, others at each of the `tries`, until all have been returned.
+///
+/// ```
+/// use chestnutpick_loader::lookup;
+/// assert_eq!(lookup::some_of(vec!["a", "b", "c"], 0, 2), ["a", "b"]);
+/// assert_eq!(lookup::some_of(vec!["a", "b", "c"], 1, 2), ["c", "a"]);
+/// ```
+pub fn some_of<P>(mut peers: Vec<P>, tries: usize, count: usize) -> Vec<P> {
+    let len = peers.len().max(1);
+    peers.rotate_left(tries * count % len);
+    peers.truncate(count);
+    peers
+}
+
 /// Requests to peers, in order. The next peer is asked when a request fails or [`REQUEST_DELAY`] has passed, so that
 /// silent peers delay the others by less than their time-outs.
 #[derive(Debug)]
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -67,6 +67,8 @@
     pub(crate) unresponsive: cell::RefCell<collections::BTreeMap<net::IpAddr, time::Millis>>,
     /// Notified when a new version is declared.
     pub(crate) version_declared: Notify,
+    /// Notified when a manifest is obtained.
+    pub(crate) manifest_held: Notify,
     /// Notified when routers must be asked for the origin of weights.
     pub(crate) origin_doubted: Notify,
     /// Notified when routers must learn of a changed load immediately.
@@ -102,6 +104,7 @@
             peers: cell::RefCell::default(),
             unresponsive: cell::RefCell::default(),
             version_declared: Notify::new(),
+            manifest_held: Notify::new(),
             origin_doubted: Notify::new(),
             load_changed: Notify::new(),
         }
--- a/crates/chestnutpick_loader/src/run.rs
+++ b/crates/chestnutpick_loader/src/run.rs
@@ -11,7 +11,6 @@
 use chestnutpick_process::{page, signal};
 use chestnutpick_telemetry::{event, metric};
 use chestnutpick_types::time as instant;
-use futures::future;
 use tokio::net::UdpSocket;
 use tokio_util::sync;
 
@@ -68,10 +67,11 @@
     actix_rt::spawn(publish::run(publishing, socket, token));
     let (installing, token) = share();
     actix_rt::spawn(install::run(installing, store, origin, token));
-    let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
+    let pages = rc::Rc::new(page::Pages::new(rc::Rc::clone(&node), metrics));
     let serving = rc::Rc::clone(&node);
-    let answer =
-        move |request: http::Request| future::ready(serve::answer(&serving, &pages, &request));
+    let answer = move |request: http::Request| {
+        serve::answer(rc::Rc::clone(&serving), rc::Rc::clone(&pages), request)
+    };
     server::serve(listener, signal, DRAIN_TIMEOUT, answer).await;
     stop.cancel();
     event::Event::new("stopped").info();
--- a/crates/chestnutpick_loader/src/sources.rs
+++ b/crates/chestnutpick_loader/src/sources.rs
@@ -26,6 +26,12 @@
 /// Number of hosts per region that request a manifest from the origin.
 const ORIGIN_HOSTS: usize = 2;
 
+/// Number of peers, others at each try, that a host asks for the manifest if the origin does not send it.
+const ASKED_PEERS: usize = 24;
+
+/// Maximum number of times that the hosts that request the manifest are doubled. The origin accepts 48 connections.
+const MAX_WIDENINGS: usize = 2;
+
 /// Failed tries after which twice as many hosts request the manifest from the origin.
 const WIDENING_TRIES: usize = 4;
 
@@ -60,14 +66,16 @@
     ) -> Result<engine::Manifest, String> {
         let (first, own) = self.first_hosts(version, tries);
         if !own {
-            return self
-                .manifest_from_peers(version, first, "no peer has the manifest yet".to_owned())
-                .await;
+            let path = serve::path(version, "awaited/manifest");
+            let reason = "no peer has the manifest yet".to_owned();
+            return self.manifest_from_peers(path, first, reason).await;
         }
         match self.origin.manifest(self.location.address, &version.0, version.1).await {
             Ok(manifest) => Ok(manifest),
             Err(reason) => {
-                self.manifest_from_peers(version, self.others(), reason.to_string()).await
+                let path = serve::path(version, "manifest");
+                let others = lookup::some_of(self.others(), tries, ASKED_PEERS);
+                self.manifest_from_peers(path, others, reason.to_string()).await
             }
         }
     }
@@ -92,7 +100,7 @@
             hosts.push((&self.node.member.host, self.node.host.ip));
         }
         hosts.sort_by_key(|(host, _)| schedule::order_key(host, version.1));
-        let count = ORIGIN_HOSTS.saturating_mul(1 << (tries / WIDENING_TRIES).min(16));
+        let count = ORIGIN_HOSTS.saturating_mul(1 << (tries / WIDENING_TRIES).min(MAX_WIDENINGS));
         let first: Vec<_> = hosts.into_iter().take(count).map(|(_, ip)| ip).collect();
         let own = first.contains(&self.node.host.ip);
         (first, own)
@@ -101,7 +109,7 @@
     /// Requests the manifest from peers. Returns `reason` as the error if no peer has it.
     async fn manifest_from_peers(
         &self,
-        version: &chunks::Version,
+        path: String,
         peers: Vec<net::IpAddr>,
         reason: String,
     ) -> Result<engine::Manifest, String> {
@@ -110,7 +118,7 @@
         loop {
             let wait = match lookup.step(self.node.now()) {
                 lookup::Step::Request(ip) => {
-                    requests.push(self.manifest_from_peer(version, ip));
+                    requests.push(self.manifest_from_peer(path.clone(), ip));
                     continue;
                 }
                 lookup::Step::Wait(wait) => wait,
@@ -127,12 +135,8 @@
     }
 
     /// Requests the manifest from a peer. Returns `None` if the peer does not have it or does not respond.
-    async fn manifest_from_peer(
-        &self,
-        version: &chunks::Version,
-        ip: net::IpAddr,
-    ) -> Option<engine::Manifest> {
-        match query_peer(self.node, ip, serve::path(version, "manifest")).await {
+    async fn manifest_from_peer(&self, path: String, ip: net::IpAddr) -> Option<engine::Manifest> {
+        match query_peer(self.node, ip, path).await {
             Ok(response) => engine::Manifest::from_bytes(&response?),
             Err(_) => {
                 let until = self.node.now() + REPLACEMENT_PERIOD;
--- a/crates/chestnutpick_loader/tests/lookup.rs
+++ b/crates/chestnutpick_loader/tests/lookup.rs
@@ -1,6 +1,6 @@
 //! Requests to peers of which some are silent, in virtual time.
 
-use chestnutpick_loader::lookup::{Lookup, Step};
+use chestnutpick_loader::lookup::{self, Lookup, Step};
 use chestnutpick_types::time::Millis;
 
 const TIMEOUT: Millis = Millis(400);
@@ -54,3 +54,13 @@
     assert_eq!((asked.len(), end), (5, asked[2] + TIMEOUT));
     assert_eq!(run(0, 0), (Vec::new(), Millis(0)));
 }
+
+/// Guards against a host that asks all peers in turn for the manifest, and the origin again only afterwards.
+#[test]
+fn few_peers_are_asked_between_two_requests_to_the_origin() {
+    let peers: Vec<_> = (0..98).collect();
+    let asked: Vec<_> =
+        (0..13).flat_map(|tries| lookup::some_of(peers.clone(), tries, 8)).collect();
+    assert_eq!(asked.len(), 13 * 8);
+    assert!(peers.iter().all(|peer| asked.contains(peer)), "{asked:?}");
+}
