Announce a load only with complete chunks, and spread late ones

Cause: a loader announced its turn to load from the declaration on, also without chunks. Routers then avoided engines that went on serving. When the chunks came after the turns of some engines, these loaded at once while requests could still begin on the previous version.

Change: the time is announced once the chunks of a newer version are complete. Turns run from the later of 45% of the bound and the completion of the own chunks to 84%; afterwards engines load at once.

--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -193,6 +193,7 @@
             match collected {
                 Ok(()) => {
                     tries = 0;
+                    self.node.complete_at.set(self.node.now());
                     event::Event::new("weights_complete")
                         .with("version", version.1)
                         .with("took", self.node.now().since(start))
--- a/crates/chestnutpick_loader/src/node.rs
+++ b/crates/chestnutpick_loader/src/node.rs
@@ -57,6 +57,8 @@
     pub(crate) report: cell::RefCell<Option<(engine::Report, time::Millis)>>,
     /// Whether the engine is loading weights or about to.
     pub(crate) loading: cell::Cell<bool>,
+    /// Time at which the chunks of a version were last complete.
+    pub(crate) complete_at: cell::Cell<time::Millis>,
     /// Uploads to peers.
     pub(crate) uploads: cell::RefCell<uploads::Uploads>,
     /// Chunks held in memory.
@@ -99,6 +101,7 @@
             listed: cell::Cell::default(),
             report: cell::RefCell::default(),
             loading: cell::Cell::default(),
+            complete_at: cell::Cell::default(),
             uploads: cell::RefCell::new(uploads),
             chunks: cell::RefCell::default(),
             peers: cell::RefCell::default(),
@@ -180,8 +183,19 @@
         let hosts: Vec<id::HostId> =
             self.peers.borrow().iter().map(|peer| peer.member.host.clone()).collect();
         let bound = self.bounds.get().version;
-        let delay = schedule::delay(bound, version.1, &hosts, &self.member.host);
-        self.learned_at(version).unwrap_or(host::CLOCK_START) + delay
+        let learned_at = self.learned_at(version).unwrap_or(host::CLOCK_START);
+        let held_after = self.complete_at.get().since(learned_at);
+        learned_at + schedule::delay(bound, version.1, &hosts, &self.member.host, held_after)
+    }
+
+    /// Returns the time at which the engine will load a newer version whose chunks are complete, for routers. Without the
+    /// chunks, the engine goes on serving when its turn comes.
+    pub(crate) fn announced_load(&self) -> Option<time::Millis> {
+        let loaded = self.loaded()?;
+        let complete = self.chunks.borrow().newest_complete();
+        let is_newer =
+            complete.is_some_and(|(model, version)| model == loaded.0 && version > loaded.1);
+        self.next_load().filter(|_| is_newer)
     }
 
     /// Returns the time at which the engine will load the next declared version, if it serves an older one.
--- a/crates/chestnutpick_loader/src/publish.rs
+++ b/crates/chestnutpick_loader/src/publish.rs
@@ -224,7 +224,7 @@
                 + subscribers::unseen_requests(uptime, engine_age(report), self.node.cold_rate()),
             version: report.loaded.as_ref().map_or(0, |(_, version)| *version),
             loading_weights: self.node.loading.get() || report.busy,
-            weights_load_in: self.node.next_load().map(|at| load::millis(at.since(now))),
+            weights_load_in: self.node.announced_load().map(|at| load::millis(at.since(now))),
             routers: self.subscribers.routers(),
             is_settled: subscribers::is_settled(uptime),
             active: self.subscribers.active(),
--- a/crates/chestnutpick_loader/src/schedule.rs
+++ b/crates/chestnutpick_loader/src/schedule.rs
@@ -57,27 +57,28 @@
     digest::Digest::of(format!("{host}/{version}").as_bytes()).prefix()
 }
 
-/// Returns the time from the declaration of `version` until the engine on host `own` may load it.
+/// Returns the time from the declaration of `version` until the engine on host `own` may load it. If the chunks are complete
+/// only after `held_after`, the turns are spread over the time that is left.
 ///
 /// ```
 /// use chestnutpick_loader::schedule;
 /// use chestnutpick_types::time::Millis;
 /// let hosts: Vec<_> = ["10.0.0.1", "10.0.0.2"].iter().map(|ip| ip.parse().unwrap()).collect();
-/// let first = schedule::delay(Millis(8_000), 2, &hosts, &hosts[0]);
-/// let second = schedule::delay(Millis(8_000), 2, &hosts, &hosts[1]);
-/// assert_ne!(first, second);
+/// let delay = |own: usize| schedule::delay(Millis(8_000), 2, &hosts, &hosts[own], Millis(0));
+/// assert_ne!(delay(0), delay(1));
 /// ```
 pub fn delay(
     bound: time::Millis,
     version: u64,
     hosts: &[id::HostId],
     own: &id::HostId,
+    held_after: time::Millis,
 ) -> time::Millis {
     let own_key = order_key(own, version);
     let before = |host: &&id::HostId| *host != own && order_key(host, version) < own_key;
     let ahead = hosts.iter().filter(before).count() as u64;
     let others = hosts.iter().filter(|host| *host != own).count().max(1) as u64;
-    let first = bound.0 * EARLIEST_PERCENT / 100;
-    let span = bound.0 * (LATEST_PERCENT - EARLIEST_PERCENT) / 100;
-    time::Millis(first + span * ahead / others)
+    let last = time::Millis(bound.0 * LATEST_PERCENT / 100);
+    let first = time::Millis(bound.0 * EARLIEST_PERCENT / 100).max(held_after).min(last);
+    first + time::Millis(last.since(first).0 * ahead / others)
 }
--- a/crates/chestnutpick_loader/tests/schedule.rs
+++ b/crates/chestnutpick_loader/tests/schedule.rs
@@ -38,9 +38,25 @@
 #[test]
 fn load_times_are_spread() {
     let hosts: Vec<id::HostId> = (0..24).map(|n| format!("10.0.0.{n}").parse().unwrap()).collect();
-    let mut turns: Vec<_> =
-        hosts.iter().map(|own| schedule::delay(Millis(8_000), 2, &hosts, own)).collect();
+    let mut turns: Vec<_> = hosts.iter().map(|own| delay(&hosts, own, 0)).collect();
     turns.sort();
     assert!(turns.windows(2).all(|pair| pair[1].since(pair[0]) >= Millis(100)), "{turns:?}");
     assert!(turns[0] >= Millis(3_000) && turns[23] <= Millis(7_000), "{turns:?}");
 }
+
+fn delay(hosts: &[id::HostId], own: &id::HostId, held_after: u64) -> Millis {
+    schedule::delay(Millis(8_000), 2, hosts, own, Millis(held_after))
+}
+
+/// Guards against engines that all stop serving at once because the chunks came after their turns, while requests may still
+/// begin on the previous version.
+#[rstest]
+#[case::late(5_800, 40)]
+#[case::after_the_last_turn(7_000, 0)]
+fn load_times_are_spread_over_the_time_that_is_left(#[case] held_after: u64, #[case] apart: u64) {
+    let hosts: Vec<id::HostId> = (0..24).map(|n| format!("10.0.0.{n}").parse().unwrap()).collect();
+    let mut turns: Vec<_> = hosts.iter().map(|own| delay(&hosts, own, held_after)).collect();
+    turns.sort();
+    assert!(turns.windows(2).all(|pair| pair[1].since(pair[0]) >= Millis(apart)), "{turns:?}");
+    assert!(turns[0] >= Millis(held_after.min(6_720)) && turns[23] <= Millis(6_720), "{turns:?}");
+}
