--- a/crates/chestnutpick_loader/tests/support/links.rs
+++ b/crates/chestnutpick_loader/tests/support/links.rs
@@ -38,8 +38,10 @@
     pub uploads: uploads::Limits,
     /// Whether an older version is collected first, as [`precedence::first`] decides.
     pub older_first: bool,
-    /// Time between two requests for a manifest.
+    /// Time between two requests to peers for a manifest.
     pub manifest_pause: time::Millis,
+    /// Time between two requests to the origin for a manifest.
+    pub origin_pause: time::Millis,
     /// Maximum factor by which the number of hosts that ask the origin for the manifest is widened.
     pub widening: usize,
 }
@@ -142,7 +144,7 @@
     rng: Xoshiro256PlusPlus,
 }
 
-/// Policy before the transfers were spread over the origin's link.
+/// Policy before the work on changes of weights.
 pub fn old() -> Policy {
     let transfer = Config {
         origin_copy: time::Millis::ZERO,
@@ -150,15 +152,18 @@
         max_delay: time::Millis(400),
         ..limits::TRANSFER
     };
-    let manifest_pause = time::Millis(200);
-    let (older_first, widening) = (false, usize::MAX);
-    Policy { transfer, uploads: uploads::LIMITS, older_first, manifest_pause, widening }
+    let pause = time::Millis(200);
+    let (older_first, widening, uploads) = (false, usize::MAX, uploads::LIMITS);
+    Policy { transfer, uploads, older_first, manifest_pause: pause, origin_pause: pause, widening }
 }
 
 /// Policy of the loader.
 pub fn new() -> Policy {
     let transfer = limits::transfer(Some(size::Bytes(CHUNK.0 * CHUNKS as u64)), LINK);
-    Policy { transfer, older_first: true, ..old() }
+    // A waiting request is answered when the manifest is obtained; the origin is asked again after about 150 ms.
+    let [manifest_pause, origin_pause] = [20, 150].map(time::Millis);
+    let (older_first, widening, uploads) = (true, 4, uploads::LIMITS);
+    Policy { transfer, uploads, older_first, manifest_pause, origin_pause, widening }
 }
 
 fn member(at: usize) -> assignment::Member {
@@ -314,7 +319,8 @@
             self.hosts[host].manifest[version] = true;
             return self.schedule(self.now + 10_000, Event::Check(host));
         }
-        let pause = self.policy.manifest_pause.0 * 1_000 + 4_000;
+        let Policy { manifest_pause, origin_pause, .. } = self.policy;
+        let pause = if place < first { origin_pause } else { manifest_pause }.0 * 1_000 + 4_000;
         self.schedule(self.now + pause, Event::Manifest(host, version));
     }
 
