--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -3,12 +3,14 @@
 
 pub mod chunks;
 pub mod count;
+pub mod limits;
 pub mod lookup;
 pub mod pace;
 pub mod precedence;
 pub mod run;
 pub mod schedule;
 pub mod subscribers;
+pub mod uploads;
 
 mod fetch;
 mod install;
