--- a/crates/chestnutpick_loader/src/chunks.rs
+++ b/crates/chestnutpick_loader/src/chunks.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use chestnutpick_fleet::engine;
-use chestnutpick_types::{digest, id};
+use chestnutpick_types::{digest, id, size};
 use chestnutpick_weights::bitmap;
 use sha2::Digest;
 
-/// Maximum number of versions kept: the version that engines are leaving and the one that they will load.
-const MAX_VERSIONS: usize = 2;
+/// Maximum number of versions kept: the one that engines are leaving, and those that they may load next.
+const MAX_VERSIONS: usize = 4;
 
 /// Model and version of weights.
 pub type Version = (id::ModelId, u64);
@@ -89,6 +89,12 @@
         Some((model.clone(), *number))
     }
 
+    /// Returns the size of the newest version of which all chunks are held.
+    pub fn copy_size(&self) -> Option<size::Bytes> {
+        let (_, (_, set)) = self.sets.iter().rev().find(|(_, (_, set))| set.is_complete())?;
+        Some(size::Bytes(set.data.iter().flatten().map(|data| data.len() as u64).sum()))
+    }
+
     /// Returns whether all chunks of a version are held.
     pub fn is_complete(&self, version: &Version) -> bool {
         self.find(version).is_some_and(Set::is_complete)
@@ -106,6 +112,12 @@
         self.data.iter().all(Option::is_some)
     }
 
+    /// Returns the percentage of the chunks that are missing, rounded up.
+    pub fn missing_percent(&self) -> u64 {
+        let missing = self.data.iter().filter(|data| data.is_none()).count();
+        (missing * 100).div_ceil(self.data.len().max(1)) as u64
+    }
+
     /// Returns which chunks are held.
     pub fn held(&self) -> bitmap::Bitmap {
         let mut held = bitmap::Bitmap::new(self.data.len());
--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -2,11 +2,15 @@
 //! to routers.
 
 pub mod chunks;
+pub mod count;
+pub mod limits;
 pub mod lookup;
 pub mod pace;
+pub mod precedence;
 pub mod run;
 pub mod schedule;
 pub mod subscribers;
+pub mod uploads;
 
 mod fetch;
 mod install;
--- a/crates/chestnutpick_loader/src/run.rs
+++ b/crates/chestnutpick_loader/src/run.rs
@@ -7,11 +7,10 @@
 use actix_http as http;
 use chestnutpick_client::client;
 use chestnutpick_fleet::{directory, engine, host};
-use chestnutpick_http::server;
+use chestnutpick_http::{budget, limits, server};
 use chestnutpick_process::{page, signal};
 use chestnutpick_telemetry::{event, metric};
 use chestnutpick_types::time as instant;
-use futures::future;
 use tokio::net::UdpSocket;
 use tokio_util::sync;
 
@@ -68,11 +67,14 @@
     actix_rt::spawn(publish::run(publishing, socket, token));
     let (installing, token) = share();
     actix_rt::spawn(install::run(installing, store, origin, token));
-    let pages = page::Pages::new(rc::Rc::clone(&node), metrics);
+    let pages = rc::Rc::new(page::Pages::new(rc::Rc::clone(&node), metrics));
     let serving = rc::Rc::clone(&node);
-    let answer =
-        move |request: http::Request| future::ready(serve::answer(&serving, &pages, &request));
-    server::serve(listener, signal, DRAIN_TIMEOUT, answer).await;
+    let answer = move |request: http::Request| {
+        serve::answer(rc::Rc::clone(&serving), rc::Rc::clone(&pages), request)
+    };
+    let descriptors = limits::descriptors(node.host.descriptors);
+    let budget = budget::Budget::new(limits::Limits::of(node.host.memory, descriptors));
+    server::serve_within(listener, signal, DRAIN_TIMEOUT, budget, answer).await;
     stop.cancel();
     event::Event::new("stopped").info();
     Ok(())
--- a/crates/chestnutpick_loader/src/schedule.rs
+++ b/crates/chestnutpick_loader/src/schedule.rs
@@ -52,60 +52,33 @@
     (occupied <= MAX_ABORTED_REQUESTS).then_some(engine::Switch::AtOnce)
 }
 
-/// Percentage of the version bound within which a newer version supersedes one that is still being transferred.
-/// A transfer takes about half of the bound, so two consecutive transfers would end too late for the newer version. If
-/// the newer version is declared later than this, the older one is not skipped: it is required before the newer one
-/// reaches all hosts, and no engine would hold it.
-const SUPERSEDE_PERCENT: u64 = 28;
-
-/// Returns whether a newer version supersedes one that is still being transferred: the older version is overdue or was
-/// declared shortly before the newer one. The time of a version declared before this process started is `None`.
-///
-/// ```
-/// use chestnutpick_loader::schedule;
-/// use chestnutpick_types::time::Millis;
-/// let (bound, older) = (Millis(8_000), Some(Millis(0)));
-/// assert!(schedule::is_superseded(Millis(1_000), bound, older, Some(Millis(1_000))));
-/// assert!(!schedule::is_superseded(Millis(4_000), bound, older, Some(Millis(4_000))));
-/// assert!(schedule::is_superseded(Millis(8_000), bound, older, Some(Millis(4_000))));
-/// ```
-pub fn is_superseded(
-    now: time::Millis,
-    bound: time::Millis,
-    older: Option<time::Millis>,
-    newer: Option<time::Millis>,
-) -> bool {
-    let Some(older) = older else { return true };
-    let soon = time::Millis(bound.0 * SUPERSEDE_PERCENT / 100);
-    now >= older + bound || newer.is_some_and(|newer| newer.since(older) < soon)
-}
-
 /// Returns the sort key of a host. All hosts compute the same order, which differs between versions.
 pub(crate) fn order_key(host: &id::HostId, version: u64) -> u64 {
     digest::Digest::of(format!("{host}/{version}").as_bytes()).prefix()
 }
 
-/// Returns the time from the declaration of `version` until the engine on host `own` may load it.
+/// Returns the time from the declaration of `version` until the engine on host `own` may load it. If the chunks are complete
+/// only after `held_after`, the turns are spread over the time that is left.
 ///
 /// ```
 /// use chestnutpick_loader::schedule;
 /// use chestnutpick_types::time::Millis;
 /// let hosts: Vec<_> = ["10.0.0.1", "10.0.0.2"].iter().map(|ip| ip.parse().unwrap()).collect();
-/// let first = schedule::delay(Millis(8_000), 2, &hosts, &hosts[0]);
-/// let second = schedule::delay(Millis(8_000), 2, &hosts, &hosts[1]);
-/// assert_ne!(first, second);
+/// let delay = |own: usize| schedule::delay(Millis(8_000), 2, &hosts, &hosts[own], Millis(0));
+/// assert_ne!(delay(0), delay(1));
 /// ```
 pub fn delay(
     bound: time::Millis,
     version: u64,
     hosts: &[id::HostId],
     own: &id::HostId,
+    held_after: time::Millis,
 ) -> time::Millis {
     let own_key = order_key(own, version);
     let before = |host: &&id::HostId| *host != own && order_key(host, version) < own_key;
     let ahead = hosts.iter().filter(before).count() as u64;
     let others = hosts.iter().filter(|host| *host != own).count().max(1) as u64;
-    let first = bound.0 * EARLIEST_PERCENT / 100;
-    let span = bound.0 * (LATEST_PERCENT - EARLIEST_PERCENT) / 100;
-    time::Millis(first + span * ahead / others)
+    let last = time::Millis(bound.0 * LATEST_PERCENT / 100);
+    let first = time::Millis(bound.0 * EARLIEST_PERCENT / 100).max(held_after).min(last);
+    first + time::Millis(last.since(first).0 * ahead / others)
 }
--- a/crates/chestnutpick_router/src/lib.rs
+++ b/crates/chestnutpick_router/src/lib.rs
@@ -1,7 +1,7 @@
 //! Router: forwards each caller's request to an endpoint that can serve it.
 //!
-//! The policies ([`bodies`], [`choice`], [`departed`], [`duty`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`], [`notices`],
-//! [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`view`], [`window`]) take the current time as an
+//! The policies ([`bodies`], [`choice`], [`departed`], [`duty`], [`events`], [`failures`], [`lease`], [`limit`], [`liveness`],
+//! [`notices`], [`readers`], [`region`], [`routers`], [`suspicion`], [`timeout`], [`urgency`], [`view`], [`window`]) take the current time as an
 //! argument and do no I/O; the other modules connect them to sockets and clocks.
 
 pub mod bodies;
@@ -17,14 +17,17 @@
 pub mod liveness;
 pub mod notices;
 pub mod outage;
+pub mod pace;
 pub mod readers;
 pub mod region;
 pub mod routers;
 pub mod run;
 pub mod suspicion;
 pub mod timeout;
+pub mod urgency;
 pub mod view;
 pub mod window;
+pub mod work;
 
 mod answer;
 mod calls;
--- a/crates/chestnutpick_router/src/sending.rs
+++ b/crates/chestnutpick_router/src/sending.rs
@@ -203,7 +203,7 @@
     let response = outcome?;
     slot.on_heard();
     let head = node.codec.response_head(&response.headers);
-    answer::on_head(node, endpoint, &response, &head);
+    answer::on_head(node, endpoint, &response, &head, slot.age());
     answer::check(node, call, endpoint, &response, &head)?;
     Ok(Arrived { response, head })
 }
@@ -273,8 +273,7 @@
     C: codec::Codec,
 {
     let placement::Placement { chosen, terms, .. } = placement;
-    let rank = terms.workspace.as_deref().and_then(|workspace| workspace.priority);
-    let rank = rank.unwrap_or(terms.route.priority).min(codec::LEAST_URGENT.into());
+    let rank = terms.rank().min(codec::LEAST_URGENT.into());
     let forward = codec::Forward {
         endpoint: &chosen.endpoint,
         deadline: time_left,
