--- a/crates/chestnutpick_router/tests/urgency.rs
+++ b/crates/chestnutpick_router/tests/urgency.rs
@@ -79,6 +79,30 @@
     assert!(counts.iter().all(|count| count.share() >= all / 4.0), "{counts:?}");
 }
 
+/// Guards against starving a less urgent rank by its own tight target, which urgent requests with a loose target fill the
+/// engines beyond.
+#[test]
+fn less_urgent_requests_with_a_tight_target_are_not_starved() {
+    let kinds = [kind(0, 1_000, 0.33), kind(1, 700, 0.33), kind(2, 400, 0.34)];
+    let load = Load { kinds: &kinds, factor: BURST_FACTOR, returns: Returns::Never, size: SMALL };
+    let counts = run(load, Policy::Urgency);
+    print("urgency", &counts);
+    let all = overload::total_share(&counts);
+    assert!(counts.iter().all(|count| count.share() >= all / 4.0), "{counts:?}");
+}
+
+/// Guards against serving far fewer requests in all when three times as many arrive as usual.
+#[test]
+fn limits_cost_few_requests_far_beyond_the_capacity() {
+    let kinds = [kind(0, 400, 0.5), kind(2, 1_000, 0.5)];
+    let load = Load { kinds: &kinds, factor: 3.0, returns: Returns::Never, size: SMALL };
+    let (before, counts) = (run(load, Policy::Targets), run(load, Policy::Urgency));
+    print("targets", &before);
+    print("urgency", &counts);
+    let least = overload::total_share(&before) * (1.0 - MAX_LOSS);
+    assert!(overload::total_share(&counts) >= least, "fewer served: {before:?} {counts:?}");
+}
+
 /// Guards against a change where all requests have the same priority.
 #[test]
 fn equal_ranks_are_served_as_before() {
