Wait for the descriptors of closed connections before accepting more

Cause: a connection that was told to end no longer counted, but kept its descriptor until its task ran. A body also counted as stalled after 1 s, which an ordinary body on a busy machine reaches: the test of large bodies (platform/tests/bodies.rs) failed once at a load average of 32 ("left == right failed", responses missing) and passed alone; whether the 1 s caused it was not traced.

Change: accepting waits while more connections are open than the limit allows. A body may be closed for others after 5 s.

--- a/crates/chestnutpick_http/src/budget.rs
+++ b/crates/chestnutpick_http/src/budget.rs
@@ -78,7 +78,7 @@
         self.0.count.get()
     }
 
-    /// Closes the connection whose body has stalled the longest, if one has for a second. To be called when a body finds no
+    /// Closes the connection whose body has stalled the longest, if one has for 5 s. To be called when a body finds no
     /// memory. Returns whether there is one.
     ///
     /// ```
@@ -88,7 +88,7 @@
     pub fn close_stalled_body(&self) -> bool {
         let now = time::Instant::now();
         let is_stalled = |standing: &limits::Standing| {
-            standing.phase == Phase::Reading && is_quiet(standing, now, limits::STALL_TIME)
+            standing.phase == Phase::Reading && is_quiet(standing, now, limits::BODY_STALL_TIME)
         };
         self.close_first(limits::Reason::Bodies, is_stalled)
     }
@@ -103,9 +103,9 @@
         admitted
     }
 
-    /// Returns whether new connections replace others.
-    pub(crate) fn is_full(&self) -> bool {
-        self.0.count.get() >= self.0.limits.connections
+    /// Returns whether connections that have been told to end still hold descriptors that the limit does not allow.
+    pub(crate) fn is_overdrawn(&self) -> bool {
+        self.0.open.borrow().len() > self.0.limits.connections
     }
 
     /// Returns whether half of the memory for buffers is in use, so that pipelined requests are not read ahead.
--- a/crates/chestnutpick_http/src/limits.rs
+++ b/crates/chestnutpick_http/src/limits.rs
@@ -42,6 +42,10 @@
 /// Time without progress after which a connection may be closed because others need its memory.
 pub(crate) const STALL_TIME: time::Duration = time::Duration::from_secs(1);
 
+/// Time without a byte of a body after which its connection may be closed because other bodies need its memory. On a busy
+/// link, an ordinary body stalls for more than a second.
+pub(crate) const BODY_STALL_TIME: time::Duration = time::Duration::from_secs(5);
+
 /// What the callers of a process may take in sum.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -41,6 +41,9 @@
 /// Interval at which connections are checked for limits on their time.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// Delay before the next accept while connections that have been told to end still hold their descriptors.
+const OVERDRAWN_DELAY: time::Duration = time::Duration::from_millis(1);
+
 /// Time-outs of a server's connections, and tokens that shut the server down in steps.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -148,9 +151,8 @@
                 if options.budget.admit() {
                     spawn_connection(stream, &options, &connections, handler.clone());
                 }
-                if options.budget.is_full() {
-                    // Connections that have been told to end free their descriptors before more are accepted.
-                    actix_rt::task::yield_now().await;
+                while options.budget.is_overdrawn() {
+                    actix_rt::time::sleep(OVERDRAWN_DELAY).await;
                 }
             }
             Err(reason) => {
