--- a/crates/chestnutpick_router/src/node.rs
+++ b/crates/chestnutpick_router/src/node.rs
@@ -19,12 +19,14 @@
 
 use crate::bodies;
 use crate::choice;
+use crate::duties;
 use crate::forward;
 use crate::lease;
 use crate::region;
 use crate::relay;
 use crate::routers;
 use crate::suspicion;
+use crate::urgency;
 use crate::view;
 
 /// Time-out for connecting to an endpoint. Healthy hosts accept within milliseconds. A host that takes longer is
@@ -43,6 +45,8 @@
     pub(crate) view: cell::RefCell<view::View>,
     /// Retry budget of each service.
     budgets: cell::RefCell<collections::HashMap<id::ServiceId, retry::Budget>>,
+    /// Recent decisions about requests of each priority.
+    pub(crate) urgency: cell::RefCell<urgency::Urgency>,
     /// Requests, and parts of prompts, that may crash endpoints.
     pub(crate) suspicion: cell::RefCell<suspicion::Suspicion>,
     /// Notified when the endpoints have been checked for signs of life.
@@ -71,6 +75,8 @@
     pub(crate) bodies: bodies::Budget,
     /// Service bounds that the users set; can change at run time.
     pub(crate) bounds: cell::Cell<host::Bounds>,
+    /// State of the duties that one router performs at a time, if there are any.
+    pub(crate) duties: Option<cell::RefCell<duties::State>>,
     /// Token whose cancellation refuses requests that have not been read whole.
     pub(crate) refuse_unread: token::CancellationToken,
     leaving: cell::Cell<bool>,
@@ -99,11 +105,13 @@
             )),
             bodies: bodies::Budget::of_memory(host.memory),
             bounds: cell::Cell::new(host.bounds),
+            duties: duties::State::new(&host).map(cell::RefCell::new),
             host,
             codec,
             clock,
             view: cell::RefCell::new(view),
             budgets: cell::RefCell::default(),
+            urgency: cell::RefCell::default(),
             suspicion: cell::RefCell::default(),
             silence_checked: Notify::new(),
             probe_due: Notify::new(),
@@ -142,16 +150,17 @@
         lease::Lease::of_age(self.view.borrow().age(self.now()), &self.bounds.get())
     }
 
-    /// Chooses an endpoint for a request.
+    /// Chooses an endpoint for a request, and refuses it if the response would be later there than in the time `limit`.
     pub(crate) fn choose(
         &self,
         request: &choice::Request<'_>,
+        limit: Option<time::Millis>,
     ) -> Result<choice::Chosen, choice::NoChoice> {
         let context = choice::Context { local: self.local(), bounds: self.bounds.get() };
         let now = self.now();
         let mut view = self.view.borrow_mut();
         view.expire(now);
-        choice::choose(now, &view, &context, request, &mut *self.rng.borrow_mut())
+        choice::choose_within(now, &view, &context, request, limit, &mut *self.rng.borrow_mut())
     }
 
     /// Returns the time by which a request must begin at an endpoint of `service` that holds `version`, if a newer version is
@@ -210,6 +219,11 @@
         self.leaving.set(true);
     }
 
+    /// Returns whether the readiness check fails because the process is shutting down.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// Starts to refuse requests.
     pub(crate) fn close(&self) {
         self.closed.set(true);
@@ -255,6 +269,10 @@
                 "failures": endpoint_view.failures.count(now),
             })
         });
+        let urgency = self.urgency.borrow();
+        let tightness = urgency.tightness(now).map(|(service, rank, tightness)| {
+            json!({ "service": service, "priority": rank, "tightness": tightness })
+        });
         json!({
             "process": "chestnutpick-router",
             "host": self.host.name,
@@ -271,7 +289,9 @@
             "confirmed_age_ms": view.confirmed_at.map(|at| now.since(at)),
             "evacuated": view.evacuated().collect::<Vec<_>>(),
             "suspects": self.suspicion.borrow().dump(),
+            "duties": duties::dump(self, now),
             "endpoints": endpoints.collect::<Vec<_>>(),
+            "urgency": tightness.collect::<Vec<_>>(),
         })
     }
 }
--- a/crates/chestnutpick_router/src/placement.rs
+++ b/crates/chestnutpick_router/src/placement.rs
@@ -1,12 +1,13 @@
 //! Placement of a request at an endpoint, under the terms on its arrival and the newest ones.
 
-use chestnutpick_types::error;
+use chestnutpick_types::{error, time};
 
 use crate::choice;
 use crate::forward;
 use crate::handle;
 use crate::node;
 use crate::terms;
+use crate::urgency;
 
 /// Decision to send a request to an endpoint.
 #[derive(Debug)]
@@ -48,6 +49,8 @@
     let terms = renew_terms(node, call, tries).map_err(Unplaced::Denied)?;
     let now = node.now();
     let route = &call.admitted.route;
+    let (service, rank) = (&terms.service.name, terms.rank());
+    let limit = node.urgency.borrow().limit(now, service, rank, route.target);
     // Refusing a request that may have partly run counts as a failure. A late response is better, if the caller still
     // waits for it.
     let time_left = match tries.runs {
@@ -57,7 +60,7 @@
         _ => Some(route.patience.since(now.since(call.received))),
     };
     let regions = [call.admitted.regions(), terms.regions()].concat();
-    let chosen = node.choose(&choice::Request {
+    let request = choice::Request {
         target: route.target,
         service: &terms.service,
         regions: &regions,
@@ -66,9 +69,19 @@
         time_left,
         tried: &tries.failed,
         version,
-    });
+    };
+    let waited = now.since(call.received);
+    let own_limit = (tries.runs == 0 && limit < route.target).then(|| limit.since(waited));
+    let chosen = node.choose(&request, own_limit);
+    if let (0, Some(decision)) = (tries.sends, decision(&chosen, limit)) {
+        node.urgency.borrow_mut().on_decision(now, service, rank, route.target, decision);
+    }
     let chosen = chosen.map_err(|none| {
-        let refusal = no_choice(tries, &terms, &none);
+        let mut refusal = no_choice(tries, &terms, &none);
+        if none.reason == choice::Reason::Late && limit < route.target {
+            metrics::counter!("requests_refused_for_urgent_ones").increment(1);
+            refusal.message = format!("{}, limited to {limit}", refusal.message).into();
+        }
         match none.reason {
             choice::Reason::NoEndpoint | choice::Reason::NoVersion => Unplaced::Denied(refusal),
             choice::Reason::Full | choice::Reason::Late => Unplaced::Full(refusal),
@@ -77,6 +90,25 @@
     Ok(Placement { chosen, terms, version })
 }
 
+/// Returns the decision about a request that must be expected to begin within `limit`, or `None` if no endpoint
+/// is ready.
+fn decision(
+    chosen: &Result<choice::Chosen, choice::NoChoice>,
+    limit: time::Millis,
+) -> Option<urgency::Decision> {
+    match chosen {
+        Ok(_) => Some(urgency::Decision::Accepted),
+        Err(none) => match none.reason {
+            choice::Reason::NoEndpoint => None,
+            choice::Reason::NoVersion | choice::Reason::Full => Some(urgency::Decision::Unserved),
+            choice::Reason::Late => {
+                let excess = none.expected.unwrap_or_default().since(limit);
+                Some(urgency::Decision::Late { excess })
+            }
+        },
+    }
+}
+
 /// Renews the terms of a request. They must also permit a repetition if the request may have run.
 fn renew_terms<C>(
     node: &node::Node<C>,
