--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -41,6 +41,9 @@
 /// Interval at which connections are checked for limits on their time.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// Time between two checks from which the process is taken to have been suspended.
+const SUSPENSION: time::Duration = time::Duration::from_secs(2);
+
 /// Delay before the next accept while connections that have been told to end still hold their descriptors.
 const OVERDRAWN_DELAY: time::Duration = time::Duration::from_millis(1);
 
@@ -136,12 +139,18 @@
 {
     let connections = rc::Rc::<activity::Connections>::default();
     let mut sweeps = actix_rt::time::interval(SWEEP_INTERVAL);
+    let mut swept = time::Instant::now();
     sweeps.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             () = options.stop_accepting.cancelled() => break,
             _ = sweeps.tick() => {
-                connections.sweep(time::Instant::now());
+                let now = time::Instant::now();
+                // After a suspension, what arrived meanwhile is read first.
+                if now.saturating_duration_since(swept) < SUSPENSION {
+                    connections.sweep(now);
+                }
+                swept = now;
                 continue;
             }
             accepted = listener.accept() => accepted,
