--- a/crates/chestnutpick_loader/src/lib.rs
+++ b/crates/chestnutpick_loader/src/lib.rs
@@ -2,6 +2,7 @@
 //! to routers.
 
 pub mod chunks;
+pub mod count;
 pub mod limits;
 pub mod lookup;
 pub mod pace;
