--- a/crates/chestnutpick_http/src/activity.rs
+++ b/crates/chestnutpick_http/src/activity.rs
@@ -231,9 +231,14 @@
         }
     }
 
-    /// Records that bytes of a discarded body have arrived.
+    /// Records that bytes of a discarded body have arrived. What arrives after a pause may be the next request.
     pub(crate) fn on_discarded(&self, bytes: usize) {
-        self.progress.set(time::Instant::now());
+        let now = time::Instant::now();
+        if now.saturating_duration_since(self.progress.get()) >= limits::DISCARD_PAUSE {
+            self.since.set(now);
+            self.discarded.set(0);
+        }
+        self.progress.set(now);
         self.discarded.set(self.discarded.get() + bytes as u64);
     }
 
@@ -265,6 +270,7 @@
     /// Records that the head of a request has been read, and the length of its body if it has one.
     pub(crate) fn on_request(&self, has_body: bool, length: Option<u64>) {
         self.unread.set(length);
+        self.discarded.set(0);
         self.is_read.set(!has_body);
         self.is_made.set(false);
         self.has_next.set(false);
@@ -275,12 +281,14 @@
     /// Records that this many bytes have been passed on to the parser.
     pub(crate) fn on_passed(&self, bytes: usize) {
         self.on_received();
-        match self.phase.get() {
-            Phase::Starting => self.on_head(bytes),
-            Phase::Discarding => self.on_discarded(bytes),
-            Phase::Idle | Phase::Reading | Phase::Running | Phase::Writing => {}
+        if self.phase.get() == Phase::Discarding {
+            self.on_discarded(bytes);
         }
+        // The memory of a head may close other connections; this one is not the one without progress.
         self.progress.set(time::Instant::now());
+        if self.phase.get() == Phase::Starting {
+            self.on_head(bytes);
+        }
         self.unread.set(self.unread.get().map(|unread| unread.saturating_sub(bytes as u64)));
     }
 
--- a/crates/chestnutpick_http/src/connection.rs
+++ b/crates/chestnutpick_http/src/connection.rs
@@ -383,6 +383,10 @@
             task::Poll::Ready(None) => this.activity.on_body_read(),
             task::Poll::Ready(Some(Ok(piece))) => {
                 this.activity.hold_more(budget::Part::Body, piece.len());
+                if this.activity.is_evicted() {
+                    // The connection ends, so the request must not begin to run.
+                    return task::Poll::Pending;
+                }
             }
             task::Poll::Ready(Some(Err(_))) | task::Poll::Pending => {}
         }
--- a/crates/chestnutpick_http/src/limits.rs
+++ b/crates/chestnutpick_http/src/limits.rs
@@ -23,22 +23,25 @@
 /// connections.
 const DESCRIPTOR_PERCENT: u64 = 75;
 
-/// Size of a head, in bytes. Twice the configuration's usual limit.
+/// Maximum size of a head, in bytes: twice the configuration's usual limit, so that no permitted head reaches it.
 pub(crate) const HEAD_LIMIT: usize = 32 << 10;
 
-/// Bytes of an unwanted body that are read and discarded, so that its sender receives the response. More than a body of the
-/// usual limit takes.
+/// Bytes of an unwanted body that are read and discarded, as they arrive on the connection, so that its sender receives the
+/// response. More than a body of the usual limit takes in one piece or in pieces of usual size.
 pub(crate) const DISCARD_LIMIT: u64 = 5 << 20;
 
-/// Time for which the rest of a head may take.
+/// Maximum time from the first byte of a head to its end; more than the configuration's usual limit of 3 s.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// Time without a byte of a body that has begun.
-const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Maximum time without a byte of a body that has begun; more than the configuration's usual idle limit of 15 s.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
-/// Time for which a body is discarded after the response to its request.
+/// Time for which a body is discarded after the response to its request, while its bytes keep arriving.
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
+/// Time without a byte after which no more of an unwanted body is expected.
+pub(crate) const DISCARD_PAUSE: time::Duration = time::Duration::from_secs(1);
+
 /// Time without progress after which a connection may be closed because others need its memory.
 pub(crate) const STALL_TIME: time::Duration = time::Duration::from_secs(1);
 
@@ -143,7 +146,8 @@
         match self.phase {
             Phase::Starting if lasting > HEAD_TIMEOUT => Some(Reason::SlowHead),
             Phase::Reading if self.is_unread && quiet > BODY_TIMEOUT => Some(Reason::StalledBody),
-            Phase::Discarding if lasting > DISCARD_TIMEOUT || self.discarded > DISCARD_LIMIT => {
+            Phase::Discarding if self.discarded > DISCARD_LIMIT => Some(Reason::UnwantedBody),
+            Phase::Discarding if lasting > DISCARD_TIMEOUT && quiet < DISCARD_PAUSE => {
                 Some(Reason::UnwantedBody)
             }
             _ => None,
--- a/crates/chestnutpick_http/src/server.rs
+++ b/crates/chestnutpick_http/src/server.rs
@@ -288,8 +288,8 @@
     let service = fn_service(move |request: http::Request| {
         let is_last = request.head().connection_type() == http::ConnectionType::Close;
         // Requests that are sent after the last one do not run: their caller cannot expect a response. Nor does one whose
-        // head is too large.
-        let runs = !activity.is_last() && !activity.is_rejected();
+        // head is too large, or whose connection has just been told to end for a limit.
+        let runs = !activity.is_last() && !activity.is_rejected() && !activity.is_evicted();
         let response = runs.then(|| handler(connection::track_request(request, &activity)));
         let close_responses = options.close_responses.clone();
         let activity = rc::Rc::clone(&activity);
--- a/crates/chestnutpick_loader/src/chunks.rs
+++ b/crates/chestnutpick_loader/src/chunks.rs
@@ -10,7 +10,7 @@
 use sha2::Digest;
 
 /// Maximum number of versions kept: the one that engines are leaving, and those that they may load next.
-const MAX_VERSIONS: usize = 4;
+pub(crate) const MAX_VERSIONS: usize = 4;
 
 /// Model and version of weights.
 pub type Version = (id::ModelId, u64);
--- a/crates/chestnutpick_loader/src/install.rs
+++ b/crates/chestnutpick_loader/src/install.rs
@@ -30,9 +30,13 @@
 /// Pause after a failed step.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause after a failed request for a manifest. The request itself waits for the peers that will have the manifest first.
+/// Pause after the first failed request for a manifest. The request itself waits for the peers that will have the manifest
+/// first.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(50);
 
+/// Maximum pause after failed requests for a manifest. The origin may be away for seconds, and each host asks peers again.
+const MAX_MANIFEST_PAUSE: Duration = Duration::from_millis(200);
+
 /// Failed tries after which the configuration is read again if no router has named the origin meanwhile.
 const ORIGIN_TRIES: usize = 3;
 
@@ -141,7 +145,9 @@
         let unavailable = self.unavailable.borrow();
         let is_available = |version: &u64| !unavailable.contains(&(model.clone(), *version));
         let older = after.filter(|version| *version < newest).filter(is_available);
-        let versions = older.chain([newest]).collect();
+        let mut versions: Vec<_> = older.chain([newest]).collect();
+        // One more version is kept in memory: the one that the engine is leaving.
+        versions.drain(..versions.len().saturating_sub(chunks::MAX_VERSIONS - 1));
         Some((model.clone(), versions))
     }
 
@@ -165,11 +171,9 @@
             };
             match self.prepare_chunks(&version, tries).await {
                 Ok(_) => tries = 0,
-                Err(_) => {
-                    tries += 1;
-                    actix_rt::time::sleep(MANIFEST_PAUSE).await;
-                }
+                Err(_) => tries += 1,
             }
+            actix_rt::time::sleep(manifest_pause(tries)).await;
         }
     }
 
@@ -205,16 +209,16 @@
                         .with("version", version.1)
                         .with("reason", reason)
                         .warn();
-                    actix_rt::time::sleep(self.pause(&version)).await;
+                    actix_rt::time::sleep(self.pause(&version, tries)).await;
                 }
             }
         }
     }
 
     /// Returns the pause after a failed try to collect a version.
-    fn pause(&self, version: &chunks::Version) -> Duration {
+    fn pause(&self, version: &chunks::Version, tries: usize) -> Duration {
         let chunks = self.node.chunks.borrow();
-        if chunks.find(version).is_none() { MANIFEST_PAUSE } else { RETRY_PAUSE }
+        if chunks.find(version).is_none() { manifest_pause(tries) } else { RETRY_PAUSE }
     }
 
     /// Waits until another version must be collected instead of `version`.
@@ -285,6 +289,11 @@
                 return Err(format!("no manifest: {reason}"));
             }
         };
+        // Another task may have obtained the manifest meanwhile and collect chunks by it.
+        let held = self.node.chunks.borrow().find(version).map(|set| rc::Rc::clone(&set.manifest));
+        if let Some(held) = held.filter(|_| tries == 0) {
+            return Ok(held);
+        }
         self.node.chunks.borrow_mut().prepare(version, rc::Rc::clone(&manifest));
         self.node.manifest_held.notify_waiters();
         Ok(manifest)
@@ -445,3 +454,9 @@
         Ok(repaired)
     }
 }
+
+/// Returns the pause after `tries` failed requests for a manifest in succession.
+fn manifest_pause(tries: usize) -> Duration {
+    let doublings = tries.saturating_sub(1).min(2) as u32;
+    (MANIFEST_PAUSE * 2_u32.pow(doublings)).min(MAX_MANIFEST_PAUSE)
+}
--- a/crates/chestnutpick_loader/src/serve.rs
+++ b/crates/chestnutpick_loader/src/serve.rs
@@ -97,7 +97,7 @@
     match node.uploads.borrow_mut().request(node.now(), size) {
         Ok(()) => respond::bytes(200, "application/octet-stream", data),
         Err(wait) => {
-            let mut response = respond::bytes(503, "text/plain", "uploads are at their pace\n");
+            let mut response = respond::bytes(503, "text/plain", "the upload rate is used up\n");
             respond::set_header(&mut response, "x-retry-ms", &wait.0.to_string());
             response
         }
--- a/crates/chestnutpick_router/src/duties.rs
+++ b/crates/chestnutpick_router/src/duties.rs
@@ -31,7 +31,13 @@
 /// Interval at which the counts are sent to the holder.
 const SHARE_INTERVAL: time::Millis = time::Millis(500);
 
-/// Maximum random delay before a router takes a free duty, so that seldom more than one tries.
+/// Time between two exchanges that shows a suspension of this process.
+const MAX_TICK_GAP: time::Millis = time::Millis(700);
+
+/// Time after a suspension for which received times are not used.
+const SETTLE_TIME: time::Millis = time::Millis(1_000);
+
+/// Maximum random delay before a router takes a free duty, in milliseconds, so that seldom more than one tries.
 const MAX_TAKE_DELAY: u64 = 400;
 
 /// Age of the content of the store above which a router does not take the duty.
@@ -71,13 +77,17 @@
     unanswered: u32,
     /// Calls in succession that did not reach the control service.
     unsent: u32,
-    /// When this router last gave the duty up for that reason.
+    /// When this router last gave the duty up because it could not reach the control service.
     yielded_at: Option<time::Millis>,
     /// When each router last sent all its counts.
     reported: collections::BTreeMap<net::IpAddr, time::Millis>,
     /// Window in which this router started.
     first_window: Option<u64>,
+    /// Number of exchanges so far.
     shares: u64,
+    /// Time of the last exchange, and time until which messages may have waited while this process was suspended.
+    ticked_at: time::Millis,
+    outdated_until: time::Millis,
 }
 
 impl State {
@@ -105,11 +115,23 @@
             reported: collections::BTreeMap::new(),
             first_window: None,
             shares: 0,
+            ticked_at: time::Millis::ZERO,
+            outdated_until: time::Millis::ZERO,
         })
     }
 
+    /// Returns whether a message that is read now has just arrived. After a suspension, messages of before are read first.
+    fn is_current(&mut self, now: time::Millis) -> bool {
+        if now.since(self.ticked_at) > MAX_TICK_GAP {
+            self.outdated_until = now + SETTLE_TIME;
+        }
+        now >= self.outdated_until
+    }
+
     /// Reads the wall clock, and returns the window at `now`.
     fn tick(&mut self, now: time::Millis) -> Option<u64> {
+        self.is_current(now);
+        self.ticked_at = now;
         if self.clock.on_wall(now, time::unix_now()) {
             event::Event::new("wall_clock_jumped").warn();
         }
--- a/crates/chestnutpick_router/src/duties/act.rs
+++ b/crates/chestnutpick_router/src/duties/act.rs
@@ -15,11 +15,14 @@
 /// longer; it is renewed before.
 const CALL_PERCENT: u64 = 50;
 
+/// Maximum time-out of a call. A call that hangs holds back all others.
+const MAX_CALL_TIME: time::Millis = time::Millis(2_000);
+
 /// Number of calls in succession that do not reach the control service before another router tries.
 const MAX_UNSENT: u32 = 3;
 
-/// Minimum time between two times that a router gives the duty up for this reason. While the service is down, each
-/// candidate tries once.
+/// Minimum time between two releases of the duty because the control service cannot be reached. While the service is down,
+/// each candidate tries once.
 const YIELD_INTERVAL: time::Millis = time::Millis::from_secs(60);
 
 /// Number of times that a call without an answer is made. A service that is slow for long would delay all later calls.
@@ -228,6 +231,7 @@
     held: &item::Held,
 ) -> Option<duty::Performer> {
     let timeout = time::Millis(state.tenure.lease_time().0 * CALL_PERCENT / 100);
+    let timeout = timeout.min(MAX_CALL_TIME);
     let may_act = state.tenure.may_act(node.now(), timeout);
     may_act.then(|| duty::Performer {
         name: node.host.name.clone(),
--- a/crates/chestnutpick_router/src/duties/share.rs
+++ b/crates/chestnutpick_router/src/duties/share.rs
@@ -117,6 +117,9 @@
 pub(crate) fn on_time<C>(node: &node::Node<C>, from: net::SocketAddr, unix: u64) {
     let Some(state) = &node.duties else { return };
     let (mut state, now) = (state.borrow_mut(), node.now());
+    if !state.is_current(now) {
+        return;
+    }
     state.reported.insert(from.ip(), now);
     state.clock.on_peer(now, from.ip(), time::Millis(unix));
     if let Some(median) = state.clock.at(now).filter(|_| state.clock.is_confirmed()) {
@@ -124,8 +127,12 @@
     }
 }
 
-/// Applies the true time according to most routers.
-pub(crate) fn on_median_time<C>(node: &node::Node<C>, unix: u64) {
+/// Applies the true time according to most routers, as the holder states it.
+pub(crate) fn on_median_time<C>(node: &node::Node<C>, from: net::IpAddr, unix: u64) {
     let Some(state) = &node.duties else { return };
-    state.borrow_mut().clock.on_confirmed(node.now(), time::Millis(unix));
+    let (mut state, now) = (state.borrow_mut(), node.now());
+    let is_holder = state.tenure.holder().is_some_and(|holder| holder.ip == from);
+    if is_holder && state.is_current(now) {
+        state.clock.on_confirmed(now, time::Millis(unix));
+    }
 }
--- a/crates/chestnutpick_router/src/duty/truetime.rs
+++ b/crates/chestnutpick_router/src/duty/truetime.rs
@@ -11,7 +11,7 @@
 /// Largest change of the wall clock between two readings that is not a jump, in milliseconds.
 const MAX_STEP_MS: i64 = 20;
 
-/// Time after which a changed wall clock is believed although no other router confirms it.
+/// Time after which a jump of the wall clock is adopted, unless other routers were heard in that time.
 const HOLD: time::Millis = time::Millis::from_secs(120);
 
 /// Difference to the other routers that is corrected, in milliseconds. Smaller ones may be transit times.
@@ -30,6 +30,8 @@
     offset: Option<i64>,
     /// Offset of the wall clock since its last jump, and the time of the jump.
     jump: Option<(i64, time::Millis)>,
+    /// Time of the last comparison with other routers.
+    compared_at: Option<time::Millis>,
     /// Difference of each router's estimate to the own one, and when it arrived.
     peers: collections::BTreeMap<net::IpAddr, (i64, time::Millis)>,
 }
@@ -55,7 +57,8 @@
         match &mut self.jump {
             Some((jumped, since)) if (measured - *jumped).abs() <= MAX_STEP_MS => {
                 *jumped = measured;
-                if now.since(*since) >= HOLD {
+                let is_contradicted = self.compared_at.is_some_and(|at| now.since(at) < HOLD);
+                if now.since(*since) >= HOLD && !is_contradicted {
                     (self.offset, self.jump) = (Some(measured), None);
                 }
                 false
@@ -79,6 +82,7 @@
         self.peers.insert(from, (difference(unix, own), now));
         self.peers.retain(|_, (_, at)| now.since(*at) < PEER_TTL);
         let Some(median) = self.median() else { return };
+        self.compared_at = Some(now);
         if median.abs() > MAX_DIFFERENCE_MS {
             self.shift(median);
         }
@@ -92,6 +96,7 @@
     /// Applies the estimate of a router that knows the median.
     pub fn on_confirmed(&mut self, now: time::Millis, unix: time::Millis) {
         let Some(own) = self.at(now) else { return };
+        self.compared_at = Some(now);
         let error = difference(unix, own);
         if error.abs() > MAX_DIFFERENCE_MS {
             self.shift(error);
--- a/crates/chestnutpick_router/src/loads.rs
+++ b/crates/chestnutpick_router/src/loads.rs
@@ -122,7 +122,7 @@
             Some(load::ToRouter::OriginQuery) => name_origin(node, from),
             Some(load::ToRouter::Counts(counts)) => duties::on_counts(node, from.ip(), &counts),
             Some(load::ToRouter::Time(unix)) => duties::on_time(node, from, unix),
-            Some(load::ToRouter::MedianTime(unix)) => duties::on_median_time(node, unix),
+            Some(load::ToRouter::MedianTime(unix)) => duties::on_median_time(node, from.ip(), unix),
             Some(load::ToRouter::EngineDown(started_at)) => {
                 node.view.borrow_mut().on_engine_down(node.now(), from.ip(), started_at);
                 crash::confirm(node);
--- a/crates/chestnutpick_router/src/urgency/class.rs
+++ b/crates/chestnutpick_router/src/urgency/class.rs
@@ -11,6 +11,9 @@
 /// Decisions in favour of the requests that are assumed besides those counted, so that a single refusal shows little.
 const ASSUMED_ACCEPTED: f64 = 2.0;
 
+/// Weight of late requests below which none counts as recent; a single one falls below it after 4.6 s.
+const MIN_LATE: f64 = 0.01;
+
 /// Share of urgent requests that may be refused without an effect on less urgent ones.
 const TOLERATED: f64 = 0.03;
 
@@ -141,8 +144,7 @@
 
     /// Returns the mean target of the late requests, in milliseconds, or `None` if none was refused recently.
     pub(super) fn refused_target(&self, now: time::Millis) -> Option<f64> {
-        let is_recent = now.since(self.counted_at).0 as f64 <= 10.0 * MEMORY_MS;
-        (is_recent && self.counts.late > 0.0).then(|| self.targets / self.counts.late)
+        (self.counts(now).late > MIN_LATE).then(|| self.targets / self.counts.late)
     }
 
     pub(super) fn tightness(&self, now: time::Millis) -> f64 {
