Collect an older version only if it will be of use for a while

Change: the older version must be of use for 8% of the bound after its transfer. Before: precedence::older_version_is_superseded::case_6 fails, left Some(2), right Some(3). After: 12 of 12 pass.

--- a/crates/chestnutpick_loader/src/precedence.rs
+++ b/crates/chestnutpick_loader/src/precedence.rs
@@ -15,6 +15,10 @@
 /// Percentage of the version bound that the last chunks take to the other hosts and the engines.
 const HOP_PERCENT: u64 = 4;
 
+/// Percentage of the version bound for which an older version must be of use. Engines finish their requests before they load
+/// it, and the newer version waits for its transfer.
+const MIN_USE_PERCENT: u64 = 8;
+
 /// Percentage of the version bound after which requests that have not begun on an older version are cancelled.
 const REQUIRED_PERCENT: u64 = 87;
 
@@ -79,6 +83,6 @@
     }
     // The remaining chunks count twice: they delay the newer version by as much.
     let missing = older.missing_percent.unwrap_or(100);
-    let end = now + span(2 * COPY_PERCENT * missing / 100 + HOP_PERCENT);
+    let end = now + span(2 * COPY_PERCENT * missing / 100 + HOP_PERCENT + MIN_USE_PERCENT);
     end >= newer_at + span(REQUIRED_PERCENT)
 }
--- a/crates/chestnutpick_loader/tests/precedence.rs
+++ b/crates/chestnutpick_loader/tests/precedence.rs
@@ -36,6 +36,7 @@
 #[case::newer_is_complete(3_000, Some(5), 2_000, Some(0))]
 #[case::older_would_be_late(8_600, Some(40), 2_000, Some(100))]
 #[case::older_would_be_late_without_manifests(8_600, None, 2_000, None)]
+#[case::older_would_be_of_little_use(8_500, Some(23), 2_000, None)]
 fn older_version_is_superseded(
     #[case] now: u64,
     #[case] missing: Option<u64>,
