End a connection at its limit on discarded bytes at once

Cause: the limit was checked once per second, for all connections. A fast sender of a body without end got more than 32 MiB accepted in between. Before: misbehaving::router_survives::case_5_endless_body fails at four of five targets, "bodies without end were accepted" (left 1, right 0), on a machine with free cores; it passed at a load average of 22. After: 7 of 7 cases pass.

--- a/crates/chestnutpick_http/src/activity.rs
+++ b/crates/chestnutpick_http/src/activity.rs
@@ -236,10 +236,13 @@
         let now = time::Instant::now();
         if now.saturating_duration_since(self.progress.get()) >= limits::DISCARD_PAUSE {
             self.since.set(now);
-            self.discarded.set(0);
         }
         self.progress.set(now);
         self.discarded.set(self.discarded.get() + bytes as u64);
+        if self.discarded.get() > limits::DISCARD_LIMIT {
+            // A fast sender exceeds the limit many times over between two checks of all connections.
+            self.budget.close(self, limits::Reason::UnwantedBody);
+        }
     }
 
     /// Records that the socket takes no more bytes.
