Share repeated expressions of the placement, the budget and the chunks, and remove what is unused

Found in the last reading: the time that a request has waited was computed three times, a function returned a constant, the search for the newest whole version stood twice, and Chunks::is_complete had no caller any more. No behaviour is meant to change.

--- a/crates/chestnutpick_http/src/budget.rs
+++ b/crates/chestnutpick_http/src/budget.rs
@@ -172,7 +172,7 @@
         let open = self.0.open.borrow();
         let holding = open.values().filter(|activity| activity.holds(part));
         let first = first_of(holding, |standing| is_quiet(standing, now, quiet));
-        first.is_some_and(|activity| self.close(activity, reason))
+        first.map(|activity| self.close(activity, reason)).is_some()
     }
 
     /// Closes the first of the connections that meet a condition. Returns whether there is one.
@@ -182,16 +182,15 @@
     {
         let open = self.0.open.borrow();
         let first = first_of(open.values(), is_met);
-        first.is_some_and(|activity| self.close(activity, reason))
+        first.map(|activity| self.close(activity, reason)).is_some()
     }
 
     /// Tells a connection to end, and no longer counts it.
-    pub(crate) fn close(&self, activity: &activity::Activity, reason: limits::Reason) -> bool {
+    pub(crate) fn close(&self, activity: &activity::Activity, reason: limits::Reason) {
         if activity.evict(reason) {
             self.0.count.set(self.0.count.get() - 1);
             self.record(reason);
         }
-        true
     }
 
     /// Counts that a limit has taken effect, and logs it at most once per [`LOG_INTERVAL`].
--- a/crates/chestnutpick_loader/src/chunks.rs
+++ b/crates/chestnutpick_loader/src/chunks.rs
@@ -84,21 +84,19 @@
 
     /// Returns the newest version of which all chunks are held.
     pub fn newest_complete(&self) -> Option<Version> {
-        let complete = self.sets.iter().rev().find(|(_, (_, set))| set.is_complete())?;
-        let (number, (model, _)) = complete;
+        let (number, (model, _)) = self.newest_whole()?;
         Some((model.clone(), *number))
     }
 
+    fn newest_whole(&self) -> Option<(&u64, &(id::ModelId, Set))> {
+        self.sets.iter().rev().find(|(_, (_, set))| set.is_complete())
+    }
+
     /// Returns the size of the newest version of which all chunks are held.
     pub fn copy_size(&self) -> Option<size::Bytes> {
-        let (_, (_, set)) = self.sets.iter().rev().find(|(_, (_, set))| set.is_complete())?;
+        let (_, (_, set)) = self.newest_whole()?;
         Some(size::Bytes(set.data.iter().flatten().map(|data| data.len() as u64).sum()))
     }
-
-    /// Returns whether all chunks of a version are held.
-    pub fn is_complete(&self, version: &Version) -> bool {
-        self.find(version).is_some_and(Set::is_complete)
-    }
 }
 
 impl Set {
--- a/crates/chestnutpick_router/src/placement.rs
+++ b/crates/chestnutpick_router/src/placement.rs
@@ -51,13 +51,14 @@
     let route = &call.admitted.route;
     let (service, rank) = (&terms.service.name, terms.rank());
     let limit = node.urgency.borrow().limit(now, service, rank, route.target);
+    let waited = now.since(call.received);
     // Refusing a request that may have partly run counts as a failure. A late response is better, if the caller still
     // waits for it.
     let time_left = match tries.runs {
         // A body that arrived slowly would arrive as slowly again after a refusal.
-        0 => Some(route.target.since(now.since(call.received))),
+        0 => Some(route.target.since(waited)),
         _ if tries.begun => None,
-        _ => Some(route.patience.since(now.since(call.received))),
+        _ => Some(route.patience.since(waited)),
     };
     let regions = [call.admitted.regions(), terms.regions()].concat();
     let request = choice::Request {
@@ -70,7 +71,6 @@
         tried: &tries.failed,
         version,
     };
-    let waited = now.since(call.received);
     let own_limit = (tries.runs == 0 && limit < route.target).then(|| limit.since(waited));
     let chosen = node.choose(&request, own_limit);
     if let (0, Some(decision)) = (tries.sends, decision(&chosen, limit)) {
