Review 2: events without end take routers over their memory (case 9)

Cause: each event of a stream leaves a sample in a histogram, and nothing but a request for /metrics removes them; 16 bytes an event stay for good.

--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs;
-use std::io::{self, Write as _};
+use std::io::{self, Read as _, Write as _};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -48,17 +49,20 @@
 pub struct Lab {
     pub record: Record,
     /// First three numbers of all addresses.
-    net: [u8; 3],
+    net: Net,
     items: Arc<Mutex<BTreeMap<String, String>>>,
     dir: PathBuf,
 }
 
-/// The router process, which must not outlive this one.
-static ROUTER_PROCESS: Mutex<Option<Child>> = Mutex::new(None);
+/// First three numbers of the addresses of a lab.
+type Net = [u8; 3];
 
-/// Ends the router process, if it runs.
-pub fn end_router() {
-    if let Some(mut router) = ROUTER_PROCESS.lock().unwrap().take() {
+/// The router processes, which must not outlive this one.
+static ROUTERS: Mutex<BTreeMap<Net, Child>> = Mutex::new(BTreeMap::new());
+
+/// Ends all router processes that run.
+pub fn end_routers() {
+    for mut router in std::mem::take(&mut *ROUTERS.lock().unwrap()).into_values() {
         let _ = router.kill();
         let _ = router.wait();
     }
@@ -66,17 +70,36 @@
 
 impl Drop for Lab {
     fn drop(&mut self) {
-        end_router();
+        self.end_router();
         let _ = fs::remove_dir_all(&self.dir);
     }
 }
 
 impl Lab {
     pub fn new(record: Record) -> io::Result<Self> {
+        Self::with_items(record, Arc::default())
+    }
+
+    /// Returns a further machine for a router, which reads the same store.
+    pub fn beside(&self) -> io::Result<Self> {
+        Self::with_items(self.record.clone(), Arc::clone(&self.items))
+    }
+
+    fn with_items(record: Record, items: Arc<Mutex<BTreeMap<String, String>>>) -> io::Result<Self> {
         let net = free_net()?;
-        let dir = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        let [_, b, c] = net;
+        let dir = std::env::temp_dir().join(format!("review-2-{}-{b}-{c}", std::process::id()));
         fs::create_dir_all(&dir)?;
-        Ok(Self { record, net, items: Arc::default(), dir })
+        Ok(Self { record, net, items, dir })
+    }
+
+    /// Ends the router process, if it runs.
+    pub fn end_router(&self) {
+        let router = ROUTERS.lock().unwrap().remove(&self.net);
+        if let Some(mut router) = router {
+            let _ = router.kill();
+            let _ = router.wait();
+        }
     }
 
     fn ip(&self, last: u8) -> Ipv4Addr {
@@ -91,13 +114,13 @@
 
     /// Returns the router's process id.
     pub fn pid(&self) -> u32 {
-        ROUTER_PROCESS.lock().unwrap().as_ref().map_or(0, Child::id)
+        ROUTERS.lock().unwrap().get(&self.net).map_or(0, Child::id)
     }
 
     /// Returns whether the router has ended by itself.
     pub fn has_ended(&self) -> bool {
-        let mut router = ROUTER_PROCESS.lock().unwrap();
-        router.as_mut().is_some_and(|router| !matches!(router.try_wait(), Ok(None)))
+        let mut routers = ROUTERS.lock().unwrap();
+        routers.get_mut(&self.net).is_some_and(|router| !matches!(router.try_wait(), Ok(None)))
     }
 
     /// Writes an item to the store.
@@ -107,12 +130,7 @@
 
     /// Starts an endpoint and announces it.
     pub fn start_endpoint(&self, id: &str, handler: Handler) -> io::Result<()> {
-        let listener = TcpListener::bind((self.ip(3), 0))?;
-        let address = listener.local_addr()?;
-        let announced = format!(
-            r#"{{"service":"plain","addr":"{address}","zone":"z1","version":"v1","slots":16,"state":"ready","cold_left_ms":0,"seq":1,"born":1}}"#
-        );
-        self.put(&format!("{}{id}", wire::name("ANNOUNCED")), announced);
+        let listener = self.announce(id)?;
         let id = id.to_owned();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -123,6 +141,17 @@
         Ok(())
     }
 
+    /// Announces an endpoint, and returns the listener at its address.
+    pub fn announce(&self, id: &str) -> io::Result<TcpListener> {
+        let listener = TcpListener::bind((self.ip(3), 0))?;
+        let address = listener.local_addr()?;
+        let announced = format!(
+            r#"{{"service":"plain","addr":"{address}","zone":"z1","version":"v1","slots":16,"state":"ready","cold_left_ms":0,"seq":1,"born":1}}"#
+        );
+        self.put(&format!("{}{id}", wire::name("ANNOUNCED")), announced);
+        Ok(listener)
+    }
+
     /// Starts the store and the router, and waits until the router is ready.
     pub fn start(&self) -> io::Result<()> {
         let listener = TcpListener::bind((self.ip(2), 0))?;
@@ -134,18 +163,23 @@
                 thread::spawn(move || serve_store(stream, &items));
             }
         });
-        let settings = self.dir.join("node.toml");
-        fs::write(&settings, self.settings(store))?;
+        fs::write(self.dir.join("node.toml"), self.settings(store))?;
+        self.spawn_router()?;
+        self.wait_ready()
+    }
+
+    /// Starts the router process with the settings that it had before.
+    pub fn spawn_router(&self) -> io::Result<()> {
         let log = fs::File::create(self.dir.join("log"))?;
         let router = Command::new(ROUTER)
             .arg("--settings")
-            .arg(&settings)
+            .arg(self.dir.join("node.toml"))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        *ROUTER_PROCESS.lock().unwrap() = Some(router);
-        self.wait_ready()
+        ROUTERS.lock().unwrap().insert(self.net, router);
+        Ok(())
     }
 
     fn wait_ready(&self) -> io::Result<()> {
@@ -166,6 +200,16 @@
         Err(io::Error::other("the router did not become ready"))
     }
 
+    /// Fetches the metrics of the router, and returns the line of one of them.
+    pub fn scrape(&self, name: &str) -> io::Result<String> {
+        let mut page = connect((self.ip(1), 9_464).into(), Duration::from_secs(5))?;
+        page.write_all(b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        page.read_to_string(&mut text)?;
+        let line = text.lines().find(|line| line.starts_with(name));
+        Ok(line.unwrap_or("no such metric").to_owned())
+    }
+
     /// Returns the settings of a small deployment (the example of the users' page on deployments).
     fn settings(&self, store: SocketAddr) -> String {
         let ip = self.ip(1);
@@ -228,14 +272,20 @@
     kib.map(|kib| kib << 10).ok_or_else(|| io::Error::other("no VmHWM"))
 }
 
-/// Returns a configuration with a route for reads (`idempotent`) and one for orders (`non_idempotent`).
+/// Returns a configuration with a route for reads (`idempotent`), one for orders (`non_idempotent`), and one for drafts
+/// (`streaming`).
 pub fn config() -> String {
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             r#"{{"name":"{name}","host":"{HOST}","prefix":"/{name}/","kind":"{kind}","timeout_ms":6000,"target_latency_ms":1000,"priority":1,"service":"plain","max_attempts":{attempts},"anonymous":false,"sticky":false,"resumable":false,"target_gap_ms":400,"allowed_regions":[]}}"#
         )
     };
-    let routes = [route("reads", "idempotent", 2), route("orders", "non_idempotent", 1)].join(",");
+    let routes = [
+        route("reads", "idempotent", 2),
+        route("orders", "non_idempotent", 1),
+        route("drafts", "streaming", 1),
+    ];
+    let routes = routes.join(",");
     format!(
         r#"{{"version":1,"routes":[{routes}],"services":[{{"name":"plain","health_path":"/health","max_connections":500,"protocol":"h1","tls":false,"cold_s":0.0,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"guild","api_keys":["secret"],"priority":1,"allowed_regions":[]}}]}}"#
     )
@@ -340,9 +390,11 @@
 }
 
 /// Returns the first numbers of loopback addresses on which all ports are free.
-fn free_net() -> io::Result<[u8; 3]> {
+fn free_net() -> io::Result<Net> {
+    static ATTEMPTS: AtomicU32 = AtomicU32::new(0);
     let pid = std::process::id();
-    for attempt in 0..200 {
+    for _ in 0..200 {
+        let attempt = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
         let number = pid.wrapping_mul(2_654_435_761).wrapping_add(attempt * 7_919);
         let [_, b, c, _] = number.to_be_bytes();
         let net = [127, 100 + b % 100, c];
--- a/review/standin-2/large_answers.rs
+++ b/review/standin-2/large_answers.rs
@@ -85,7 +85,7 @@
             peak = lab::peak_memory(pid).unwrap_or(peak);
             if peak > lab::MEMORY {
                 record.line(&format!("the platform kills the router: {peak} bytes"));
-                lab::end_router();
+                lab::end_routers();
                 return (peak, true);
             }
             thread::sleep(INTERVAL);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! Usage: `standin-2 CASE RECORD`, in the root of the repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run. With `TROUBLE=0` in the environment, the case runs without its disruption.
 
+mod endless_events;
 mod http;
 mod lab;
 mod large_answers;
@@ -29,6 +30,7 @@
 fn run(case: &str, record: &lab::Record, trouble: bool) -> io::Result<Outcome> {
     let lab = lab::Lab::new(record.clone())?;
     match case {
+        "endless-events" => endless_events::run(&lab, trouble),
         "large-answers" => large_answers::run(&lab, trouble),
         "not-modified" => not_modified::run(&lab, trouble),
         "read-ahead" => read_ahead::run(&lab, trouble),
@@ -46,7 +48,7 @@
     let Ok(record) = lab::Record::create(Path::new(path)) else { process::exit(2) };
     thread::spawn(|| {
         thread::sleep(TIME_LIMIT);
-        lab::end_router();
+        lab::end_routers();
         process::exit(2);
     });
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
@@ -56,7 +58,7 @@
         Ok(Outcome::Held) => ("the rule held".to_owned(), 0),
         Err(reason) => (format!("the case could not run: {reason}"), 2),
     };
-    lab::end_router();
+    lab::end_routers();
     record.line(&text);
     println!("{case}: {text}");
     process::exit(status);
